Add the design page and the core crate

Cause: the workspace needs its types, registry and rules before the families can be built independently. Ruled out: one crate for everything (families could not be built and tested apart); a write to the store per move step (stalls during a store outage, see design page section 13). Before: nothing. Conclusion: the family crates start from these interfaces.

--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,249 @@
+//! Settings: a TOML file checked as a whole against the registered plug-ins.
+//!
+//! Every mistake is reported with its key, what was found and what is allowed; unknown keys
+//! are mistakes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+use toml::Table;
+use toml::Value;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::errors::SettingMistake;
+use crate::kernel;
+use crate::kernel::Plugin;
+use crate::kernel::SettingKind;
+use crate::kernel::SettingSpec;
+
+/// `Settings` is a checked settings file with all defaults filled in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    file: String,
+    sections: Table,
+}
+
+impl Settings {
+    /// `load` reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`Error::SettingsUnreadable`] or [`Error::SettingsInvalid`] with every mistake.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| Error::SettingsUnreadable {
+            file: file.clone(),
+            reason: error.to_string(),
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// `parse` checks the text of a settings file; `file` is only used in messages.
+    ///
+    /// # Errors
+    /// [`Error::SettingsUnreadable`] or [`Error::SettingsInvalid`] with every mistake.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let table: Table =
+            text.parse()
+                .map_err(|error: toml::de::Error| Error::SettingsUnreadable {
+                    file: file.to_owned(),
+                    reason: error.to_string(),
+                })?;
+        let mut mistakes = Vec::new();
+        check_section_names(&table, &mut mistakes);
+        let mut sections = Table::new();
+        for plugin in kernel::plugins() {
+            let section = check_section(plugin, table.get(plugin.section), &mut mistakes);
+            sections.insert(plugin.section.to_owned(), Value::Table(section));
+        }
+        if !mistakes.is_empty() {
+            return Err(Error::SettingsInvalid {
+                file: file.to_owned(),
+                mistakes,
+            });
+        }
+        Ok(Self {
+            file: file.to_owned(),
+            sections,
+        })
+    }
+
+    /// `section` converts one section to the options struct of its family.
+    ///
+    /// # Errors
+    /// [`Error::SettingsInvalid`] when the struct and the registered keys disagree.
+    pub fn section<T: DeserializeOwned>(&self, name: &str) -> Result<T> {
+        let table = self
+            .sections
+            .get(name)
+            .cloned()
+            .unwrap_or(Value::Table(Table::new()));
+        table
+            .try_into()
+            .map_err(|error: toml::de::Error| Error::SettingsInvalid {
+                file: self.file.clone(),
+                mistakes: vec![SettingMistake {
+                    key: name.to_owned(),
+                    found: error.to_string(),
+                    allowed: "the registered keys of this section".to_owned(),
+                }],
+            })
+    }
+}
+
+fn check_section_names(table: &Table, mistakes: &mut Vec<SettingMistake>) {
+    let plugins = kernel::plugins();
+    let known: Vec<&str> = plugins.iter().map(|plugin| plugin.section).collect();
+    for (name, value) in table {
+        if !known.contains(&name.as_str()) {
+            mistakes.push(SettingMistake {
+                key: name.clone(),
+                found: "an unknown section".to_owned(),
+                allowed: known.join(", "),
+            });
+        } else if !value.is_table() {
+            mistakes.push(SettingMistake {
+                key: name.clone(),
+                found: value.to_string(),
+                allowed: "a table".to_owned(),
+            });
+        }
+    }
+}
+
+fn check_section(
+    plugin: &Plugin,
+    value: Option<&Value>,
+    mistakes: &mut Vec<SettingMistake>,
+) -> Table {
+    let empty = Table::new();
+    let table = value.and_then(Value::as_table).unwrap_or(&empty);
+    for key in table.keys() {
+        if !plugin.settings.iter().any(|spec| spec.key == key) {
+            mistakes.push(unknown_key(plugin, key));
+        }
+    }
+    let mut checked = Table::new();
+    for spec in plugin.settings {
+        match table.get(spec.key) {
+            Some(value) => {
+                check_value(plugin.section, spec, value, mistakes);
+                checked.insert(spec.key.to_owned(), value.clone());
+            }
+            None => insert_default(plugin.section, spec, &mut checked, mistakes),
+        }
+    }
+    checked
+}
+
+fn unknown_key(plugin: &Plugin, key: &str) -> SettingMistake {
+    let known: Vec<&str> = plugin.settings.iter().map(|spec| spec.key).collect();
+    SettingMistake {
+        key: format!("{}.{key}", plugin.section),
+        found: "an unknown key".to_owned(),
+        allowed: known.join(", "),
+    }
+}
+
+fn insert_default(
+    section: &str,
+    spec: &SettingSpec,
+    checked: &mut Table,
+    mistakes: &mut Vec<SettingMistake>,
+) {
+    let Some(default) = spec.default else {
+        mistakes.push(SettingMistake {
+            key: format!("{section}.{}", spec.key),
+            found: "nothing".to_owned(),
+            allowed: allowed(spec.kind),
+        });
+        return;
+    };
+    // Defaults are literals of the registering crate; its tests parse each of them.
+    if let Ok(parsed) = format!("value = {default}").parse::<Table>()
+        && let Some(value) = parsed.get("value")
+    {
+        checked.insert(spec.key.to_owned(), value.clone());
+    }
+}
+
+fn check_value(
+    section: &str,
+    spec: &SettingSpec,
+    value: &Value,
+    mistakes: &mut Vec<SettingMistake>,
+) {
+    if !matches_kind(spec.kind, value) {
+        mistakes.push(SettingMistake {
+            key: format!("{section}.{}", spec.key),
+            found: value.to_string(),
+            allowed: allowed(spec.kind),
+        });
+    }
+}
+
+fn matches_kind(kind: SettingKind, value: &Value) -> bool {
+    match kind {
+        SettingKind::Integer { min, max } => value
+            .as_integer()
+            .is_some_and(|number| (min..=max).contains(&number)),
+        SettingKind::Decimal {
+            min_milli,
+            max_milli,
+        } => decimal_milli(value).is_some_and(|number| (min_milli..=max_milli).contains(&number)),
+        SettingKind::Boolean => value.is_bool(),
+        SettingKind::Text => value.as_str().is_some_and(|text| !text.trim().is_empty()),
+        SettingKind::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
+        SettingKind::Address => is_address(value),
+        SettingKind::AddressList => value
+            .as_array()
+            .is_some_and(|items| items.iter().all(is_address)),
+    }
+}
+
+fn decimal_milli(value: &Value) -> Option<i64> {
+    if let Some(number) = value.as_integer() {
+        return number.checked_mul(1000);
+    }
+    let number = value.as_float()? * 1000.0;
+    let in_range = number.is_finite() && number.abs() < 1e15;
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the range is checked above"
+    )]
+    in_range.then_some(number.round() as i64)
+}
+
+fn is_address(value: &Value) -> bool {
+    value
+        .as_str()
+        .is_some_and(|text| text.parse::<SocketAddr>().is_ok())
+}
+
+/// `allowed` describes the values that a kind of setting takes.
+#[must_use]
+pub fn allowed(kind: SettingKind) -> String {
+    match kind {
+        SettingKind::Integer { min, max } => format!("a whole number from {min} to {max}"),
+        SettingKind::Decimal {
+            min_milli,
+            max_milli,
+        } => {
+            format!(
+                "a number from {} to {}",
+                milli_text(min_milli),
+                milli_text(max_milli)
+            )
+        }
+        SettingKind::Boolean => "true or false".to_owned(),
+        SettingKind::Text => "a text that is not empty".to_owned(),
+        SettingKind::Choice(words) => format!("one of {}", words.join(", ")),
+        SettingKind::Address => "an IP address with a port, such as \"127.0.0.1:7001\"".to_owned(),
+        SettingKind::AddressList => "a list of IP addresses with ports".to_owned(),
+    }
+}
+
+fn milli_text(number_milli: i64) -> String {
+    format!("{}.{:03}", number_milli / 1000, number_milli % 1000)
+}
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,1 @@
+//! hemlockfall-distribution: see docs/design.md.
--- /dev/null
+++ b/crates/hemlockfall/src/lib.rs
@@ -0,0 +1,1 @@
+//! The hemlockfall node and command line.
--- /dev/null
+++ b/crates/hemlockfall/src/main.rs
@@ -0,0 +1,3 @@
+//! The hemlockfall binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! hemlockfall-membership: see docs/design.md.
--- /dev/null
+++ b/crates/moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! hemlockfall-moves: see docs/design.md.
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! hemlockfall-request: see docs/design.md.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! hemlockfall-store: see docs/design.md.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Development tasks: stand-ins, demo, benches and scenarios.
+
+fn main() {}
