--- /dev/null
+++ b/crates/hemlockfall/src/edge/datagrams.rs
@@ -0,0 +1,92 @@
+//! The UDP socket for control messages between nodes, on the `stakker` thread.
+
+use std::io;
+use std::net::SocketAddr;
+
+use stakker::CX;
+use stakker::Fwd;
+use stakker::fwd;
+use stakker::fwd_to;
+use stakker_mio::MioPoll;
+use stakker_mio::Ready;
+use stakker_mio::UdpServerQueue;
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::UdpSocket;
+
+/// `DATAGRAM_LIMIT_BYTES` is the largest datagram sent; it fits the usual Ethernet MTU.
+pub const DATAGRAM_LIMIT_BYTES: usize = 1200;
+
+const RECEIVE_BUFFER_BYTES: usize = 2048;
+const SOCKET_PRIORITY: u32 = 1;
+
+/// `Received` is one datagram from a peer.
+#[derive(Debug)]
+pub struct Received {
+    /// Sender's peer address.
+    pub from: SocketAddr,
+    /// Content.
+    pub content: Vec<u8>,
+}
+
+/// `Datagrams` is the actor that owns the UDP socket.
+pub struct Datagrams {
+    queue: UdpServerQueue,
+    received: Fwd<Received>,
+}
+
+impl Datagrams {
+    /// `init` binds the socket and starts to receive.
+    pub fn init(cx: CX![], address: SocketAddr, received: Fwd<Received>) -> Option<Self> {
+        match Self::open(cx, address) {
+            Ok(queue) => {
+                let mut datagrams = Self { queue, received };
+                datagrams.receive_all();
+                Some(datagrams)
+            }
+            Err(error) => {
+                spdlog::error!("UDP socket cannot be opened", kv: { address = address.to_string(), error = error.to_string() });
+                cx.fail(error);
+                None
+            }
+        }
+    }
+
+    fn open(cx: CX![], address: SocketAddr) -> io::Result<UdpServerQueue> {
+        let socket = UdpSocket::bind(address)?;
+        let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let source = poll.add(socket, Interest::READABLE, SOCKET_PRIORITY, ready)?;
+        let mut queue = UdpServerQueue::new();
+        queue.init(source);
+        Ok(queue)
+    }
+
+    fn ready(&mut self, _: CX![], _: Ready) {
+        self.receive_all();
+    }
+
+    fn receive_all(&mut self) {
+        let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+        loop {
+            match self.queue.read_to_vec(&mut buffer) {
+                Ok(Some((from, content))) => fwd!([self.received], Received { from, content }),
+                Ok(None) => return,
+                // The kernel reports an unreachable peer on the next read; the socket itself
+                // stays usable.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(error) => {
+                    spdlog::warn!("UDP receive failed", kv: { error = error.to_string() });
+                    return;
+                }
+            }
+        }
+    }
+
+    /// `send` sends one datagram; losses are tolerated by the protocols above.
+    pub fn send(&mut self, _: CX![], to: SocketAddr, content: Vec<u8>) {
+        self.queue.push(to, content);
+        if let Err(error) = self.queue.flush() {
+            spdlog::debug!("UDP send failed", kv: { to = to.to_string(), error = error.to_string() });
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/frame.rs
@@ -0,0 +1,133 @@
+//! Framing of links: every message is cut into fragments, so that a large message does not
+//! block the small ones behind it.
+//!
+//! A fragment is a header of nine bytes (length of its content, stream number, flag for the
+//! last fragment) and its content.
+
+use hemlockfall_core::errors::Error;
+use hemlockfall_core::errors::Result;
+use hemlockfall_core::units::KIB;
+use hemlockfall_core::units::MIB;
+
+/// `FRAGMENT_BYTES` is the largest content of one fragment.
+pub const FRAGMENT_BYTES: usize = 64 * KIB;
+/// `MESSAGE_LIMIT_BYTES` is the largest message; the largest body plus its headers fit.
+pub const MESSAGE_LIMIT_BYTES: usize = 16 * MIB;
+/// `HEADER_BYTES` is the size of a fragment's header.
+pub const HEADER_BYTES: usize = 9;
+
+/// Messages that a peer may have begun and not finished at a time.
+const MAX_OPEN_STREAMS: usize = 256;
+const LAST: u8 = 1;
+
+/// `write_fragment` appends one fragment to an output buffer.
+pub fn write_fragment(out: &mut Vec<u8>, stream: u32, content: &[u8], last: bool) {
+    // Content is at most FRAGMENT_BYTES long, which fits in 32 bits.
+    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&stream.to_le_bytes());
+    out.push(u8::from(last) * LAST);
+    out.extend_from_slice(content);
+}
+
+/// `Assembler` puts fragments together again.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    open: Vec<OpenStream>,
+}
+
+#[derive(Debug)]
+struct OpenStream {
+    stream: u32,
+    content: Vec<u8>,
+}
+
+/// `Parsed` is the result of one parsing step.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Parsed {
+    /// More bytes are needed.
+    Incomplete,
+    /// A fragment was consumed, its message is not complete yet.
+    Fragment {
+        /// Bytes consumed.
+        used_bytes: usize,
+    },
+    /// A fragment completed a message.
+    Message {
+        /// Bytes consumed.
+        used_bytes: usize,
+        /// The message.
+        content: Vec<u8>,
+    },
+}
+
+impl Assembler {
+    /// `parse` consumes at most one fragment from the start of the input.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] and [`Error::Malformed`]; the link must then be closed.
+    pub fn parse(&mut self, input: &[u8]) -> Result<Parsed> {
+        let Some((header, rest)) = input.split_first_chunk::<HEADER_BYTES>() else {
+            return Ok(Parsed::Incomplete);
+        };
+        let [l0, l1, l2, l3, s0, s1, s2, s3, flags] = *header;
+        let length = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
+        let stream = u32::from_le_bytes([s0, s1, s2, s3]);
+        if length > FRAGMENT_BYTES {
+            return Err(Error::TooLarge {
+                size_bytes: length,
+                limit_bytes: FRAGMENT_BYTES,
+            });
+        }
+        let Some(content) = rest.get(..length) else {
+            return Ok(Parsed::Incomplete);
+        };
+        self.add(stream, content, flags == LAST, HEADER_BYTES + length)
+    }
+
+    fn add(
+        &mut self,
+        stream: u32,
+        content: &[u8],
+        last: bool,
+        used_bytes: usize,
+    ) -> Result<Parsed> {
+        let found = self.open.binary_search_by_key(&stream, |open| open.stream);
+        if last {
+            let mut whole = found.map_or_else(|_| Vec::new(), |i| self.open.remove(i).content);
+            append(&mut whole, content)?;
+            return Ok(Parsed::Message {
+                used_bytes,
+                content: whole,
+            });
+        }
+        match found {
+            Ok(index) => append(&mut self.open[index].content, content)?,
+            Err(_) if self.open.len() >= MAX_OPEN_STREAMS => {
+                return Err(Error::malformed("too many unfinished messages"));
+            }
+            Err(index) => {
+                self.open.insert(
+                    index,
+                    OpenStream {
+                        stream,
+                        content: content.to_vec(),
+                    },
+                );
+            }
+        }
+        Ok(Parsed::Fragment { used_bytes })
+    }
+}
+
+fn append(whole: &mut Vec<u8>, content: &[u8]) -> Result<()> {
+    let size_bytes = whole.len() + content.len();
+    if size_bytes > MESSAGE_LIMIT_BYTES {
+        return Err(Error::TooLarge {
+            size_bytes,
+            limit_bytes: MESSAGE_LIMIT_BYTES,
+        });
+    }
+    whole.extend_from_slice(content);
+    Ok(())
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/http1/body.rs
@@ -0,0 +1,218 @@
+//! Bodies: both framings of RFC 9112 (section 6) for whole bodies in memory.
+
+use crate::edge::http::Header;
+use crate::edge::http1::HttpError;
+use crate::edge::http1::Result;
+
+const MAX_CHUNK_LINE_BYTES: usize = 256;
+const MAX_TRAILER_BYTES: usize = 8192;
+const CRLF: &[u8] = b"\r\n";
+
+/// `Framing` tells where a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no framing header.
+    Absent,
+    /// `content-length`.
+    Length(usize),
+    /// `transfer-encoding: chunked`.
+    Chunked,
+}
+
+/// `framing` reads the framing headers of a message.
+///
+/// # Errors
+/// [`HttpError::AmbiguousFraming`] when there is more than one reading, and
+/// [`HttpError::UnknownCoding`].
+pub fn framing(headers: &[Header]) -> Result<Framing> {
+    let values = |name: &'static str| {
+        headers
+            .iter()
+            .filter(move |header| header.name.eq_ignore_ascii_case(name))
+    };
+    let mut codings = values("transfer-encoding");
+    let mut lengths = values("content-length");
+    match (codings.next(), lengths.next()) {
+        (None, None) => Ok(Framing::Absent),
+        (Some(coding), None) => {
+            if codings.next().is_some() {
+                return Err(HttpError::AmbiguousFraming);
+            }
+            if !coding.value.trim().eq_ignore_ascii_case("chunked") {
+                return Err(HttpError::UnknownCoding);
+            }
+            Ok(Framing::Chunked)
+        }
+        (None, Some(length)) => {
+            if lengths.any(|other| other.value != length.value) {
+                return Err(HttpError::AmbiguousFraming);
+            }
+            parse_length(&length.value).map(Framing::Length)
+        }
+        (Some(_), Some(_)) => Err(HttpError::AmbiguousFraming),
+    }
+}
+
+fn parse_length(text: &str) -> Result<usize> {
+    // `usize::from_str` takes a leading `+`, which the grammar does not.
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HttpError::AmbiguousFraming);
+    }
+    text.parse().map_err(|_| HttpError::BodyTooLarge)
+}
+
+/// `BodyReader` collects one body.
+#[derive(Debug)]
+pub struct BodyReader {
+    stage: Stage,
+    limit_bytes: usize,
+    body: Vec<u8>,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Rest { bytes: usize },
+    ChunkSize,
+    ChunkData { bytes: usize },
+    ChunkEnd,
+    Trailers { read_bytes: usize },
+    Done,
+}
+
+impl BodyReader {
+    /// `new` starts to read a body.
+    ///
+    /// # Errors
+    /// [`HttpError::BodyTooLarge`] when the declared length exceeds the limit.
+    pub fn new(framing: Framing, limit_bytes: usize) -> Result<Self> {
+        let stage = match framing {
+            Framing::Absent | Framing::Length(0) => Stage::Done,
+            Framing::Length(bytes) if bytes > limit_bytes => return Err(HttpError::BodyTooLarge),
+            Framing::Length(bytes) => Stage::Rest { bytes },
+            Framing::Chunked => Stage::ChunkSize,
+        };
+        Ok(Self {
+            stage,
+            limit_bytes,
+            body: Vec::new(),
+        })
+    }
+
+    /// `is_done` tells whether the body is whole.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        matches!(self.stage, Stage::Done)
+    }
+
+    /// `into_body` returns the bytes read.
+    #[must_use]
+    pub fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// `push` consumes input and returns the number of bytes used.
+    ///
+    /// # Errors
+    /// [`HttpError::BodyTooLarge`] and [`HttpError::Malformed`].
+    pub fn push(&mut self, input: &[u8]) -> Result<usize> {
+        let mut used = 0;
+        while !self.is_done() {
+            let step = self.step(&input[used..])?;
+            if step == 0 {
+                break;
+            }
+            used += step;
+        }
+        Ok(used)
+    }
+
+    fn step(&mut self, input: &[u8]) -> Result<usize> {
+        match self.stage {
+            Stage::Done => Ok(0),
+            Stage::Rest { bytes } => {
+                let taken = self.take(input, bytes)?;
+                let left = bytes - taken;
+                self.stage = if left == 0 {
+                    Stage::Done
+                } else {
+                    Stage::Rest { bytes: left }
+                };
+                Ok(taken)
+            }
+            Stage::ChunkSize => self.chunk_size(input),
+            Stage::ChunkData { bytes } => {
+                let taken = self.take(input, bytes)?;
+                let left = bytes - taken;
+                self.stage = if left == 0 {
+                    Stage::ChunkEnd
+                } else {
+                    Stage::ChunkData { bytes: left }
+                };
+                Ok(taken)
+            }
+            Stage::ChunkEnd => {
+                if input.len() < CRLF.len() {
+                    return Ok(0);
+                }
+                if !input.starts_with(CRLF) {
+                    return Err(HttpError::Malformed("a chunk does not end where it should"));
+                }
+                self.stage = Stage::ChunkSize;
+                Ok(CRLF.len())
+            }
+            Stage::Trailers { read_bytes } => self.trailer(input, read_bytes),
+        }
+    }
+
+    fn take(&mut self, input: &[u8], wanted: usize) -> Result<usize> {
+        let taken = input.len().min(wanted);
+        if self.body.len() + taken > self.limit_bytes {
+            return Err(HttpError::BodyTooLarge);
+        }
+        self.body.extend_from_slice(&input[..taken]);
+        Ok(taken)
+    }
+
+    fn chunk_size(&mut self, input: &[u8]) -> Result<usize> {
+        match httparse::parse_chunk_size(input) {
+            Ok(httparse::Status::Partial) if input.len() > MAX_CHUNK_LINE_BYTES => {
+                Err(HttpError::Malformed("a chunk size line is too long"))
+            }
+            Ok(httparse::Status::Partial) => Ok(0),
+            Ok(httparse::Status::Complete((used, size))) => {
+                let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
+                if size > self.limit_bytes {
+                    return Err(HttpError::BodyTooLarge);
+                }
+                self.stage = match size {
+                    0 => Stage::Trailers { read_bytes: 0 },
+                    bytes => Stage::ChunkData { bytes },
+                };
+                Ok(used)
+            }
+            Err(_) => Err(HttpError::Malformed("a chunk size is not valid")),
+        }
+    }
+
+    /// Skips one trailer line; trailers concern this hop only and are not forwarded.
+    fn trailer(&mut self, input: &[u8], read_bytes: usize) -> Result<usize> {
+        let Some(end) = input.windows(CRLF.len()).position(|window| window == CRLF) else {
+            if read_bytes + input.len() > MAX_TRAILER_BYTES {
+                return Err(HttpError::HeadTooLarge);
+            }
+            return Ok(0);
+        };
+        let used = end + CRLF.len();
+        if read_bytes + used > MAX_TRAILER_BYTES {
+            return Err(HttpError::HeadTooLarge);
+        }
+        self.stage = if end == 0 {
+            Stage::Done
+        } else {
+            Stage::Trailers {
+                read_bytes: read_bytes + used,
+            }
+        };
+        Ok(used)
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/http1/request.rs
@@ -0,0 +1,252 @@
+//! Requests: an incremental reader of whole requests.
+
+use smol_str::SmolStr;
+
+use crate::edge::http;
+use crate::edge::http::Header;
+use crate::edge::http::HttpRequest;
+use crate::edge::http1::HttpError;
+use crate::edge::http1::HttpLimits;
+use crate::edge::http1::MAX_HEADERS;
+use crate::edge::http1::Result;
+use crate::edge::http1::body;
+use crate::edge::http1::body::BodyReader;
+use crate::edge::http1::body::Framing;
+
+const CONTINUE: &str = "100-continue";
+
+/// `RequestReader` reads the requests of one connection, one after the other.
+#[derive(Debug)]
+pub struct RequestReader {
+    limits: HttpLimits,
+    current: Option<Partial>,
+}
+
+#[derive(Debug)]
+struct Partial {
+    head: RequestHead,
+    body: BodyReader,
+}
+
+/// `RequestHead` is a request without its body.
+#[derive(Clone, Debug)]
+struct RequestHead {
+    method: SmolStr,
+    target: SmolStr,
+    headers: Vec<Header>,
+    keep_alive: bool,
+    expects_continue: bool,
+}
+
+/// `ReadRequest` is a whole request with what concerns its connection.
+#[derive(Debug)]
+pub struct ReadRequest {
+    /// The request.
+    pub request: HttpRequest,
+    /// Whether the connection may be used for another request.
+    pub keep_alive: bool,
+}
+
+/// `RequestStep` is the progress of one call to [`RequestReader::push`].
+#[derive(Debug)]
+pub struct RequestStep {
+    /// Bytes consumed.
+    pub used_bytes: usize,
+    /// The request, when it is whole.
+    pub request: Option<ReadRequest>,
+    /// Whether `100 Continue` must be sent now.
+    pub send_continue: bool,
+}
+
+impl RequestReader {
+    /// `new` makes a reader.
+    #[must_use]
+    pub fn new(limits: HttpLimits) -> Self {
+        Self {
+            limits,
+            current: None,
+        }
+    }
+
+    /// `is_idle` tells whether no request has been begun.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.current.is_none()
+    }
+
+    /// `push` consumes input up to the end of at most one request.
+    ///
+    /// # Errors
+    /// Any [`HttpError`]; the connection must be closed after telling the caller.
+    pub fn push(&mut self, input: &[u8]) -> Result<RequestStep> {
+        let mut used_bytes = 0;
+        let mut send_continue = false;
+        if self.current.is_none() {
+            let Some((head, head_bytes)) = parse_head(input, self.limits)? else {
+                return Ok(RequestStep {
+                    used_bytes,
+                    request: None,
+                    send_continue,
+                });
+            };
+            used_bytes = head_bytes;
+            let framing = body::framing(&head.headers)?;
+            let body = BodyReader::new(framing, self.limits.max_body_bytes)?;
+            send_continue =
+                head.expects_continue && framing != Framing::Absent && input.len() == head_bytes;
+            self.current = Some(Partial { head, body });
+        }
+        let Some(mut partial) = self.current.take() else {
+            return Ok(RequestStep {
+                used_bytes,
+                request: None,
+                send_continue,
+            });
+        };
+        used_bytes += partial.body.push(&input[used_bytes..])?;
+        let request = if partial.body.is_done() {
+            Some(finish(partial))
+        } else {
+            self.current = Some(partial);
+            None
+        };
+        Ok(RequestStep {
+            used_bytes,
+            request,
+            send_continue,
+        })
+    }
+}
+
+fn parse_head(input: &[u8], limits: HttpLimits) -> Result<Option<(RequestHead, usize)>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut fields);
+    let head_bytes = match parsed.parse(input) {
+        Ok(httparse::Status::Complete(bytes)) => bytes,
+        Ok(httparse::Status::Partial) if input.len() > limits.max_head_bytes => {
+            return Err(HttpError::HeadTooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+        Err(httparse::Error::Version) => return Err(HttpError::UnknownVersion),
+        Err(_) => return Err(HttpError::Malformed("the request head is not valid")),
+    };
+    if head_bytes > limits.max_head_bytes {
+        return Err(HttpError::HeadTooLarge);
+    }
+    let is_1_1 = parsed.version == Some(1);
+    let headers = convert_headers(parsed.headers)?;
+    check_host(&headers, is_1_1)?;
+    if !is_1_1 && has(&headers, "transfer-encoding") {
+        return Err(HttpError::AmbiguousFraming);
+    }
+    let (target, headers) = origin_form(parsed.path.unwrap_or_default(), headers)?;
+    let connection = connection_options(&headers);
+    let has_option = |option: &str| {
+        connection
+            .split(',')
+            .any(|listed| listed.trim().eq_ignore_ascii_case(option))
+    };
+    let keep_alive = if is_1_1 {
+        !has_option("close")
+    } else {
+        has_option("keep-alive")
+    };
+    let expects_continue = expects_continue(&headers)? && is_1_1;
+    let method = SmolStr::from(parsed.method.unwrap_or_default());
+    Ok(Some((
+        RequestHead {
+            method,
+            target,
+            headers,
+            keep_alive,
+            expects_continue,
+        },
+        head_bytes,
+    )))
+}
+
+/// `convert_headers` copies header fields; values must be visible text (RFC 9110, 5.5).
+pub(super) fn convert_headers(fields: &[httparse::Header<'_>]) -> Result<Vec<Header>> {
+    fields
+        .iter()
+        .map(|field| {
+            let value = std::str::from_utf8(field.value)
+                .map_err(|_| HttpError::Malformed("a header value is not UTF-8"))?;
+            Ok(Header::new(field.name, value.trim()))
+        })
+        .collect()
+}
+
+/// `connection_options` joins the values of all `connection` fields.
+pub(super) fn connection_options(headers: &[Header]) -> String {
+    let values: Vec<&str> = headers
+        .iter()
+        .filter(|header| header.name.eq_ignore_ascii_case("connection"))
+        .map(|header| header.value.as_str())
+        .collect();
+    values.join(",")
+}
+
+fn check_host(headers: &[Header], is_1_1: bool) -> Result<()> {
+    let hosts = headers
+        .iter()
+        .filter(|header| header.name.eq_ignore_ascii_case("host"))
+        .count();
+    if hosts > 1 || (hosts == 0 && is_1_1) {
+        return Err(HttpError::Malformed("exactly one host header is needed"));
+    }
+    Ok(())
+}
+
+/// Turns an absolute-form target into path and host (RFC 9112, section 3.2.2).
+fn origin_form(target: &str, mut headers: Vec<Header>) -> Result<(SmolStr, Vec<Header>)> {
+    if target.starts_with('/') || target == "*" {
+        return Ok((target.into(), headers));
+    }
+    let Some(rest) = target.strip_prefix("http://") else {
+        return Err(HttpError::Malformed("the request target is not a path"));
+    };
+    let (authority, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
+    headers.retain(|header| !header.name.eq_ignore_ascii_case("host"));
+    headers.push(Header::new("host", authority));
+    Ok((path.into(), headers))
+}
+
+fn expects_continue(headers: &[Header]) -> Result<bool> {
+    let mut expectations = headers
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case("expect"));
+    match expectations.next() {
+        None => Ok(false),
+        Some(header) if header.value.eq_ignore_ascii_case(CONTINUE) => Ok(true),
+        Some(_) => Err(HttpError::UnknownExpectation),
+    }
+}
+
+fn has(headers: &[Header], name: &str) -> bool {
+    headers
+        .iter()
+        .any(|header| header.name.eq_ignore_ascii_case(name))
+}
+
+fn finish(partial: Partial) -> ReadRequest {
+    let Partial { head, body } = partial;
+    let connection = connection_options(&head.headers);
+    let mut headers = head.headers;
+    headers.retain(|header| {
+        http::is_forwarded(&header.name, &connection)
+            && !header.name.eq_ignore_ascii_case("expect")
+            && !header.name.eq_ignore_ascii_case("content-length")
+    });
+    let request = HttpRequest {
+        method: head.method,
+        target: head.target,
+        headers,
+        body: body.into_body(),
+    };
+    ReadRequest {
+        request,
+        keep_alive: head.keep_alive,
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/http1/response.rs
@@ -0,0 +1,216 @@
+//! Responses: an incremental reader of whole responses, and the writers of both messages.
+
+use crate::edge::http;
+use crate::edge::http::Header;
+use crate::edge::http::HttpAnswer;
+use crate::edge::http::HttpRequest;
+use crate::edge::http1::HttpError;
+use crate::edge::http1::HttpLimits;
+use crate::edge::http1::MAX_HEADERS;
+use crate::edge::http1::Result;
+use crate::edge::http1::body;
+use crate::edge::http1::body::BodyReader;
+use crate::edge::http1::body::Framing;
+use crate::edge::http1::request::connection_options;
+use crate::edge::http1::request::convert_headers;
+
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+const SWITCHING_PROTOCOLS: u16 = 101;
+
+/// `ResponseReader` reads the response to one request.
+#[derive(Debug)]
+pub struct ResponseReader {
+    limits: HttpLimits,
+    is_head: bool,
+    current: Option<Partial>,
+}
+
+#[derive(Debug)]
+struct Partial {
+    status: u16,
+    headers: Vec<Header>,
+    keep_alive: bool,
+    body: BodyReader,
+}
+
+/// `ReadResponse` is a whole response with what concerns its connection.
+#[derive(Debug)]
+pub struct ReadResponse {
+    /// The answer.
+    pub answer: HttpAnswer,
+    /// Whether the connection may be used for another request.
+    pub keep_alive: bool,
+}
+
+impl ResponseReader {
+    /// `new` makes a reader for the response to a request with the given method.
+    #[must_use]
+    pub fn new(method: &str, limits: HttpLimits) -> Self {
+        Self {
+            limits,
+            is_head: method == "HEAD",
+            current: None,
+        }
+    }
+
+    /// `push` consumes input; returns the bytes used and the response when it is whole.
+    ///
+    /// # Errors
+    /// Any [`HttpError`]. A response without framing is an error: when its connection ends,
+    /// nothing tells a whole body from a cut-off one.
+    pub fn push(&mut self, input: &[u8]) -> Result<(usize, Option<ReadResponse>)> {
+        let mut used_bytes = 0;
+        while self.current.is_none() {
+            let Some((partial, head_bytes)) = self.parse_head(&input[used_bytes..])? else {
+                return Ok((used_bytes, None));
+            };
+            used_bytes += head_bytes;
+            // Interim responses are skipped; the final one follows.
+            self.current = partial;
+        }
+        let Some(mut partial) = self.current.take() else {
+            return Ok((used_bytes, None));
+        };
+        used_bytes += partial.body.push(&input[used_bytes..])?;
+        if partial.body.is_done() {
+            return Ok((used_bytes, Some(finish(partial))));
+        }
+        self.current = Some(partial);
+        Ok((used_bytes, None))
+    }
+
+    fn parse_head(&self, input: &[u8]) -> Result<Option<(Option<Partial>, usize)>> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut fields);
+        let head_bytes = match parsed.parse(input) {
+            Ok(httparse::Status::Complete(bytes)) => bytes,
+            Ok(httparse::Status::Partial) if input.len() > self.limits.max_head_bytes => {
+                return Err(HttpError::HeadTooLarge);
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(HttpError::Malformed("the response head is not valid")),
+        };
+        let status = parsed.code.unwrap_or_default();
+        if status == SWITCHING_PROTOCOLS {
+            return Err(HttpError::Malformed("the target switched protocols"));
+        }
+        if (100..200).contains(&status) {
+            return Ok(Some((None, head_bytes)));
+        }
+        let headers = convert_headers(parsed.headers)?;
+        let connection = connection_options(&headers).to_ascii_lowercase();
+        let keep_alive = if parsed.version == Some(1) {
+            !connection.contains("close")
+        } else {
+            connection.contains("keep-alive")
+        };
+        let body = BodyReader::new(self.framing(status, &headers)?, self.limits.max_body_bytes)?;
+        Ok(Some((
+            Some(Partial {
+                status,
+                headers,
+                keep_alive,
+                body,
+            }),
+            head_bytes,
+        )))
+    }
+
+    fn framing(&self, status: u16, headers: &[Header]) -> Result<Framing> {
+        if self.is_head || status == NO_CONTENT || status == NOT_MODIFIED {
+            return Ok(Framing::Absent);
+        }
+        match body::framing(headers)? {
+            Framing::Absent => Err(HttpError::Malformed("the response has no length")),
+            framing => Ok(framing),
+        }
+    }
+}
+
+fn finish(partial: Partial) -> ReadResponse {
+    let connection = connection_options(&partial.headers);
+    let mut headers = partial.headers;
+    headers.retain(|header| http::is_forwarded(&header.name, &connection));
+    let answer = HttpAnswer::new(partial.status, headers, partial.body.into_body());
+    ReadResponse {
+        answer,
+        keep_alive: partial.keep_alive,
+    }
+}
+
+/// `write_request` appends a request in wire form.
+pub fn write_request(out: &mut Vec<u8>, request: &HttpRequest, extra: &[Header]) {
+    let start = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    out.extend_from_slice(start.as_bytes());
+    write_headers(out, &request.headers);
+    write_headers(out, extra);
+    let needs_length =
+        !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD");
+    if needs_length {
+        out.extend_from_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&request.body);
+}
+
+/// `write_response` appends a response in wire form.
+pub fn write_response(out: &mut Vec<u8>, answer: &HttpAnswer, is_head: bool, keep_alive: bool) {
+    let reason = reason_phrase(answer.status);
+    out.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", answer.status).as_bytes());
+    let has_no_body = is_head || matches!(answer.status, NO_CONTENT | NOT_MODIFIED);
+    for header in &answer.headers {
+        // The length of a response to HEAD is the target's; all others are computed here.
+        if is_head || !header.name.eq_ignore_ascii_case("content-length") {
+            write_header(out, header);
+        }
+    }
+    if !has_no_body {
+        out.extend_from_slice(format!("content-length: {}\r\n", answer.body.len()).as_bytes());
+    }
+    if !keep_alive {
+        out.extend_from_slice(b"connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    if !has_no_body {
+        out.extend_from_slice(&answer.body);
+    }
+}
+
+fn write_headers(out: &mut Vec<u8>, headers: &[Header]) {
+    for header in headers {
+        write_header(out, header);
+    }
+}
+
+fn write_header(out: &mut Vec<u8>, header: &Header) {
+    out.extend_from_slice(header.name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(header.value.as_bytes());
+    out.extend_from_slice(b"\r\n");
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -0,0 +1,418 @@
+//! TCP links between nodes: long-lived, multiplexed, opened on demand, on the `stakker` thread.
+//!
+//! A link is usable once the peer's `Hello` has arrived, so a frozen peer, whose kernel still
+//! accepts connections, never counts as reached: what waits for such a link was surely not
+//! sent. Messages carry a tag; when a link is lost, its owner learns which tagged messages
+//! were never sent and which may have been.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use stakker::CX;
+use stakker::Fwd;
+use stakker::after;
+use stakker::fwd;
+use stakker::fwd_to;
+use stakker_mio::MioPoll;
+use stakker_mio::MioSource;
+use stakker_mio::Ready;
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::TcpListener;
+use stakker_mio::mio::net::TcpStream;
+
+use crate::edge::links::link::Link;
+use crate::edge::links::link::LinkState;
+
+mod link;
+
+/// `LinkId` identifies one connection of this process.
+pub type LinkId = u64;
+/// `Tag` identifies a message whose fate the sender wants to know; 0 means none.
+pub type Tag = u64;
+
+const SOCKET_PRIORITY: u32 = 2;
+const TICK: Duration = Duration::from_millis(100);
+
+/// `LinkOptions` bound the links of a node.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    /// Own peer address.
+    pub address: SocketAddr,
+    /// Time for a connection to become usable.
+    pub connect_timeout: Duration,
+    /// Silence with a call outstanding after which a ping is sent.
+    pub ping_after: Duration,
+    /// Further silence after which the link is given up.
+    pub lost_after: Duration,
+    /// Idle time after which an outgoing link is closed.
+    pub idle_timeout: Duration,
+    /// Bytes that may wait on one link.
+    pub queue_limit_bytes: usize,
+    /// Links that peers may open.
+    pub max_incoming: usize,
+}
+
+/// `LossReason` tells why a link ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// The connection could not be opened, or no `Hello` came in time.
+    Unreachable,
+    /// The peer closed the connection or it broke.
+    Closed,
+    /// No byte came although calls were outstanding and a ping was sent.
+    Silent,
+    /// The peer sent something that cannot be decoded.
+    Malformed,
+}
+
+/// `LinkEvent` is what the owner of the links learns.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A message arrived.
+    Message {
+        /// Link it came on, for the answer.
+        link: LinkId,
+        /// Peer address of the sender.
+        peer: SocketAddr,
+        /// Content.
+        content: Vec<u8>,
+    },
+    /// A link ended.
+    Lost {
+        /// The link.
+        link: LinkId,
+        /// Peer address, when known.
+        peer: Option<SocketAddr>,
+        /// Why.
+        reason: LossReason,
+        /// Tags of messages of which no byte was sent.
+        unsent: Vec<Tag>,
+        /// Tags of messages that may have reached the peer and are not settled.
+        unsettled: Vec<Tag>,
+    },
+    /// A message was refused before it was queued.
+    Refused {
+        /// Peer address.
+        peer: SocketAddr,
+        /// Tag of the message.
+        tag: Tag,
+    },
+}
+
+/// `Links` is the actor that owns the listener and all connections.
+pub struct Links {
+    options: LinkOptions,
+    listener: MioSource<TcpListener>,
+    /// Sorted by id.
+    open: Vec<Link>,
+    /// Sorted by address.
+    backoffs: Vec<Backoff>,
+    next_id: LinkId,
+    events: Fwd<LinkEvent>,
+}
+
+#[derive(Debug)]
+struct Backoff {
+    peer: SocketAddr,
+    failures: u32,
+    until: Instant,
+}
+
+impl Links {
+    /// `init` binds the listener.
+    pub fn init(cx: CX![], options: LinkOptions, events: Fwd<LinkEvent>) -> Option<Self> {
+        match Self::listen(cx, options.address) {
+            Ok(listener) => {
+                after!(TICK, [cx], tick());
+                let (open, backoffs) = (Vec::new(), Vec::new());
+                Some(Self {
+                    options,
+                    listener,
+                    open,
+                    backoffs,
+                    next_id: 1,
+                    events,
+                })
+            }
+            Err(error) => {
+                spdlog::error!("peer address cannot be bound", kv: { address = options.address.to_string(), error = error.to_string() });
+                cx.fail(error);
+                None
+            }
+        }
+    }
+
+    fn listen(cx: CX![], address: SocketAddr) -> io::Result<MioSource<TcpListener>> {
+        let listener = TcpListener::bind(address)?;
+        let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], accept() as (Ready));
+        poll.add(listener, Interest::READABLE, SOCKET_PRIORITY, ready)
+    }
+
+    fn accept(&mut self, cx: CX![], _: Ready) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.accepted(cx, stream),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    spdlog::warn!("accepting a link failed", kv: { error = error.to_string() });
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, cx: CX![], stream: TcpStream) {
+        let incoming = self.open.iter().filter(|link| !link.outgoing).count();
+        if incoming >= self.options.max_incoming {
+            spdlog::warn!("link refused: too many", kv: { limit = self.options.max_incoming });
+            return;
+        }
+        if let Err(error) = self.add(cx, stream, None) {
+            spdlog::warn!("accepted link cannot be used", kv: { error = error.to_string() });
+        }
+    }
+
+    fn add(
+        &mut self,
+        cx: CX![],
+        stream: TcpStream,
+        peer: Option<SocketAddr>,
+    ) -> io::Result<LinkId> {
+        let id = self.next_id;
+        let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], ready(id) as (Ready));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = poll.add(stream, interest, SOCKET_PRIORITY, ready)?;
+        self.next_id += 1;
+        self.open
+            .push(Link::new(id, source, peer, self.options.address, cx.now()));
+        Ok(id)
+    }
+
+    /// `send` queues a message for a peer, opening a link when there is none.
+    pub fn send(&mut self, cx: CX![], peer: SocketAddr, tag: Tag, content: Vec<u8>) {
+        let Some(id) = self.usable(peer).or_else(|| self.connect(cx, peer)) else {
+            fwd!([self.events], LinkEvent::Refused { peer, tag });
+            return;
+        };
+        let limit_bytes = self.options.queue_limit_bytes;
+        let now = cx.now();
+        let Some(link) = self.link_mut(id) else {
+            return;
+        };
+        if link.queued_bytes() + content.len() > limit_bytes {
+            fwd!([self.events], LinkEvent::Refused { peer, tag });
+            return;
+        }
+        link.push(tag, content, now);
+        self.pump(cx, id);
+    }
+
+    /// `reply` sends a message back on the link that a message came on; it is dropped when the
+    /// link is gone, since the peer then asks again.
+    pub fn reply(&mut self, cx: CX![], link: LinkId, content: Vec<u8>) {
+        let now = cx.now();
+        let Some(found) = self.link_mut(link) else {
+            return;
+        };
+        found.push(0, content, now);
+        self.pump(cx, link);
+    }
+
+    /// `settle` tells that the fate of a tagged message is known.
+    pub fn settle(&mut self, _: CX![], tag: Tag) {
+        for link in &mut self.open {
+            if link.settle(tag) {
+                return;
+            }
+        }
+    }
+
+    fn usable(&self, peer: SocketAddr) -> Option<LinkId> {
+        self.open
+            .iter()
+            .find(|link| link.outgoing && link.peer == Some(peer))
+            .map(|link| link.id)
+    }
+
+    fn connect(&mut self, cx: CX![], peer: SocketAddr) -> Option<LinkId> {
+        let found = self
+            .backoffs
+            .binary_search_by_key(&peer, |backoff| backoff.peer);
+        if found.is_ok_and(|index| self.backoffs[index].until > cx.now()) {
+            return None;
+        }
+        let opened = TcpStream::connect(peer).and_then(|stream| self.add(cx, stream, Some(peer)));
+        if opened.is_err() {
+            self.note_failure(cx.now(), peer);
+        }
+        opened.ok()
+    }
+
+    fn note_failure(&mut self, now: Instant, peer: SocketAddr) {
+        let index = match self
+            .backoffs
+            .binary_search_by_key(&peer, |backoff| backoff.peer)
+        {
+            Ok(index) => index,
+            Err(index) => {
+                self.backoffs.insert(
+                    index,
+                    Backoff {
+                        peer,
+                        failures: 0,
+                        until: now,
+                    },
+                );
+                index
+            }
+        };
+        let backoff = &mut self.backoffs[index];
+        backoff.failures += 1;
+        backoff.until = now + reconnect_delay(backoff.failures);
+    }
+
+    fn note_success(&mut self, peer: SocketAddr) {
+        if let Ok(index) = self
+            .backoffs
+            .binary_search_by_key(&peer, |backoff| backoff.peer)
+        {
+            self.backoffs.remove(index);
+        }
+    }
+
+    fn link_mut(&mut self, id: LinkId) -> Option<&mut Link> {
+        let index = self.open.binary_search_by_key(&id, |link| link.id).ok()?;
+        self.open.get_mut(index)
+    }
+
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "stakker passes events by value"
+    )]
+    fn ready(&mut self, cx: CX![], id: LinkId, ready: Ready) {
+        let now = cx.now();
+        let Some(link) = self.link_mut(id) else {
+            return;
+        };
+        if ready.is_error() && link.state == LinkState::Connecting {
+            self.lose(cx, id, LossReason::Unreachable);
+            return;
+        }
+        if ready.is_writable() && link.state == LinkState::Connecting && !link.connected() {
+            self.lose(cx, id, LossReason::Unreachable);
+            return;
+        }
+        self.receive(cx, id, now);
+        self.pump(cx, id);
+    }
+
+    fn receive(&mut self, cx: CX![], id: LinkId, now: Instant) {
+        let Some(link) = self.link_mut(id) else {
+            return;
+        };
+        let (messages, failure) = link.receive(now);
+        let greeted = link.take_greeted();
+        let peer = link.peer;
+        if let (true, Some(peer)) = (greeted, peer) {
+            self.note_success(peer);
+        }
+        for content in messages {
+            if let Some(peer) = peer {
+                fwd!(
+                    [self.events],
+                    LinkEvent::Message {
+                        link: id,
+                        peer,
+                        content
+                    }
+                );
+            }
+        }
+        if let Some(reason) = failure {
+            self.lose(cx, id, reason);
+        }
+    }
+
+    fn pump(&mut self, cx: CX![], id: LinkId) {
+        let Some(link) = self.link_mut(id) else {
+            return;
+        };
+        if link.pump().is_err() {
+            self.lose(cx, id, LossReason::Closed);
+        }
+    }
+
+    fn lose(&mut self, cx: CX![], id: LinkId, reason: LossReason) {
+        let Ok(index) = self.open.binary_search_by_key(&id, |link| link.id) else {
+            return;
+        };
+        let link = self.open.remove(index);
+        if link.outgoing
+            && let Some(peer) = link.peer
+            && link.state != LinkState::Usable
+        {
+            self.note_failure(cx.now(), peer);
+        }
+        let (unsent, unsettled) = link.tags();
+        let peer = link.peer;
+        let reason_text = format!("{reason:?}");
+        if unsent.is_empty() && unsettled.is_empty() {
+            spdlog::debug!("link ended", kv: { link = id, reason = reason_text.as_str() });
+        } else {
+            let peer_text = peer.map_or_else(String::new, |peer| peer.to_string());
+            spdlog::info!("link lost", kv: {
+                link = id, peer = peer_text.as_str(), reason = reason_text.as_str(),
+                unsent = unsent.len(), unsettled = unsettled.len(),
+            });
+        }
+        fwd!(
+            [self.events],
+            LinkEvent::Lost {
+                link: id,
+                peer,
+                reason,
+                unsent,
+                unsettled
+            }
+        );
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = cx.now();
+        let mut lost = Vec::new();
+        let mut pinged = Vec::new();
+        for link in &mut self.open {
+            if let Some(reason) = link.overdue(now, &self.options) {
+                lost.push((link.id, reason));
+            } else if link.ping_if_silent(now, &self.options) {
+                pinged.push(link.id);
+            }
+        }
+        for (id, reason) in lost {
+            self.lose(cx, id, reason);
+        }
+        for id in pinged {
+            self.pump(cx, id);
+        }
+        self.backoffs
+            .retain(|backoff| backoff.until + BACKOFF_MEMORY > now);
+    }
+}
+
+/// Time after which a peer's failed connections are forgotten.
+const BACKOFF_MEMORY: Duration = Duration::from_secs(30);
+const FIRST_DELAY: Duration = Duration::from_millis(50);
+const MAX_DOUBLINGS: u32 = 6;
+
+/// `reconnect_delay` doubles from 50 ms to 3.2 s, with jitter of up to a half, so that the peers
+/// of a restarted node do not all return at once.
+fn reconnect_delay(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
+    let delay = FIRST_DELAY * 2_u32.pow(doublings);
+    delay.mul_f64(rand::random_range(0.5..1.0))
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/links/link.rs
@@ -0,0 +1,358 @@
+//! One connection: its buffers, its queue and its clock.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlockfall_core::codec;
+use serde::Deserialize;
+use serde::Serialize;
+use stakker_mio::MioSource;
+use stakker_mio::ReadStatus;
+use stakker_mio::TcpStreamBuf;
+use stakker_mio::mio::net::TcpStream;
+
+use crate::edge::frame;
+use crate::edge::frame::Assembler;
+use crate::edge::frame::FRAGMENT_BYTES;
+use crate::edge::frame::Parsed;
+use crate::edge::links::LinkId;
+use crate::edge::links::LinkOptions;
+use crate::edge::links::LossReason;
+use crate::edge::links::Tag;
+
+const PROTOCOL: u16 = 1;
+const GREETING_LIMIT_BYTES: usize = 256;
+/// Bytes handed to the socket buffer at a time; what is beyond stays in the queue and is still
+/// surely unsent when the link ends.
+const OUTPUT_BYTES: usize = 2 * FRAGMENT_BYTES;
+const READ_BYTES: usize = 64 * 1024;
+
+/// `Service` is the traffic of the link itself: the greeting and the keep-alive.
+#[derive(Debug, Serialize, Deserialize)]
+enum Service {
+    Hello {
+        protocol: u16,
+        peer_address: SocketAddr,
+    },
+    Ping,
+    Pong,
+}
+
+/// First byte of a message: traffic of the link itself or of its users.
+const SERVICE: u8 = 0;
+const PAYLOAD: u8 = 1;
+
+/// `LinkState` is the stage of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkState {
+    /// The TCP connection is not established yet.
+    Connecting,
+    /// The peer's `Hello` is awaited.
+    Greeting,
+    /// Messages flow.
+    Usable,
+}
+
+#[derive(Debug)]
+struct Queued {
+    tag: Tag,
+    stream: u32,
+    content: Vec<u8>,
+    sent_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    tag: Tag,
+    since: Instant,
+}
+
+/// `Link` is one connection.
+pub(super) struct Link {
+    pub(super) id: LinkId,
+    pub(super) outgoing: bool,
+    pub(super) peer: Option<SocketAddr>,
+    pub(super) state: LinkState,
+    buffer: TcpStreamBuf,
+    assembler: Assembler,
+    queue: VecDeque<Queued>,
+    queued_bytes: usize,
+    /// Tagged messages that were at least partly sent and are not settled.
+    outstanding: Vec<Outstanding>,
+    next_stream: u32,
+    opened: Instant,
+    last_received: Instant,
+    last_used: Instant,
+    pinged: Option<Instant>,
+    greeted: bool,
+}
+
+impl Link {
+    pub(super) fn new(
+        id: LinkId,
+        stream: MioSource<TcpStream>,
+        peer: Option<SocketAddr>,
+        own_address: SocketAddr,
+        now: Instant,
+    ) -> Self {
+        let outgoing = peer.is_some();
+        let mut buffer = TcpStreamBuf::new();
+        buffer.init(stream);
+        buffer.set_nodelay(true);
+        let mut link = Self {
+            id,
+            outgoing,
+            peer,
+            state: if outgoing {
+                LinkState::Connecting
+            } else {
+                LinkState::Greeting
+            },
+            buffer,
+            assembler: Assembler::default(),
+            queue: VecDeque::new(),
+            queued_bytes: 0,
+            outstanding: Vec::new(),
+            next_stream: 1,
+            opened: now,
+            last_received: now,
+            last_used: now,
+            pinged: None,
+            greeted: false,
+        };
+        link.write_service(&Service::Hello {
+            protocol: PROTOCOL,
+            peer_address: own_address,
+        });
+        link
+    }
+
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.queued_bytes
+    }
+
+    /// Queues a message behind the earlier ones.
+    pub(super) fn push(&mut self, tag: Tag, mut content: Vec<u8>, now: Instant) {
+        content.insert(0, PAYLOAD);
+        self.queued_bytes += content.len();
+        self.last_used = now;
+        let stream = self.next_stream;
+        self.next_stream = self.next_stream.wrapping_add(1).max(1);
+        self.queue.push_back(Queued {
+            tag,
+            stream,
+            content,
+            sent_bytes: 0,
+        });
+        if self.outstanding.is_empty() {
+            // Silence is counted from the first outstanding call, not from the last use.
+            self.last_received = self.last_received.max(now);
+        }
+    }
+
+    pub(super) fn settle(&mut self, tag: Tag) -> bool {
+        let Some(index) = self
+            .outstanding
+            .iter()
+            .position(|message| message.tag == tag)
+        else {
+            return false;
+        };
+        self.outstanding.swap_remove(index);
+        true
+    }
+
+    /// Checks the result of a non-blocking connect; true when the connection stands.
+    pub(super) fn connected(&mut self) -> bool {
+        if self.buffer.flush().is_err() {
+            return false;
+        }
+        self.state = LinkState::Greeting;
+        true
+    }
+
+    /// Moves queued messages to the socket, fragment by fragment in turn.
+    pub(super) fn pump(&mut self) -> io::Result<()> {
+        if self.state == LinkState::Connecting {
+            return Ok(());
+        }
+        loop {
+            while self.state == LinkState::Usable && self.buffer.out.len() < OUTPUT_BYTES {
+                if !self.write_next_fragment() {
+                    break;
+                }
+            }
+            let had_output = !self.buffer.out.is_empty();
+            self.buffer.flush()?;
+            if !had_output || !self.buffer.out.is_empty() || self.queue.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn write_next_fragment(&mut self) -> bool {
+        let Some(mut message) = self.queue.pop_front() else {
+            return false;
+        };
+        if message.sent_bytes == 0 && message.tag != 0 {
+            self.outstanding.push(Outstanding {
+                tag: message.tag,
+                since: self.last_used,
+            });
+        }
+        let end = message
+            .content
+            .len()
+            .min(message.sent_bytes + FRAGMENT_BYTES);
+        let last = end == message.content.len();
+        let content = &message.content[message.sent_bytes..end];
+        frame::write_fragment(&mut self.buffer.out, message.stream, content, last);
+        self.queued_bytes -= content.len();
+        message.sent_bytes = end;
+        if !last {
+            self.queue.push_back(message);
+        }
+        true
+    }
+
+    fn write_service(&mut self, message: &Service) {
+        let Ok(encoded) = codec::encode(message) else {
+            return;
+        };
+        let mut content = vec![SERVICE];
+        content.extend_from_slice(&encoded);
+        frame::write_fragment(&mut self.buffer.out, 0, &content, true);
+    }
+
+    /// Reads what has arrived; returns whole messages and the reason when the link must end.
+    pub(super) fn receive(&mut self, now: Instant) -> (Vec<Vec<u8>>, Option<LossReason>) {
+        let mut messages = Vec::new();
+        loop {
+            let status = self.buffer.read(READ_BYTES);
+            if matches!(status, ReadStatus::NewData) {
+                self.last_received = now;
+                self.pinged = None;
+            }
+            if !self.parse(&mut messages) {
+                return (messages, Some(LossReason::Malformed));
+            }
+            match status {
+                ReadStatus::NewData => {}
+                ReadStatus::WouldBlock => return (messages, None),
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+                    let reason = match self.state {
+                        LinkState::Usable => LossReason::Closed,
+                        LinkState::Connecting | LinkState::Greeting => LossReason::Unreachable,
+                    };
+                    return (messages, Some(reason));
+                }
+            }
+        }
+    }
+
+    fn parse(&mut self, messages: &mut Vec<Vec<u8>>) -> bool {
+        loop {
+            let input = &self.buffer.inp[self.buffer.rd..self.buffer.wr];
+            match self.assembler.parse(input) {
+                Ok(Parsed::Incomplete) => return true,
+                Ok(Parsed::Fragment { used_bytes }) => self.buffer.rd += used_bytes,
+                Ok(Parsed::Message {
+                    used_bytes,
+                    content,
+                }) => {
+                    self.buffer.rd += used_bytes;
+                    if !self.take_message(content, messages) {
+                        return false;
+                    }
+                }
+                Err(_) => return false,
+            }
+        }
+    }
+
+    fn take_message(&mut self, mut content: Vec<u8>, messages: &mut Vec<Vec<u8>>) -> bool {
+        match content.split_first() {
+            Some((&SERVICE, service)) => self.take_service(service),
+            Some((&PAYLOAD, _)) if self.state == LinkState::Usable => {
+                content.remove(0);
+                messages.push(content);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn take_service(&mut self, encoded: &[u8]) -> bool {
+        match codec::decode(encoded, GREETING_LIMIT_BYTES) {
+            Ok(Service::Hello {
+                protocol,
+                peer_address,
+            }) => {
+                if protocol != PROTOCOL {
+                    return false;
+                }
+                self.peer = self.peer.or(Some(peer_address));
+                self.state = LinkState::Usable;
+                self.greeted = true;
+                true
+            }
+            Ok(Service::Ping) => {
+                self.write_service(&Service::Pong);
+                true
+            }
+            Ok(Service::Pong) => true,
+            Err(_) => false,
+        }
+    }
+
+    /// Tells once that the link became usable.
+    pub(super) fn take_greeted(&mut self) -> bool {
+        std::mem::take(&mut self.greeted) && self.outgoing
+    }
+
+    /// Returns the reason when the link has run out of time.
+    pub(super) fn overdue(&self, now: Instant, options: &LinkOptions) -> Option<LossReason> {
+        if self.state != LinkState::Usable {
+            let late = now.duration_since(self.opened) >= options.connect_timeout;
+            return late.then_some(LossReason::Unreachable);
+        }
+        if let Some(pinged) = self.pinged
+            && now.duration_since(pinged) >= options.lost_after
+        {
+            return Some(LossReason::Silent);
+        }
+        let idle = self.outstanding.is_empty()
+            && self.queue.is_empty()
+            && now.duration_since(self.last_used.max(self.last_received)) >= options.idle_timeout;
+        (self.outgoing && idle).then_some(LossReason::Closed)
+    }
+
+    /// Sends a ping when a call is outstanding and nothing has arrived for a while.
+    pub(super) fn ping_if_silent(&mut self, now: Instant, options: &LinkOptions) -> bool {
+        let Some(oldest) = self.outstanding.iter().map(|message| message.since).min() else {
+            return false;
+        };
+        let silent = now.duration_since(self.last_received.max(oldest)) >= options.ping_after;
+        if !silent || self.pinged.is_some() {
+            return false;
+        }
+        self.pinged = Some(now);
+        self.write_service(&Service::Ping);
+        true
+    }
+
+    /// Returns the tags that were never sent, and those that may have been.
+    pub(super) fn tags(&self) -> (Vec<Tag>, Vec<Tag>) {
+        let unsent = self
+            .queue
+            .iter()
+            .filter(|m| m.sent_bytes == 0 && m.tag != 0);
+        let unsettled = self.outstanding.iter().map(|message| message.tag);
+        (
+            unsent.map(|message| message.tag).collect(),
+            unsettled.collect(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/target_client.rs
@@ -0,0 +1,223 @@
+//! The HTTP edge towards the local target: an event-driven client on the `stakker` thread.
+//!
+//! It tells apart what was surely not sent from what may have run, drops a connection on its
+//! first doubt, and never sends a request twice.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use stakker::CX;
+use stakker::Fwd;
+use stakker::after;
+use stakker::fwd;
+use stakker::fwd_to;
+use stakker_mio::MioPoll;
+use stakker_mio::Ready;
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::TcpStream;
+
+use crate::edge::http1::HttpLimits;
+use crate::edge::message::TargetResult;
+use crate::edge::message::TargetRun;
+use crate::edge::target_client::connection::Connection;
+use crate::edge::target_client::connection::Step;
+
+mod connection;
+
+const SOCKET_PRIORITY: u32 = 2;
+const TICK: Duration = Duration::from_secs(1);
+/// Idle connections are closed before a target's usual keep-alive timeout ends them.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// `TargetEvent` is the result of one run.
+#[derive(Debug)]
+pub struct TargetEvent {
+    /// The run.
+    pub id: u64,
+    /// What became of it.
+    pub result: TargetResult,
+}
+
+/// `TargetClient` is the actor that owns the connections to the local target.
+pub struct TargetClient {
+    limits: HttpLimits,
+    max_connections: usize,
+    /// Sorted by id.
+    open: Vec<Connection>,
+    next_connection: u64,
+    events: Fwd<TargetEvent>,
+}
+
+impl TargetClient {
+    /// `init` starts without connections.
+    pub fn init(
+        cx: CX![],
+        limits: HttpLimits,
+        max_connections: usize,
+        events: Fwd<TargetEvent>,
+    ) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self {
+            limits,
+            max_connections,
+            open: Vec::new(),
+            next_connection: 1,
+            events,
+        })
+    }
+
+    /// `set_max_connections` takes over what the target announced.
+    pub fn set_max_connections(&mut self, _: CX![], max_connections: usize) {
+        self.max_connections = max_connections;
+    }
+
+    /// `run` sends a request; its result comes as a [`TargetEvent`].
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "stakker passes arguments by value"
+    )]
+    pub fn run(&mut self, cx: CX![], run: Box<TargetRun>) {
+        let run_id = run.id;
+        after!(run.time_left, [cx], expire(run_id));
+        let limits = HttpLimits {
+            max_body_bytes: run.max_body_bytes,
+            ..self.limits
+        };
+        // The most recently used connection is the one least likely to have been closed.
+        let idle = self
+            .open
+            .iter_mut()
+            .filter(|connection| connection.is_idle_for(run.address))
+            .max_by_key(|connection| connection.last_used());
+        let id = if let Some(connection) = idle {
+            connection.start(&run, limits, cx.now());
+            connection.id
+        } else {
+            match self.connect(cx, &run, limits) {
+                Ok(id) => id,
+                Err(error) => {
+                    let result = TargetResult::NotSent {
+                        reason: error.to_string(),
+                    };
+                    fwd!([self.events], TargetEvent { id: run_id, result });
+                    return;
+                }
+            }
+        };
+        self.write(id);
+    }
+
+    fn connect(&mut self, cx: CX![], run: &TargetRun, limits: HttpLimits) -> io::Result<u64> {
+        if self.open.len() >= self.max_connections {
+            self.close_one_idle();
+        }
+        if self.open.len() >= self.max_connections {
+            return Err(io::Error::other("all connections to the target are in use"));
+        }
+        let id = self.next_connection;
+        let stream = TcpStream::connect(run.address)?;
+        let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], ready(id) as (Ready));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = poll.add(stream, interest, SOCKET_PRIORITY, ready)?;
+        self.next_connection += 1;
+        let mut connection = Connection::new(id, source, run.address, cx.now());
+        connection.start(run, limits, cx.now());
+        self.open.push(connection);
+        Ok(id)
+    }
+
+    fn close_one_idle(&mut self) {
+        if let Some(index) = self.open.iter().position(Connection::is_idle) {
+            self.open.remove(index);
+        }
+    }
+
+    /// `abort` gives up a run; its connection is closed and no result follows.
+    pub fn abort(&mut self, _: CX![], run_id: u64) {
+        self.open
+            .retain(|connection| connection.run_id() != Some(run_id));
+    }
+
+    fn expire(&mut self, _: CX![], run_id: u64) {
+        let Some(index) = self
+            .open
+            .iter()
+            .position(|open| open.run_id() == Some(run_id))
+        else {
+            return;
+        };
+        let connection = self.open.remove(index);
+        let result = connection.result_at_timeout();
+        // Whatever made this connection silent may have hit the others of its age; new ones
+        // are opened for the next requests.
+        let (address, opened) = (connection.address, connection.opened);
+        self.open
+            .retain(|open| !(open.is_idle_for(address) && open.opened <= opened));
+        fwd!([self.events], TargetEvent { id: run_id, result });
+    }
+
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "stakker passes events by value"
+    )]
+    fn ready(&mut self, cx: CX![], id: u64, ready: Ready) {
+        let now = cx.now();
+        if ready.is_writable() {
+            self.write(id);
+        }
+        let Ok(index) = self
+            .open
+            .binary_search_by_key(&id, |connection| connection.id)
+        else {
+            return;
+        };
+        let step = self.open[index].read(now);
+        self.finish(index, step);
+    }
+
+    fn write(&mut self, id: u64) {
+        let Ok(index) = self
+            .open
+            .binary_search_by_key(&id, |connection| connection.id)
+        else {
+            return;
+        };
+        let step = self.open[index].write();
+        self.finish(index, step);
+    }
+
+    fn finish(&mut self, index: usize, step: Step) {
+        match step {
+            Step::Pending => {}
+            Step::Done {
+                run_id,
+                result,
+                reusable,
+            } => {
+                if !reusable {
+                    self.open.remove(index);
+                }
+                fwd!([self.events], TargetEvent { id: run_id, result });
+            }
+            Step::Closed => {
+                self.open.remove(index);
+            }
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now: Instant = cx.now();
+        self.open.retain(|open| {
+            !(open.is_idle() && now.duration_since(open.last_used()) >= IDLE_TIMEOUT)
+        });
+    }
+
+    /// `close_idle` drops the idle connections to an address, when its target is gone.
+    pub fn close_idle(&mut self, _: CX![], address: SocketAddr) {
+        self.open.retain(|open| !open.is_idle_for(address));
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/edge/target_client/connection.rs
@@ -0,0 +1,192 @@
+//! One connection to the local target.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use stakker_mio::MioSource;
+use stakker_mio::ReadStatus;
+use stakker_mio::TcpStreamBuf;
+use stakker_mio::mio::net::TcpStream;
+
+use crate::edge::http1::HttpLimits;
+use crate::edge::http1::response;
+use crate::edge::http1::response::ResponseReader;
+use crate::edge::message::TargetResult;
+use crate::edge::message::TargetRun;
+
+const READ_BYTES: usize = 64 * 1024;
+
+/// `Step` is what an event on a connection led to.
+pub(super) enum Step {
+    /// Nothing yet.
+    Pending,
+    /// A run ended.
+    Done {
+        /// The run.
+        run_id: u64,
+        /// What became of it.
+        result: TargetResult,
+        /// Whether the connection can carry another run.
+        reusable: bool,
+    },
+    /// An idle connection ended.
+    Closed,
+}
+
+struct Running {
+    run_id: u64,
+    reader: ResponseReader,
+    request_bytes: usize,
+}
+
+/// `Connection` is one connection to the local target.
+pub(super) struct Connection {
+    pub(super) id: u64,
+    pub(super) address: SocketAddr,
+    pub(super) opened: Instant,
+    buffer: TcpStreamBuf,
+    running: Option<Running>,
+    last_used: Instant,
+}
+
+impl Connection {
+    pub(super) fn new(
+        id: u64,
+        stream: MioSource<TcpStream>,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Self {
+        let mut buffer = TcpStreamBuf::new();
+        buffer.init(stream);
+        buffer.set_nodelay(true);
+        Self {
+            id,
+            address,
+            opened: now,
+            buffer,
+            running: None,
+            last_used: now,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.running.is_none()
+    }
+
+    pub(super) fn is_idle_for(&self, address: SocketAddr) -> bool {
+        self.is_idle() && self.address == address
+    }
+
+    pub(super) fn last_used(&self) -> Instant {
+        self.last_used
+    }
+
+    pub(super) fn run_id(&self) -> Option<u64> {
+        self.running.as_ref().map(|running| running.run_id)
+    }
+
+    /// Puts a request into the output buffer.
+    pub(super) fn start(&mut self, run: &TargetRun, limits: HttpLimits, now: Instant) {
+        response::write_request(&mut self.buffer.out, &run.request, &[]);
+        let reader = ResponseReader::new(&run.request.method, limits);
+        let request_bytes = self.buffer.out.len();
+        self.running = Some(Running {
+            run_id: run.id,
+            reader,
+            request_bytes,
+        });
+        self.last_used = now;
+    }
+
+    pub(super) fn write(&mut self) -> Step {
+        match self.buffer.flush() {
+            Ok(()) => Step::Pending,
+            Err(error) => self.fail(&error.to_string()),
+        }
+    }
+
+    pub(super) fn read(&mut self, now: Instant) -> Step {
+        loop {
+            let status = self.buffer.read(READ_BYTES);
+            if let Some(step) = self.parse(now) {
+                return step;
+            }
+            match status {
+                ReadStatus::NewData => {}
+                ReadStatus::WouldBlock => return Step::Pending,
+                ReadStatus::EndOfStream => return self.fail("the target closed the connection"),
+                ReadStatus::Error(error) => return self.fail(&error.to_string()),
+            }
+        }
+    }
+
+    fn parse(&mut self, now: Instant) -> Option<Step> {
+        let input = &self.buffer.inp[self.buffer.rd..self.buffer.wr];
+        if input.is_empty() {
+            return None;
+        }
+        let Some(running) = self.running.as_mut() else {
+            // Bytes without a request belong to no one.
+            return Some(Step::Closed);
+        };
+        let run_id = running.run_id;
+        match running.reader.push(input) {
+            Ok((used_bytes, None)) => {
+                self.buffer.rd += used_bytes;
+                None
+            }
+            Ok((used_bytes, Some(read))) => {
+                self.buffer.rd += used_bytes;
+                self.running = None;
+                self.last_used = now;
+                let clean = self.buffer.rd == self.buffer.wr && self.buffer.out.is_empty();
+                let result = TargetResult::Answer(Box::new(read.answer));
+                Some(Step::Done {
+                    run_id,
+                    result,
+                    reusable: read.keep_alive && clean,
+                })
+            }
+            Err(error) => {
+                let result = TargetResult::Broken {
+                    reason: error.to_string(),
+                };
+                Some(Step::Done {
+                    run_id,
+                    result,
+                    reusable: false,
+                })
+            }
+        }
+    }
+
+    fn fail(&mut self, reason: &str) -> Step {
+        let Some(running) = self.running.take() else {
+            return Step::Closed;
+        };
+        let unsent = self.buffer.out.len() == running.request_bytes;
+        let reason = reason.to_owned();
+        let result = if unsent {
+            TargetResult::NotSent { reason }
+        } else {
+            TargetResult::Broken { reason }
+        };
+        Step::Done {
+            run_id: running.run_id,
+            result,
+            reusable: false,
+        }
+    }
+
+    pub(super) fn result_at_timeout(&self) -> TargetResult {
+        let request_bytes = self
+            .running
+            .as_ref()
+            .map_or(0, |running| running.request_bytes);
+        if request_bytes > 0 && self.buffer.out.len() == request_bytes {
+            let reason = "the target did not accept the connection in time".to_owned();
+            return TargetResult::NotSent { reason };
+        }
+        TargetResult::TimedOut
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/log.rs
@@ -0,0 +1,73 @@
+//! Structured logs: one JSON object per line.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+use spdlog::Level;
+use spdlog::LevelFilter;
+use spdlog::Logger;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::FileSink;
+use spdlog::sink::Sink;
+use spdlog::sink::StdStreamSink;
+
+/// Lines reach the file at the latest after this time; warnings and errors at once.
+const FLUSH_PERIOD: Duration = Duration::from_millis(500);
+/// Name that stands for standard error.
+const STANDARD_ERROR: &str = "-";
+
+/// `LogOptions` is the settings section `log`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct LogOptions {
+    /// File, or `-` for standard error.
+    pub file: SmolStr,
+    /// Lowest level written.
+    pub level: SmolStr,
+    /// Limit of routing decision lines per second; 0 for none.
+    pub decisions_per_s: u32,
+}
+
+/// `init` makes the default logger.
+///
+/// # Errors
+/// The reason why the log file cannot be opened.
+pub fn init(options: &LogOptions) -> Result<(), String> {
+    let sink = open(options).map_err(|error| error.to_string())?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level(&options.level)))
+        .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+        .build()
+        .map_err(|error| error.to_string())?;
+    let logger = Arc::new(logger);
+    logger.set_flush_period(Some(FLUSH_PERIOD));
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+fn open(options: &LogOptions) -> spdlog::Result<Arc<dyn Sink>> {
+    let formatter = JsonFormatter::new();
+    if options.file == STANDARD_ERROR {
+        let sink = StdStreamSink::builder()
+            .stderr()
+            .formatter(formatter)
+            .build()?;
+        return Ok(Arc::new(sink));
+    }
+    let sink = FileSink::builder()
+        .path(options.file.as_str())
+        .formatter(formatter)
+        .build()?;
+    Ok(Arc::new(sink))
+}
+
+fn level(name: &str) -> Level {
+    match name {
+        "debug" => Level::Debug,
+        "warn" => Level::Warn,
+        "error" => Level::Error,
+        _ => Level::Info,
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/node/mod.rs
@@ -0,0 +1,3 @@
+//! The node: the process beside each target.
+
+pub mod health;
