--- /dev/null
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -0,0 +1,305 @@
+//! The calls actor: the request path of one node.
+//!
+//! [`entry`] serves the callers of this node; [`local`] serves the target beside it, for calls
+//! that other nodes or this one send.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::TargetInfo;
+use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::units;
+use hemlockfall_distribution::snapshot::Snapshot;
+use hemlockfall_membership::items::GossipItem;
+use hemlockfall_request::admission::Admission;
+use hemlockfall_request::balance::Place;
+use hemlockfall_request::clock::Now;
+use hemlockfall_request::idempotency::KeyStore;
+use hemlockfall_request::options::Options;
+use hemlockfall_request::router::Router;
+use stakker::Actor;
+use stakker::CX;
+use stakker::Core;
+use stakker::after;
+use stakker::call;
+
+use crate::edge::caller_server::CallerServer;
+use crate::edge::links::LinkEvent;
+use crate::edge::links::LinkId;
+use crate::edge::links::Links;
+use crate::edge::message::Announcement;
+use crate::edge::message::CallerEvent;
+use crate::edge::message::LocalEvent;
+use crate::edge::target_client::TargetClient;
+use crate::node::control::Control;
+use crate::node::control::ControlOutput;
+use crate::node::decisions::DecisionLog;
+use crate::wire::LinkMessage;
+
+pub mod answer;
+mod entry;
+mod fingerprints;
+mod keys;
+mod local;
+mod target;
+
+use entry::EntryCalls;
+use local::LocalTarget;
+
+const TICK: Duration = Duration::from_millis(50);
+/// The router's time-limited state is looked through once in this many ticks.
+const TICKS_PER_EXPIRY: u32 = 20;
+
+/// `CallsParts` are what the calls actor works with.
+pub struct CallsParts {
+    /// Where this node is.
+    pub place: Place,
+    /// Life of this node.
+    pub incarnation: Incarnation,
+    /// Settings of the request path.
+    pub options: Options,
+    /// TCP links.
+    pub links: Actor<Links>,
+    /// HTTP edge towards callers.
+    pub callers: Actor<CallerServer>,
+    /// HTTP edge towards the local target.
+    pub target_client: Actor<TargetClient>,
+    /// Membership and distribution.
+    pub control: Actor<Control>,
+    /// Writes routing decisions.
+    pub decisions: DecisionLog,
+}
+
+/// `Calls` is the actor of the request path.
+pub struct Calls {
+    own: NodeName,
+    options: Options,
+    links: Actor<Links>,
+    callers: Actor<CallerServer>,
+    target_client: Actor<TargetClient>,
+    control: Actor<Control>,
+    decisions: DecisionLog,
+    router: Router,
+    keys: KeyStore,
+    admission: Admission,
+    entry: EntryCalls,
+    local: LocalTarget,
+    /// Peer addresses, sorted by node.
+    addresses: Vec<NodeAddress>,
+    is_serving: bool,
+    ticks: u32,
+}
+
+struct NodeAddress {
+    node: NodeName,
+    address: SocketAddr,
+}
+
+/// `now_of` reads both clocks of the actor system.
+fn now_of(core: &mut Core) -> Now {
+    Now { at: core.now(), unix_ms: units::unix_ms(std::time::SystemTime::now()) }
+}
+
+impl Calls {
+    /// `init` starts without configuration and target.
+    pub fn init(cx: CX![], parts: CallsParts) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        let now = now_of(cx);
+        let own = parts.place.node.clone();
+        let options = parts.options;
+        Some(Self {
+            router: Router::new(parts.place, options.clone(), rand::random()),
+            keys: KeyStore::new(own.clone(), options.clone(), now),
+            admission: Admission::new(parts.incarnation, 0, &options),
+            own,
+            options,
+            links: parts.links,
+            callers: parts.callers,
+            target_client: parts.target_client,
+            control: parts.control,
+            decisions: parts.decisions,
+            entry: EntryCalls::default(),
+            local: LocalTarget::default(),
+            addresses: Vec::new(),
+            is_serving: false,
+            ticks: 0,
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = now_of(cx);
+        let actions = self.keys.tick(now);
+        self.perform_keys(cx, actions);
+        self.advance_admission(cx);
+        self.ticks = self.ticks.wrapping_add(1);
+        if self.ticks.is_multiple_of(TICKS_PER_EXPIRY) {
+            self.router.expire(now);
+            self.update_gauges();
+        }
+    }
+
+    fn update_gauges(&self) {
+        metrics::gauge!("hemlockfall_slots_in_use").set(small(self.admission.running()));
+        metrics::gauge!("hemlockfall_queue_length").set(small(self.admission.queued()));
+        metrics::gauge!("hemlockfall_calls_in_flight").set(small(self.entry.len()));
+    }
+
+    /// `control_output` takes in news of membership and distribution.
+    pub fn control_output(&mut self, cx: CX![], output: ControlOutput) {
+        let now = now_of(cx);
+        match output {
+            ControlOutput::InForce(snapshot) => self.put_in_force(&snapshot),
+            ControlOutput::Endpoint(record) => self.endpoint(&record, now),
+            ControlOutput::Forgotten(node) => {
+                self.router.forget_endpoint(&node, now);
+                if let Ok(index) = self.address_position(&node) {
+                    self.addresses.remove(index);
+                }
+            }
+            ControlOutput::Item { item, lifetime_ms } => self.item(&item, lifetime_ms, now),
+            ControlOutput::Roles(_) | ControlOutput::StoreReachable(_) => {}
+        }
+    }
+
+    fn put_in_force(&mut self, snapshot: &Arc<Snapshot>) {
+        self.router.set_configuration(Arc::new(snapshot.configuration().clone()));
+        self.is_serving = true;
+    }
+
+    fn endpoint(&mut self, record: &EndpointRecord, now: Now) {
+        self.router.set_endpoint(record, now);
+        match self.address_position(&record.node) {
+            Ok(index) => self.addresses[index].address = record.peer_address,
+            Err(index) => {
+                let (node, address) = (record.node.clone(), record.peer_address);
+                self.addresses.insert(index, NodeAddress { node, address });
+            }
+        }
+        if record.node == self.own {
+            self.own_record(record);
+        }
+    }
+
+    fn address_position(&self, node: &str) -> Result<usize, usize> {
+        self.addresses.binary_search_by(|known| known.node.as_str().cmp(node))
+    }
+
+    fn item(&mut self, item: &GossipItem, lifetime_ms: u32, now: Now) {
+        if let Some(report) = fingerprints::report_of(item, lifetime_ms) {
+            self.router.fingerprints_mut().merge(&report, now.at);
+        }
+    }
+
+    /// `caller_event` takes in a request of a caller, or its end.
+    pub fn caller_event(&mut self, cx: CX![], event: CallerEvent) {
+        match event {
+            CallerEvent::Request { id, request } => self.caller_request(cx, id, request),
+            CallerEvent::Gone { id } => self.caller_gone(cx, id),
+        }
+    }
+
+    /// `link_event` takes in the loss of a link or of messages.
+    pub fn link_event(&mut self, cx: CX![], event: LinkEvent) {
+        match event {
+            LinkEvent::Message { .. } => {}
+            LinkEvent::Refused { tag, .. } => self.attempt_not_sent(cx, tag),
+            LinkEvent::Lost { unsent, unsettled, .. } => {
+                for tag in unsent {
+                    self.attempt_not_sent(cx, tag);
+                }
+                for tag in unsettled {
+                    self.attempt_link_lost(cx, tag);
+                }
+            }
+        }
+    }
+
+    /// `link_message` takes in a message of a peer.
+    pub fn link_message(&mut self, cx: CX![], link: LinkId, message: LinkMessage) {
+        match message {
+            LinkMessage::Control(_) => {}
+            LinkMessage::Call(frame) => self.call_arrived(cx, local::Origin::Link(link), *frame),
+            LinkMessage::Answer(frame) => self.attempt_answered(cx, *frame),
+            LinkMessage::Cancel { attempt_id } => self.cancel_arrived(cx, attempt_id),
+            LinkMessage::Fence { attempt_id, incarnation } => {
+                self.fence_arrived(cx, link, attempt_id, incarnation);
+            }
+            LinkMessage::FenceAnswer { attempt_id, answer } => {
+                self.fence_answered(cx, attempt_id, answer);
+            }
+            LinkMessage::Key { from, message } => {
+                let actions = self.keys.receive(&from, message, now_of(cx));
+                self.perform_keys(cx, actions);
+            }
+        }
+    }
+
+    /// `local_event` takes in what the target beside this node says about itself.
+    pub fn local_event(&mut self, cx: CX![], event: LocalEvent) {
+        match event {
+            LocalEvent::Announce(announcement) => self.announced(cx, &announcement),
+            LocalEvent::Leave => self.leave(cx),
+            LocalEvent::Report(report) => {
+                let load_percent = u8::try_from(report.load_percent).unwrap_or(u8::MAX);
+                self.router.report(&self.own.clone(), report.healthy, load_percent);
+            }
+        }
+    }
+
+    fn announced(&mut self, cx: CX![], announcement: &Announcement) {
+        if !self.local.is_news(announcement) {
+            return;
+        }
+        let now = now_of(cx);
+        if self.local.is_leaving() {
+            self.keys.rejoined(now);
+        }
+        self.local.announced(announcement, now.unix_ms);
+        self.admission.resize(announcement.slots);
+        let connections = usize::from(announcement.connections);
+        call!([self.target_client], set_max_connections(connections));
+        let info = TargetInfo {
+            service: announcement.service.clone(),
+            version: announcement.version.clone(),
+            slots: announcement.slots,
+            ready_unix_ms: now.unix_ms,
+        };
+        call!([self.control], announce(info));
+    }
+
+    /// `leave` stops taking new work for the target; what runs and waits is finished.
+    pub fn leave(&mut self, _: CX![]) {
+        self.admission.drain();
+        self.local.leave();
+        call!([self.control], leave());
+    }
+
+    /// `is_idle` tells whether no request is in progress on this node.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.entry.len() == 0 && self.local.is_idle()
+    }
+
+    /// `report_idle` answers whether no request is in progress on this node.
+    pub fn report_idle(&self, _: CX![], idle: stakker::Ret<bool>) {
+        stakker::ret!([idle], self.is_idle());
+    }
+
+    fn send_link(&self, to: SocketAddr, tag: u64, message: &LinkMessage) {
+        match message.encode() {
+            Ok(content) => call!([self.links], send(to, tag, content)),
+            Err(error) => {
+                spdlog::error!("message not sent", kv: { error = error.to_string() });
+            }
+        }
+    }
+}
+
+/// Converts a small count to the number type of the metrics library.
+fn small(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/hemlockfall/src/node/calls/local.rs
@@ -0,0 +1,324 @@
+//! The target's side: attempts that arrive for the target beside this node.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::Class;
+use hemlockfall_core::codec;
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::ids::Digest;
+use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::ServiceName;
+use hemlockfall_core::ids::VersionName;
+use hemlockfall_request::admission::Admission;
+use hemlockfall_request::admission::AdmissionAction;
+use hemlockfall_request::admission::Admitted;
+use hemlockfall_request::admission::Cancelled;
+use hemlockfall_request::admission::Offer;
+use hemlockfall_request::clock;
+use hemlockfall_request::fingerprint;
+use hemlockfall_request::idempotency::ClaimRequest;
+use hemlockfall_request::outcome::Reason;
+use hemlockfall_request::placement::Key;
+use hemlockfall_request::seen::AttemptId;
+use stakker::CX;
+use stakker::at;
+
+use crate::edge::http::HttpRequest;
+use crate::edge::links::LinkId;
+use crate::edge::message::Announcement;
+use crate::node::calls::Calls;
+use crate::node::calls::fingerprints::Completed;
+use crate::node::calls::keys;
+use crate::node::calls::now_of;
+use crate::wire::AnswerFrame;
+use crate::wire::AttemptEnd;
+use crate::wire::CallFrame;
+use crate::wire::LinkMessage;
+
+/// `Origin` is where an attempt came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Another node, over a link.
+    Link(LinkId),
+    /// A caller of this node.
+    Own,
+}
+
+/// `LocalAttempt` is an attempt that has not ended.
+pub(super) struct LocalAttempt {
+    pub(super) attempt_id: AttemptId,
+    origin: Origin,
+    class: Class,
+    incarnation: Incarnation,
+    pub(super) deadline: Instant,
+    pub(super) is_retry: bool,
+    pub(super) max_body_bytes: u32,
+    pub(super) has_key: bool,
+    /// Taken when the request is handed to the target.
+    pub(super) request: Option<HttpRequest>,
+    pub(super) fingerprint: Digest,
+}
+
+/// `LocalTarget` is the target beside this node with what it is doing.
+#[derive(Default)]
+pub struct LocalTarget {
+    announcement: Option<Announcement>,
+    pub(super) ready_unix_ms: u64,
+    is_leaving: bool,
+    /// Sorted by attempt id.
+    pub(super) attempts: Vec<LocalAttempt>,
+    /// Runs on the target, sorted by run id.
+    pub(super) runs: Vec<super::target::Run>,
+    pub(super) next_run: u64,
+    pub(super) completed: Completed,
+    /// Fingerprints of runs that broke off while it is not known whether the target vanished.
+    pub(super) suspects: Vec<Digest>,
+}
+
+impl LocalTarget {
+    pub(super) fn is_news(&self, announcement: &Announcement) -> bool {
+        self.is_leaving || self.announcement.as_ref() != Some(announcement)
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    pub(super) fn announced(&mut self, announcement: &Announcement, now_unix_ms: u64) {
+        self.announcement = Some(announcement.clone());
+        self.ready_unix_ms = now_unix_ms;
+        self.is_leaving = false;
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    pub(super) fn lost(&mut self) {
+        self.announcement = None;
+    }
+
+    pub(super) fn address(&self) -> Option<SocketAddr> {
+        self.announcement.as_ref().map(|announcement| announcement.address)
+    }
+
+    pub(super) fn service(&self) -> Option<&ServiceName> {
+        self.announcement.as_ref().map(|announcement| &announcement.service)
+    }
+
+    fn serves(&self, service: &ServiceName, version: &VersionName) -> bool {
+        self.announcement
+            .as_ref()
+            .is_some_and(|known| known.service == *service && known.version == *version)
+    }
+
+    pub(super) fn position(&self, attempt_id: AttemptId) -> Result<usize, usize> {
+        self.attempts.binary_search_by_key(&attempt_id, |attempt| attempt.attempt_id)
+    }
+}
+
+impl Calls {
+    /// Takes over the own record; a new life starts with a new admission, so that attempts for
+    /// the earlier one are recognised.
+    pub(super) fn own_record(&mut self, record: &EndpointRecord) {
+        if !self.admission.is_of(record.incarnation) {
+            let slots = record.target.as_ref().map_or(0, |target| target.slots);
+            self.admission = Admission::new(record.incarnation, slots, &self.options);
+        }
+    }
+
+    /// Takes in an attempt for the local target.
+    pub(super) fn call_arrived(&mut self, cx: CX![], origin: Origin, frame: CallFrame) {
+        let now = now_of(cx);
+        let attempt_id = frame.attempt_id;
+        match self.admission.screen(attempt_id, frame.incarnation) {
+            Some(Admitted::Refused { reason, retry_after_ms }) => {
+                let end = AttemptEnd::Refused { reason, retry_after_ms };
+                self.send_end(cx, origin, attempt_id, end);
+                return;
+            }
+            Some(_) => return,
+            None => {}
+        }
+        let Err(index) = self.local.position(attempt_id) else {
+            return;
+        };
+        if let Some(reason) = self.reason_against(&frame, now) {
+            self.admission.cancel(attempt_id, now);
+            self.send_end(cx, origin, attempt_id, keys::refused(reason));
+            return;
+        }
+        let request = &frame.request;
+        let fingerprint =
+            fingerprint::fingerprint(&frame.service, &request.method, request.path(), &request.body);
+        let deadline = now.at + clock::millis(frame.time_left_ms);
+        self.local.attempts.insert(
+            index,
+            LocalAttempt {
+                attempt_id,
+                origin,
+                class: frame.class,
+                incarnation: frame.incarnation,
+                deadline,
+                is_retry: frame.is_retry,
+                max_body_bytes: frame.max_body_bytes,
+                has_key: frame.key.is_some(),
+                request: Some(frame.request),
+                fingerprint,
+            },
+        );
+        let Some(call_key) = frame.key else {
+            self.offer(cx, attempt_id);
+            return;
+        };
+        let key = Key::new(frame.service, call_key.text);
+        let claim = ClaimRequest {
+            keepers: self.router.keepers(&key, call_key.is_generated, now),
+            key,
+            claimant: attempt_id,
+            voided: call_key.voided,
+            is_generated: call_key.is_generated,
+            deadline,
+        };
+        let actions = self.keys.begin(claim, now);
+        self.perform_keys(cx, actions);
+    }
+
+    fn reason_against(&self, frame: &CallFrame, now: clock::Now) -> Option<Reason> {
+        if !self.local.serves(&frame.service, &frame.version) {
+            return Some(Reason::NoTarget);
+        }
+        if codec::digest(&frame.request.body) != frame.body_digest {
+            return Some(Reason::NotSent);
+        }
+        let fingerprints = self.router.fingerprints();
+        if fingerprints.is_empty() {
+            return None;
+        }
+        let request = &frame.request;
+        let fingerprint =
+            fingerprint::fingerprint(&frame.service, &request.method, request.path(), &request.body);
+        let refused = fingerprints.refused_for(&fingerprint, now.at).is_some();
+        refused.then_some(Reason::FingerprintRefused)
+    }
+
+    /// Asks admission for a slot.
+    pub(super) fn offer(&mut self, cx: CX![], attempt_id: AttemptId) {
+        let now = now_of(cx);
+        let Ok(index) = self.local.position(attempt_id) else {
+            return;
+        };
+        let attempt = &self.local.attempts[index];
+        let deadline = attempt.deadline;
+        let offer =
+            Offer { attempt_id, incarnation: attempt.incarnation, class: attempt.class, deadline };
+        match self.admission.offer(&offer, now) {
+            Admitted::Start => self.start_run(cx, attempt_id),
+            Admitted::Queued { displaced } => {
+                at!(deadline, [cx], advance_admission());
+                if let Some(displaced) = displaced {
+                    self.end_local(cx, displaced, keys::refused(Reason::QueueFull));
+                }
+            }
+            Admitted::Refused { reason, retry_after_ms } => {
+                metrics::counter!("hemlockfall_refusals_total").increment(1);
+                self.end_local(cx, attempt_id, AttemptEnd::Refused { reason, retry_after_ms });
+            }
+            Admitted::Duplicate => {}
+        }
+    }
+
+    pub(super) fn advance_admission(&mut self, cx: CX![]) {
+        let actions = self.admission.advance(now_of(cx));
+        self.perform_admission(cx, actions);
+    }
+
+    pub(super) fn perform_admission(&mut self, cx: CX![], actions: Vec<AdmissionAction>) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start(attempt_id) => self.start_run(cx, attempt_id),
+                AdmissionAction::Refuse { attempt_id, reason } => {
+                    self.end_local(cx, attempt_id, keys::refused(reason));
+                }
+            }
+        }
+    }
+
+    pub(super) fn cancel_arrived(&mut self, cx: CX![], attempt_id: AttemptId) {
+        match self.admission.cancel(attempt_id, now_of(cx)) {
+            // The entry node has answered its caller already, so the end goes nowhere; it
+            // releases the key.
+            Cancelled::NotStarted => {
+                self.end_local(cx, attempt_id, keys::refused(Reason::Cancelled));
+            }
+            Cancelled::Running => self.cancel_on_target(cx, attempt_id),
+            Cancelled::Ended => {}
+        }
+    }
+
+    pub(super) fn fence_arrived(
+        &mut self,
+        cx: CX![],
+        link: LinkId,
+        attempt_id: AttemptId,
+        incarnation: Incarnation,
+    ) {
+        let answer = self.admission.fence(attempt_id, incarnation, now_of(cx));
+        if answer == hemlockfall_request::admission::FenceAnswer::NotStarted {
+            self.end_local(cx, attempt_id, keys::refused(Reason::Fenced));
+        }
+        let message = LinkMessage::FenceAnswer { attempt_id, answer };
+        self.reply(link, &message);
+    }
+
+    /// Ends an attempt that waits or ran: settles its key and answers its entry node.
+    pub(super) fn end_local(&mut self, cx: CX![], attempt_id: AttemptId, end: AttemptEnd) {
+        let Ok(index) = self.local.position(attempt_id) else {
+            return;
+        };
+        let attempt = self.local.attempts.remove(index);
+        if attempt.has_key {
+            self.settle_key(cx, attempt_id, &end);
+        }
+        self.send_end(cx, attempt.origin, attempt_id, end);
+    }
+
+    fn settle_key(&mut self, cx: CX![], attempt_id: AttemptId, end: &AttemptEnd) {
+        let now = now_of(cx);
+        let actions = match end {
+            AttemptEnd::Answered(answer) => {
+                self.keys.finished(attempt_id, keys::record(answer), now)
+            }
+            AttemptEnd::Refused { reason, .. } => match reason.outcome() {
+                hemlockfall_request::outcome::Outcome::NotRun => self.keys.released(attempt_id),
+                _ => {
+                    self.keys.lost(attempt_id);
+                    Vec::new()
+                }
+            },
+        };
+        self.perform_keys(cx, actions);
+    }
+
+    fn send_end(&mut self, cx: CX![], origin: Origin, attempt_id: AttemptId, end: AttemptEnd) {
+        let frame = AnswerFrame { attempt_id, end };
+        match origin {
+            Origin::Own => self.attempt_answered(cx, frame),
+            Origin::Link(link) => self.reply(link, &LinkMessage::Answer(Box::new(frame))),
+        }
+    }
+
+    fn reply(&self, link: LinkId, message: &LinkMessage) {
+        match message.encode() {
+            Ok(content) => stakker::call!([self.links], reply(link, content)),
+            Err(error) => {
+                spdlog::error!("answer not sent", kv: { error = error.to_string() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockfall/src/node/control.rs
@@ -0,0 +1,344 @@
+//! The control actor: membership and distribution of one node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::TargetInfo;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::Revision;
+use hemlockfall_distribution::action::Action as DistributionAction;
+use hemlockfall_distribution::action::Level as DistributionLevel;
+use hemlockfall_distribution::node::Distribution;
+use hemlockfall_distribution::peers::Peers;
+use hemlockfall_distribution::snapshot::Snapshot;
+use hemlockfall_distribution::reader::StoreResult;
+use hemlockfall_membership::action::Action as MembershipAction;
+use hemlockfall_membership::action::Level as MembershipLevel;
+use hemlockfall_membership::items::GossipItem;
+use hemlockfall_membership::node::Membership;
+use hemlockfall_membership::roles::Roles;
+use stakker::Actor;
+use stakker::CX;
+use stakker::Fwd;
+use stakker::after;
+use stakker::call;
+use stakker::fwd;
+
+use crate::edge::datagrams::DATAGRAM_LIMIT_BYTES;
+use crate::edge::datagrams::Datagrams;
+use crate::edge::links::Links;
+use crate::node::health::Health;
+use crate::node::store_io::StoreEvent;
+use crate::node::store_io::StoreIo;
+use crate::wire::ControlMessage;
+use crate::wire::LinkMessage;
+
+const TICK: Duration = Duration::from_millis(100);
+/// Copies on other VMs after which an accepted change survives the loss of the store.
+const ENOUGH_COPIES: usize = 2;
+/// Longest wait for the copies of an accepted change.
+const COPIES_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `ControlOutput` is what other actors learn from the control actor.
+#[derive(Clone, Debug)]
+pub enum ControlOutput {
+    /// A snapshot is in force.
+    InForce(Arc<Snapshot>),
+    /// An endpoint record is new or changed; also the node's own.
+    Endpoint(EndpointRecord),
+    /// A node is no longer listed.
+    Forgotten(NodeName),
+    /// A notice of another family arrived.
+    Item {
+        /// The notice.
+        item: GossipItem,
+        /// Time left to live, in milliseconds.
+        lifetime_ms: u32,
+    },
+    /// Member lists and roles changed.
+    Roles(Arc<Roles>),
+    /// The store answered or did not answer this node.
+    StoreReachable(bool),
+}
+
+/// `Accepted` is a change that an operator's call just made.
+#[derive(Debug)]
+pub struct Accepted {
+    /// The catalogue after the change.
+    pub stored: Box<StoredCatalogue>,
+    /// Takes the number of copies on other VMs.
+    pub copies: SyncSender<usize>,
+}
+
+struct AwaitedCopies {
+    revision: Revision,
+    copies: SyncSender<usize>,
+    until: Instant,
+}
+
+/// `ControlParts` are what the control actor works with.
+pub struct ControlParts {
+    /// Membership state machine.
+    pub membership: Membership,
+    /// Distribution state machine.
+    pub distribution: Distribution,
+    /// UDP socket.
+    pub datagrams: Actor<Datagrams>,
+    /// TCP links.
+    pub links: Actor<Links>,
+    /// Store threads.
+    pub store: StoreIo,
+    /// Health page.
+    pub health: Arc<Health>,
+    /// Receives the outputs.
+    pub outputs: Fwd<ControlOutput>,
+}
+
+/// `Control` is the actor that owns membership and distribution.
+pub struct Control {
+    parts: ControlParts,
+    awaited: Vec<AwaitedCopies>,
+    has_peers: bool,
+    control_bytes_sent: metrics::Counter,
+}
+
+impl Control {
+    /// `init` starts the periodic work.
+    pub fn init(cx: CX![], parts: ControlParts) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        let own = parts.membership.own().clone();
+        fwd!([parts.outputs], ControlOutput::Endpoint(own));
+        let control_bytes_sent = metrics::counter!("hemlockfall_control_sent_bytes_total");
+        Some(Self { parts, awaited: Vec::new(), has_peers: false, control_bytes_sent })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = cx.now();
+        let actions = self.parts.membership.tick(now);
+        self.perform_membership(actions);
+        if !self.has_peers && self.parts.membership.is_joined() {
+            self.update_peers();
+        }
+        let actions = self.parts.distribution.tick(now);
+        self.perform_distribution(actions);
+        self.answer_copies(now);
+    }
+
+    /// `receive` takes in a control message of a peer.
+    pub fn receive(&mut self, cx: CX![], from: SocketAddr, message: Box<ControlMessage>) {
+        let now = cx.now();
+        match *message {
+            ControlMessage::Membership(message) => {
+                let actions = self.parts.membership.handle(from, message, now);
+                self.perform_membership(actions);
+            }
+            ControlMessage::Distribution(message) => {
+                let actions = self.parts.distribution.handle(from, message, now);
+                self.perform_distribution(actions);
+            }
+            ControlMessage::Evidence(_) => {}
+        }
+    }
+
+    /// `store_event` takes in a result of the store's threads.
+    pub fn store_event(&mut self, cx: CX![], event: StoreEvent) {
+        match event {
+            StoreEvent::Contacts(contacts) => self.parts.membership.handle_contacts(&contacts),
+            StoreEvent::Catalogue(result) => {
+                let is_reachable = result != StoreResult::Unreachable;
+                fwd!([self.parts.outputs], ControlOutput::StoreReachable(is_reachable));
+                let actions = self.parts.distribution.handle_store(result, cx.now());
+                self.perform_distribution(actions);
+            }
+        }
+    }
+
+    /// `accepted` spreads a change that an operator's call just made, and answers with the
+    /// number of copies on other VMs.
+    pub fn accepted(&mut self, cx: CX![], accepted: Accepted) {
+        let now = cx.now();
+        let revision = accepted.stored.configuration.revision;
+        let result = StoreResult::Read(accepted.stored);
+        let actions = self.parts.distribution.handle_store(result, now);
+        self.perform_distribution(actions);
+        let until = now + COPIES_TIMEOUT;
+        self.awaited.push(AwaitedCopies { revision, copies: accepted.copies, until });
+        self.answer_copies(now);
+    }
+
+    fn answer_copies(&mut self, now: Instant) {
+        let members = self.parts.membership.roles().members.len();
+        let enough = ENOUGH_COPIES.min(members);
+        let distribution = &self.parts.distribution;
+        self.awaited.retain(|awaited| {
+            let held = distribution.holders_of(awaited.revision);
+            if held < enough && now < awaited.until {
+                return true;
+            }
+            // The operator's call may have timed out meanwhile.
+            let _ = awaited.copies.try_send(held);
+            false
+        });
+    }
+
+    /// `announce` announces the local target.
+    pub fn announce(&mut self, _: CX![], target: TargetInfo) {
+        let actions = self.parts.membership.announce(target);
+        self.perform_membership(actions);
+        self.output_own();
+    }
+
+    /// `withdraw` announces that the local target is gone.
+    pub fn withdraw(&mut self, _: CX![]) {
+        let actions = self.parts.membership.withdraw();
+        self.perform_membership(actions);
+        self.output_own();
+    }
+
+    /// `leave` announces that the local target takes nothing new.
+    pub fn leave(&mut self, _: CX![]) {
+        let actions = self.parts.membership.leave();
+        self.perform_membership(actions);
+        self.output_own();
+    }
+
+    /// `left` announces the planned stop of the node.
+    pub fn left(&mut self, _: CX![]) {
+        let actions = self.parts.membership.left();
+        self.perform_membership(actions);
+    }
+
+    /// `spread` sends a notice to all nodes.
+    pub fn spread(&mut self, cx: CX![], item: GossipItem, lifetime_ms: u32) {
+        self.parts.membership.spread_item(item, lifetime_ms, cx.now());
+    }
+
+    fn output_own(&self) {
+        let own = self.parts.membership.own().clone();
+        fwd!([self.parts.outputs], ControlOutput::Endpoint(own));
+    }
+
+    fn perform_membership(&mut self, actions: Vec<MembershipAction>) {
+        use MembershipAction as Action;
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, ControlMessage::Membership(message)),
+                Action::SendBulk { to, message } => {
+                    self.send_bulk(to, ControlMessage::Membership(message));
+                }
+                Action::Learned(record) => {
+                    log_placement(&record);
+                    fwd!([self.parts.outputs], ControlOutput::Endpoint(record));
+                }
+                Action::Forgotten(node) => {
+                    fwd!([self.parts.outputs], ControlOutput::Forgotten(node));
+                }
+                Action::Item { item, lifetime_ms } => {
+                    fwd!([self.parts.outputs], ControlOutput::Item { item, lifetime_ms });
+                }
+                Action::RolesChanged(roles) => {
+                    if self.parts.membership.is_joined() {
+                        self.update_peers();
+                    }
+                    fwd!([self.parts.outputs], ControlOutput::Roles(roles));
+                }
+                Action::ReadContacts => self.parts.store.read_contacts(),
+                Action::WriteContacts { addresses } => self.parts.store.write_contacts(addresses),
+                Action::Count { metric } => metrics::counter!(metric).increment(1),
+                Action::Log { level, text } => match level {
+                    MembershipLevel::Info => spdlog::info!("{text}"),
+                    MembershipLevel::Warn => spdlog::warn!("{text}"),
+                    MembershipLevel::Error => spdlog::error!("{text}"),
+                },
+            }
+        }
+    }
+
+    fn perform_distribution(&mut self, actions: Vec<DistributionAction>) {
+        use DistributionAction as Action;
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    self.send(to, ControlMessage::Distribution(message));
+                }
+                Action::SendBulk { to, message } => {
+                    self.send_bulk(to, ControlMessage::Distribution(message));
+                }
+                Action::InForce(snapshot) => self.put_in_force(snapshot),
+                Action::WatchStore { .. } => self.parts.store.watch(),
+                Action::StopWatch => self.parts.store.stop_watch(),
+                Action::ReadStore => self.parts.store.read_catalogue(),
+                Action::Count { metric } => metrics::counter!(metric).increment(1),
+                Action::Log { level, text } => match level {
+                    DistributionLevel::Info => spdlog::info!("{text}"),
+                    DistributionLevel::Warn => spdlog::warn!("{text}"),
+                    DistributionLevel::Error => spdlog::error!("{text}"),
+                },
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, snapshot: Arc<Snapshot>) {
+        let revision = snapshot.revision();
+        spdlog::info!("configuration in force", kv: { revision = revision });
+        self.parts.membership.set_revision(revision);
+        self.parts.health.set_revision(revision);
+        fwd!([self.parts.outputs], ControlOutput::InForce(snapshot));
+    }
+
+    fn update_peers(&mut self) {
+        self.has_peers = true;
+        let roles = self.parts.membership.roles();
+        self.parts.distribution.set_peers(Peers {
+            members: roles.members.clone(),
+            witnesses: roles.witnesses.clone(),
+            is_watcher: roles.is_watcher,
+            data_centre_relays: roles.data_centre_relays.clone(),
+            region_relays: roles.region_relays.clone(),
+            region_partners: roles.region_partners.clone(),
+            store_region_relays: roles.store_region_relays.clone(),
+            in_store_region: roles.in_store_region,
+            region_relay_rank: roles.region_relay_rank,
+            region_relay_count: roles.region_relay_count,
+        });
+    }
+
+    /// `send` sends a control message as a datagram, or over a link when it does not fit.
+    fn send(&mut self, to: SocketAddr, message: ControlMessage) {
+        match message.encode() {
+            Ok(content) if content.len() <= DATAGRAM_LIMIT_BYTES => {
+                self.control_bytes_sent.increment(content.len() as u64);
+                call!([self.parts.datagrams], send(to, content));
+            }
+            Ok(_) => self.send_bulk(to, message),
+            Err(error) => spdlog::error!("control message not sent", kv: { error = error.to_string() }),
+        }
+    }
+
+    fn send_bulk(&mut self, to: SocketAddr, message: ControlMessage) {
+        match LinkMessage::Control(Box::new(message)).encode() {
+            Ok(content) => {
+                self.control_bytes_sent.increment(content.len() as u64);
+                call!([self.parts.links], send(to, 0, content));
+            }
+            Err(error) => spdlog::error!("control message not sent", kv: { error = error.to_string() }),
+        }
+    }
+}
+
+fn log_placement(record: &EndpointRecord) {
+    let target = record.target.as_ref();
+    let service = target.map_or("", |target| target.service.as_str());
+    let version = target.map_or("", |target| target.version.as_str());
+    let state = format!("{:?}", record.state);
+    spdlog::info!("endpoint", kv: {
+        node = record.node.as_str(), service, version, state = state.as_str(),
+        incarnation = record.incarnation,
+    });
+}
