--- /dev/null
+++ b/crates/distribution/src/action.rs
@@ -0,0 +1,62 @@
+//! Effects that the state machine asks its caller to perform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hemlockfall_core::ids::Revision;
+
+use crate::message::Message;
+use crate::snapshot::Snapshot;
+
+/// `Level` is the severity of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Normal operation.
+    Info,
+    /// Unexpected, handled.
+    Warn,
+    /// Needs an operator.
+    Error,
+}
+
+/// `Action` is one effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message as a datagram.
+    Send {
+        /// Receiver.
+        to: SocketAddr,
+        /// Message.
+        message: Message,
+    },
+    /// Send a message over a TCP link.
+    SendBulk {
+        /// Receiver.
+        to: SocketAddr,
+        /// Message.
+        message: Message,
+    },
+    /// Put a snapshot in force.
+    InForce(Arc<Snapshot>),
+    /// Keep a watch on the stored catalogue until [`Action::StopWatch`], reporting each result.
+    WatchStore {
+        /// Revision already held.
+        after_revision: Revision,
+    },
+    /// End the watch.
+    StopWatch,
+    /// Read the stored catalogue once and report the result.
+    ReadStore,
+    /// Add one to a counter.
+    Count {
+        /// Name of the metric.
+        metric: &'static str,
+    },
+    /// Write a log line.
+    Log {
+        /// Severity.
+        level: Level,
+        /// Text.
+        text: String,
+    },
+}
--- /dev/null
+++ b/crates/distribution/src/exchange.rs
@@ -0,0 +1,285 @@
+//! Spread and repair: pushes, advertisements, requests and replies.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::Configuration;
+use hemlockfall_core::ids::Digest;
+use hemlockfall_core::ids::Revision;
+use rand::seq::IndexedRandom;
+
+use crate::action::Action;
+use crate::delta::Delta;
+use crate::errors::Error;
+use crate::message::Message;
+use crate::node::Distribution;
+use crate::node::FULL_SNAPSHOTS;
+use crate::node::refuse;
+use crate::options::millis;
+use crate::snapshot::Snapshot;
+
+/// While a request for a revision is open, no second one is sent: several members advertise a
+/// revision at about the same time.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bounds the list of members known to hold a revision.
+const MAX_HOLDERS: usize = 64;
+
+impl Distribution {
+    /// `holders_of` counts the peers that are known to hold a revision or a newer one.
+    #[must_use]
+    pub fn holders_of(&self, revision: Revision) -> usize {
+        self.holders
+            .iter()
+            .filter(|(_, held)| *held >= revision)
+            .count()
+    }
+
+    pub(crate) fn on_advertise(
+        &mut self,
+        from: SocketAddr,
+        revision: Revision,
+        digest: Digest,
+        now: Instant,
+    ) -> Vec<Action> {
+        self.note_holder(from, revision);
+        let held = self.newest.revision();
+        if revision > held {
+            return self.request(from, revision, false, now);
+        }
+        if revision < held {
+            return vec![self.offer(from, revision, digest)];
+        }
+        if digest != self.newest.digest() {
+            return self.diverged(from);
+        }
+        Vec::new()
+    }
+
+    pub(crate) fn on_push(
+        &mut self,
+        from: SocketAddr,
+        deltas: &[Delta],
+        now: Instant,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut applied = Vec::new();
+        for delta in deltas {
+            if delta.revision <= self.newest.revision() {
+                continue;
+            }
+            match delta.apply(&self.newest) {
+                Ok(snapshot) => {
+                    self.replace_newest(snapshot, delta.clone());
+                    applied.push(delta.clone());
+                }
+                Err(error) => {
+                    actions.extend(self.repair(from, delta.revision, &error, now));
+                    break;
+                }
+            }
+        }
+        self.note_holder(from, deltas.last().map_or(0, |delta| delta.revision));
+        if actions.is_empty() {
+            actions.push(self.advertise(from));
+        }
+        if !applied.is_empty() {
+            actions.extend(self.spread(applied, Some(from)));
+            actions.extend(self.advance(now));
+        }
+        actions
+    }
+
+    /// A delta for another base is answered by a request for what is missing; a delta that is
+    /// wrong in itself by a request for the whole snapshot.
+    fn repair(
+        &mut self,
+        from: SocketAddr,
+        revision: Revision,
+        error: &Error,
+        now: Instant,
+    ) -> Vec<Action> {
+        match error {
+            Error::BaseMismatch { .. } => self.request(from, revision, false, now),
+            Error::DigestMismatch { .. } | Error::Invalid(_) => {
+                let mut actions = refuse(&from.to_string(), error);
+                actions.extend(self.request(from, revision, true, now));
+                actions
+            }
+        }
+    }
+
+    pub(crate) fn on_request(
+        &mut self,
+        from: SocketAddr,
+        revision: Revision,
+        digest: Digest,
+        full: bool,
+    ) -> Vec<Action> {
+        if self.newest.revision() <= revision {
+            return Vec::new();
+        }
+        if !full && let Some(deltas) = self.history.since(revision, digest) {
+            return vec![send(from, Message::Push { deltas })];
+        }
+        let message = Message::SnapshotReply {
+            configuration: self.newest.configuration().clone(),
+            digest: self.newest.digest(),
+        };
+        vec![
+            Action::Count {
+                metric: FULL_SNAPSHOTS,
+            },
+            Action::SendBulk { to: from, message },
+        ]
+    }
+
+    pub(crate) fn on_reply(
+        &mut self,
+        from: SocketAddr,
+        configuration: Configuration,
+        digest: Digest,
+        now: Instant,
+    ) -> Vec<Action> {
+        if configuration.revision <= self.newest.revision() {
+            return Vec::new();
+        }
+        match Snapshot::with_digest(configuration, digest) {
+            Err(error) => refuse(&from.to_string(), &error),
+            Ok(snapshot) => {
+                let delta = Delta::between(&self.newest, &snapshot);
+                self.note_holder(from, snapshot.revision());
+                self.replace_newest(snapshot, delta.clone());
+                let mut actions = vec![self.advertise(from)];
+                actions.extend(self.spread(vec![delta], Some(from)));
+                actions.extend(self.advance(now));
+                actions
+            }
+        }
+    }
+
+    /// Asks a peer for a newer revision, unless a request is open.
+    pub(crate) fn request(
+        &mut self,
+        from: SocketAddr,
+        revision: Revision,
+        full: bool,
+        now: Instant,
+    ) -> Vec<Action> {
+        let is_open = self.requested.is_some_and(|(requested, since)| {
+            requested >= revision && now.duration_since(since) < REQUEST_TIMEOUT
+        });
+        if is_open && !full {
+            return Vec::new();
+        }
+        self.requested = Some((revision, now));
+        let message = Message::SnapshotRequest {
+            revision: self.newest.revision(),
+            digest: self.newest.digest(),
+            full,
+        };
+        vec![Action::Send { to: from, message }]
+    }
+
+    /// Sends new deltas to some members and to the partners of a relay.
+    ///
+    /// Revisions originate in the store's region, so only that region, and a node that read the
+    /// store itself, pushes across regions; the digest exchange covers the rest.
+    pub(crate) fn spread(&mut self, deltas: Vec<Delta>, from: Option<SocketAddr>) -> Vec<Action> {
+        let push_count = usize::from(self.options.push_count);
+        let mut targets: Vec<SocketAddr> = self
+            .peers
+            .members
+            .sample(&mut self.rng, push_count)
+            .copied()
+            .collect();
+        targets.extend(&self.peers.data_centre_relays);
+        if self.peers.in_store_region || from.is_none() {
+            targets.extend(&self.peers.region_partners);
+        }
+        targets.retain(|target| Some(*target) != from);
+        targets.sort_unstable();
+        targets.dedup();
+        let push = Message::Push { deltas };
+        // A larger delta is pulled by those members that lack it.
+        if push.fits_datagram() {
+            let to_push = |to| Action::Send {
+                to,
+                message: push.clone(),
+            };
+            targets.into_iter().map(to_push).collect()
+        } else {
+            targets.into_iter().map(|to| self.advertise(to)).collect()
+        }
+    }
+
+    /// Performs the digest exchanges that are due.
+    pub(crate) fn exchange_due(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if now >= self.next_exchange {
+            self.next_exchange = now + millis(self.options.exchange_interval_ms);
+            let member = self.peers.members.choose(&mut self.rng).copied();
+            actions.extend(member.map(|to| self.advertise(to)));
+        }
+        if now >= self.next_relay_exchange {
+            self.next_relay_exchange = now + millis(self.options.relay_interval_ms);
+            let relay = self.peers.data_centre_relays.choose(&mut self.rng).copied();
+            actions.extend(relay.map(|to| self.advertise(to)));
+            // Every relay of another region is addressed, since silence there has a meaning.
+            actions.extend(
+                self.peers
+                    .region_relays
+                    .iter()
+                    .map(|to| self.advertise(*to)),
+            );
+        }
+        actions
+    }
+
+    fn advertise(&self, to: SocketAddr) -> Action {
+        let message = Message::Advertise {
+            revision: self.newest.revision(),
+            digest: self.newest.digest(),
+        };
+        Action::Send { to, message }
+    }
+
+    /// Offers an outdated peer the missing deltas, or an advertisement when they are too large.
+    fn offer(&self, to: SocketAddr, revision: Revision, digest: Digest) -> Action {
+        if let Some(deltas) = self.history.since(revision, digest) {
+            let message = Message::Push { deltas };
+            if message.fits_datagram() {
+                return Action::Send { to, message };
+            }
+        }
+        self.advertise(to)
+    }
+
+    fn note_holder(&mut self, address: SocketAddr, revision: Revision) {
+        match self.holders.binary_search_by_key(&address, |(a, _)| *a) {
+            Ok(index) => {
+                let held = &mut self.holders[index].1;
+                *held = revision.max(*held);
+            }
+            Err(index) => {
+                if self.holders.len() >= MAX_HOLDERS {
+                    let newest = self.newest.revision();
+                    self.holders.retain(|(_, held)| *held >= newest);
+                }
+                if self.holders.len() < MAX_HOLDERS {
+                    let index = index.min(self.holders.len());
+                    self.holders.insert(index, (address, revision));
+                    self.holders.sort_unstable();
+                }
+            }
+        }
+    }
+}
+
+fn send(to: SocketAddr, message: Message) -> Action {
+    if message.fits_datagram() {
+        Action::Send { to, message }
+    } else {
+        Action::SendBulk { to, message }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/node.rs
@@ -0,0 +1,361 @@
+//! The state machine of one node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::ids::Revision;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::action::Action;
+use crate::action::Level;
+use crate::delta::Delta;
+use crate::errors::Error;
+use crate::floor::Floor;
+use crate::history::History;
+use crate::message::Message;
+use crate::options::Options;
+use crate::options::millis;
+use crate::peers::Peers;
+use crate::reader::Reader;
+use crate::reader::StoreResult;
+use crate::snapshot::Snapshot;
+use crate::witness::Hold;
+use crate::witness::Progress;
+use crate::witness::WitnessMemory;
+
+/// `WITNESS_MISSING` counts revisions put in force with too few witnesses.
+pub const WITNESS_MISSING: &str = "hemlockfall_witness_missing_total";
+/// `REFUSED` counts deltas and snapshots that were not applied.
+pub const REFUSED: &str = "hemlockfall_distribution_refused_total";
+/// `FULL_SNAPSHOTS` counts whole snapshots sent.
+pub const FULL_SNAPSHOTS: &str = "hemlockfall_full_snapshots_sent_total";
+/// `DIVERGED` counts peers with other content for the same revision.
+pub const DIVERGED: &str = "hemlockfall_distribution_diverged_total";
+
+/// `Distribution` is the distribution part of one node.
+pub struct Distribution {
+    pub(crate) options: Options,
+    pub(crate) address: SocketAddr,
+    pub(crate) rng: StdRng,
+    pub(crate) peers: Peers,
+    pub(crate) newest: Arc<Snapshot>,
+    pub(crate) history: History,
+    pub(crate) requested: Option<(Revision, Instant)>,
+    pub(crate) holders: Vec<(SocketAddr, Revision)>,
+    pub(crate) next_exchange: Instant,
+    pub(crate) next_relay_exchange: Instant,
+    diverged: Option<Revision>,
+    in_force: Option<Arc<Snapshot>>,
+    hold: Option<Hold>,
+    memory: WitnessMemory,
+    floor: Floor,
+    reader: Reader,
+}
+
+impl Distribution {
+    /// `new` makes the state of a starting node; `address` is its own peer address.
+    #[must_use]
+    pub fn new(options: Options, address: SocketAddr, seed: u64, now: Instant) -> Self {
+        let memory_lifetime = Duration::from_secs(u64::from(options.witness_memory_s));
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            peers: Peers::default(),
+            newest: Arc::new(Snapshot::empty()),
+            history: History::default(),
+            requested: None,
+            holders: Vec::new(),
+            next_exchange: now,
+            next_relay_exchange: now,
+            diverged: None,
+            in_force: None,
+            hold: None,
+            memory: WitnessMemory::new(memory_lifetime, now),
+            floor: Floor::new(millis(options.floor_timeout_ms), now),
+            reader: Reader::new(millis(options.silent_region_ms), now),
+            options,
+            address,
+        }
+    }
+
+    /// `set_peers` replaces the member lists. The first call belongs after the node has joined:
+    /// with an incomplete list a starting node would ask the wrong witnesses.
+    pub fn set_peers(&mut self, peers: Peers) {
+        self.peers = peers;
+    }
+
+    /// `in_force` returns the snapshot in force; `None` while the node may not serve.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Arc<Snapshot>> {
+        self.in_force.as_ref()
+    }
+
+    /// `newest` returns the newest snapshot held, which may still wait for witnesses.
+    #[must_use]
+    pub fn newest(&self) -> &Arc<Snapshot> {
+        &self.newest
+    }
+
+    /// `floor` returns the restart floor once it is known.
+    #[must_use]
+    pub fn floor(&self) -> Option<Revision> {
+        self.floor.known()
+    }
+
+    /// `handle` processes a message of a peer.
+    pub fn handle(&mut self, from: SocketAddr, message: Message, now: Instant) -> Vec<Action> {
+        if self.peers.store_region_relays.contains(&from) {
+            self.reader.heard(now);
+        }
+        match message {
+            Message::Advertise { revision, digest } => {
+                self.on_advertise(from, revision, digest, now)
+            }
+            Message::Push { deltas } => self.on_push(from, &deltas, now),
+            Message::SnapshotRequest {
+                revision,
+                digest,
+                full,
+            } => self.on_request(from, revision, digest, full),
+            Message::SnapshotReply {
+                configuration,
+                digest,
+            } => self.on_reply(from, configuration, digest, now),
+            Message::Held { address, revision } => self.on_held(from, address, revision, now),
+            Message::HeldAck { address, revision } => {
+                self.on_held_ack(from, address, revision, now)
+            }
+            Message::FloorQuery { address } => self.on_floor_query(from, address, now),
+            Message::FloorAnswer {
+                address,
+                revision,
+                vouches,
+            } => self.on_floor_answer(from, address, revision, vouches, now),
+        }
+    }
+
+    /// `handle_store` processes the result of a read or of the watch.
+    pub fn handle_store(&mut self, result: StoreResult, now: Instant) -> Vec<Action> {
+        match result {
+            StoreResult::Read(stored) => self.on_stored(*stored, now),
+            StoreResult::Absent => self.on_absent(now),
+            StoreResult::Unreachable => {
+                self.floor.store_unreachable(now);
+                if self.floor.known().is_none() {
+                    self.reader.unreachable(&mut self.rng, now);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// `tick` performs what is due; it is called every 100 ms.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.memory.expire(now);
+        let is_starting = self.floor.known().is_none();
+        let held = self.newest.revision();
+        let mut actions = self.reader.tick(&self.peers, is_starting, held, now);
+        let address = self.address;
+        for to in self.floor.tick(&self.peers, now) {
+            let message = Message::FloorQuery { address };
+            actions.push(Action::Send { to, message });
+        }
+        actions.extend(self.exchange_due(now));
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    fn on_stored(&mut self, stored: StoredCatalogue, now: Instant) -> Vec<Action> {
+        let revision = stored.configuration.revision;
+        let held = self.newest.revision();
+        self.floor.store_answered(revision);
+        if revision < held {
+            return vec![log(
+                Level::Warn,
+                format!("store returned revision {revision}, older than held {held}; ignored"),
+            )];
+        }
+        let mut actions = Vec::new();
+        if revision > held {
+            match Snapshot::new(stored.configuration) {
+                Ok(snapshot) => {
+                    let delta = Delta::between(&self.newest, &snapshot);
+                    self.replace_newest(snapshot, delta.clone());
+                    actions.extend(self.spread(vec![delta], None));
+                }
+                Err(error) => return refuse("the store", &error),
+            }
+        }
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    fn on_absent(&mut self, now: Instant) -> Vec<Action> {
+        self.floor.store_answered(0);
+        let held = self.newest.revision();
+        let mut actions = self.advance(now);
+        if held > 0 {
+            let text = format!("the store has no catalogue, revision {held} is kept");
+            actions.push(log(Level::Error, text));
+        }
+        actions
+    }
+
+    /// Makes a newer snapshot the newest one.
+    pub(crate) fn replace_newest(&mut self, snapshot: Snapshot, delta: Delta) {
+        // A delta from revision 0 is the whole catalogue, which a snapshot reply carries as well.
+        if delta.base_revision > 0 {
+            self.history.push(delta);
+        }
+        self.newest = Arc::new(snapshot);
+    }
+
+    fn on_held(
+        &mut self,
+        from: SocketAddr,
+        address: SocketAddr,
+        revision: Revision,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some(revision) = self.memory.remember(address, revision, now) else {
+            return Vec::new();
+        };
+        let message = Message::HeldAck { address, revision };
+        vec![Action::Send { to: from, message }]
+    }
+
+    fn on_held_ack(
+        &mut self,
+        from: SocketAddr,
+        address: SocketAddr,
+        revision: Revision,
+        now: Instant,
+    ) -> Vec<Action> {
+        if address != self.address {
+            return Vec::new();
+        }
+        if let Some(hold) = &mut self.hold {
+            hold.acknowledge(from, revision);
+        }
+        self.advance(now)
+    }
+
+    fn on_floor_query(
+        &mut self,
+        from: SocketAddr,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Vec<Action> {
+        let remembered = self.memory.recall(address).unwrap_or(0);
+        let message = Message::FloorAnswer {
+            address,
+            revision: remembered.max(self.newest.revision()),
+            vouches: self.memory.vouches(address, now),
+        };
+        vec![Action::Send { to: from, message }]
+    }
+
+    fn on_floor_answer(
+        &mut self,
+        from: SocketAddr,
+        address: SocketAddr,
+        revision: Revision,
+        vouches: bool,
+        now: Instant,
+    ) -> Vec<Action> {
+        if address != self.address || self.floor.known().is_some() {
+            return Vec::new();
+        }
+        self.floor.answer(from, revision, vouches);
+        let mut actions = Vec::new();
+        if revision > self.newest.revision() {
+            actions.extend(self.request(from, revision, false, now));
+        }
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Takes the next step towards putting the newest snapshot in force: the floor must be
+    /// known and reached, and the witnesses must have been told. A snapshot that arrives during
+    /// a witness step waits for its own step, so that frequent changes cannot delay one for ever.
+    pub(crate) fn advance(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.start_hold(now);
+        let Some(hold) = &mut self.hold else {
+            return actions;
+        };
+        match hold.progress(&self.peers, now) {
+            Progress::Wait => {}
+            Progress::Ask(witnesses) => {
+                let message = Message::Held {
+                    address: self.address,
+                    revision: hold.snapshot().revision(),
+                };
+                actions.extend(witnesses.into_iter().map(|to| Action::Send {
+                    to,
+                    message: message.clone(),
+                }));
+            }
+            Progress::Confirmed => actions.extend(self.finish_hold(now)),
+            Progress::TimedOut => {
+                actions.push(Action::Count {
+                    metric: WITNESS_MISSING,
+                });
+                actions.extend(self.finish_hold(now));
+            }
+        }
+        actions
+    }
+
+    fn start_hold(&mut self, now: Instant) {
+        let Some(floor) = self.floor.known() else {
+            return;
+        };
+        let newest = self.newest.revision();
+        let in_force = self.in_force.as_ref().map_or(0, |held| held.revision());
+        if self.hold.is_none() && newest >= floor && newest > in_force {
+            let timeout = millis(self.options.witness_timeout_ms);
+            self.hold = Some(Hold::new(Arc::clone(&self.newest), timeout, now));
+        }
+    }
+
+    fn finish_hold(&mut self, now: Instant) -> Vec<Action> {
+        let Some(hold) = self.hold.take() else {
+            return Vec::new();
+        };
+        let snapshot = Arc::clone(hold.snapshot());
+        self.in_force = Some(Arc::clone(&snapshot));
+        let text = format!("revision {} is in force", snapshot.revision());
+        let mut actions = vec![log(Level::Info, text), Action::InForce(snapshot)];
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    pub(crate) fn diverged(&mut self, from: SocketAddr) -> Vec<Action> {
+        let revision = self.newest.revision();
+        let mut actions = vec![Action::Count { metric: DIVERGED }];
+        if self.diverged != Some(revision) {
+            self.diverged = Some(revision);
+            let text = format!("{from} has other content for revision {revision}");
+            actions.push(log(Level::Error, text));
+        }
+        actions
+    }
+}
+
+pub(crate) fn log(level: Level, text: String) -> Action {
+    Action::Log { level, text }
+}
+
+pub(crate) fn refuse(source: &str, error: &Error) -> Vec<Action> {
+    vec![
+        Action::Count { metric: REFUSED },
+        log(
+            Level::Error,
+            format!("content from {source} refused: {error}"),
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/distribution/src/reader.rs
@@ -0,0 +1,113 @@
+//! Decides when a node watches or reads the stored catalogue.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::ids::Revision;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::action::Action;
+use crate::peers::Peers;
+
+/// Reads of one region are at least this far apart.
+const REGION_READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Backoff of a starting node whose read failed.
+const START_BACKOFF_MIN_MS: u64 = 500;
+const START_BACKOFF_MAX_MS: u64 = 5_000;
+/// A read whose result does not arrive in this time is repeated.
+const START_READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// `StoreResult` is the outcome of a read or of one turn of the watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreResult {
+    /// The stored catalogue.
+    Read(Box<StoredCatalogue>),
+    /// The store answered that there is no catalogue yet.
+    Absent,
+    /// The store did not answer, or answered with an error.
+    Unreachable,
+}
+
+/// `Reader` is the store role of a node.
+pub struct Reader {
+    is_watching: bool,
+    last_heard: Instant,
+    silent_after: Duration,
+    next_read: Instant,
+    backoff_ms: u64,
+}
+
+impl Reader {
+    /// `new` makes a reader that reads the store at the first tick.
+    #[must_use]
+    pub fn new(silent_after: Duration, now: Instant) -> Self {
+        Self {
+            is_watching: false,
+            last_heard: now,
+            silent_after,
+            next_read: now,
+            backoff_ms: START_BACKOFF_MIN_MS,
+        }
+    }
+
+    /// `heard` records a message from the store's region.
+    pub fn heard(&mut self, now: Instant) {
+        self.last_heard = now;
+    }
+
+    /// `unreachable` plans the next read of a starting node.
+    pub fn unreachable(&mut self, rng: &mut StdRng, now: Instant) {
+        let wait_ms = rng.random_range(self.backoff_ms / 2..=self.backoff_ms);
+        self.next_read = now + Duration::from_millis(wait_ms);
+        self.backoff_ms = (self.backoff_ms * 2).min(START_BACKOFF_MAX_MS);
+    }
+
+    /// `tick` returns store actions that are due.
+    pub fn tick(
+        &mut self,
+        peers: &Peers,
+        is_starting: bool,
+        held: Revision,
+        now: Instant,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if peers.is_watcher != self.is_watching {
+            self.is_watching = peers.is_watcher;
+            actions.push(if self.is_watching {
+                Action::WatchStore {
+                    after_revision: held,
+                }
+            } else {
+                Action::StopWatch
+            });
+        }
+        if is_starting {
+            actions.extend(self.start_read(now));
+        } else {
+            actions.extend(self.region_read(peers, now));
+        }
+        actions
+    }
+
+    fn start_read(&mut self, now: Instant) -> Option<Action> {
+        if now < self.next_read {
+            return None;
+        }
+        self.next_read = now + START_READ_TIMEOUT;
+        Some(Action::ReadStore)
+    }
+
+    /// Relays of a silent region take turns, so that the region reads once per interval.
+    fn region_read(&mut self, peers: &Peers, now: Instant) -> Option<Action> {
+        let rank = peers.region_relay_rank?;
+        let turns = peers.region_relay_count.max(1);
+        let first_read = self.last_heard + self.silent_after + REGION_READ_INTERVAL * rank;
+        if peers.in_store_region || now < first_read || now < self.next_read {
+            return None;
+        }
+        self.next_read = now + REGION_READ_INTERVAL * turns;
+        Some(Action::ReadStore)
+    }
+}
