--- a/crates/distribution/tests/content.rs
+++ b/crates/distribution/tests/content.rs
@@ -242,9 +242,9 @@
     node.set_peers(common::one_data_centre(4).remove(1));
     node.handle_store(StoreResult::Unreachable, start);
     node.tick(start);
-    let answer = Message::FloorAnswer {
+    let answer = |revision| Message::FloorAnswer {
         address: address(0),
-        revision: 9,
+        revision,
         vouches: true,
     };
     let reply = |revision| Message::SnapshotReply {
@@ -252,8 +252,10 @@
         digest: snapshot(revision).digest(),
     };
 
-    node.handle(address(2), answer.clone(), start);
-    node.handle(address(3), answer, start);
+    node.handle(address(2), answer(3), start);
+    node.tick(start + TICK);
+    let after_one_witness = node.floor();
+    node.handle(address(3), answer(9), start + TICK);
     node.handle(address(2), reply(8), start + TICK);
     node.tick(start + TICK * 2);
     node.tick(start + TICK * 10);
@@ -261,6 +263,7 @@
     node.handle(address(2), reply(9), start + TICK * 11);
     node.tick(start + TICK * 20);
 
+    assert_eq!(after_one_witness, None);
     assert_eq!(node.floor(), Some(9));
     assert_eq!(below, None);
     assert_eq!(node.in_force().map(|s| s.revision()), Some(9));
--- a/crates/membership/tests/group.rs
+++ b/crates/membership/tests/group.rs
@@ -145,6 +145,22 @@
     assert!((0..12).all(|index| network.all_see(index, EndpointRecord::takes_requests)));
 }
 
+/// Guards against two sides of a cut that take each other for failed and stay apart.
+#[test]
+fn cut_data_centre_rejoins() {
+    let mut network = ready_group(23);
+
+    network.cut = Some("west-2");
+    network.run(900);
+    let was_cut = !network.is_complete();
+    network.cut = None;
+    network.run(600);
+
+    assert!(was_cut);
+    assert!(network.is_complete());
+    assert!((0..12).all(|index| network.all_see(index, EndpointRecord::takes_requests)));
+}
+
 /// Guards against a live node that stays failed after a false report.
 #[test]
 fn false_report_is_refuted() {
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -37,6 +37,8 @@
     pub now: Instant,
     pub nodes: Vec<Node>,
     pub loss_permille: u32,
+    /// Data centre that is cut off from the others.
+    pub cut: Option<&'static str>,
     /// Table exchanges sent to another data centre by a node that is no relay.
     pub stray_exchanges: usize,
     contacts: Vec<Contacts>,
@@ -57,6 +59,7 @@
             now,
             nodes: records.into_iter().map(node).collect(),
             loss_permille: 0,
+            cut: None,
             stray_exchanges: 0,
             contacts: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -153,7 +156,8 @@
         self.count_stray(from, to, message);
         let is_doubled = self.rng.random_range(0..10) == 0;
         for _ in 0..=usize::from(is_doubled) {
-            if self.rng.random_range(0..1000) < self.loss_permille {
+            let is_lost = self.rng.random_range(0..1000) < self.loss_permille;
+            if is_lost || self.is_cut(from, to) {
                 continue;
             }
             let delay_ms = self.rng.random_range(0..120);
@@ -166,6 +170,14 @@
         }
     }
 
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let is_inside = |index: usize| {
+            let own = self.nodes[index].state.own();
+            self.cut.is_some_and(|cut| own.data_centre == cut)
+        };
+        is_inside(from) != is_inside(to)
+    }
+
     fn count_stray(&mut self, from: usize, to: usize, message: &Message) {
         let sender = &self.nodes[from].state;
         let is_far = sender.own().data_centre != self.nodes[to].state.own().data_centre;
--- a/crates/membership/tests/parts.rs
+++ b/crates/membership/tests/parts.rs
@@ -283,6 +283,60 @@
     hemlockfall_core::ids::MoveId::from_u128(number)
 }
 
+/// Guards against an item that comes back because a copy was late on its way.
+#[test]
+fn late_copy_of_an_expired_item_is_not_new() {
+    let now = Instant::now();
+    let mut items = Items::default();
+    let copy = |lifetime_ms| CarriedItem {
+        item: GossipItem::Fingerprint {
+            service: "order-desk".into(),
+            fingerprint: [1; 16],
+        },
+        lifetime_ms,
+    };
+    items.learn(&copy(1_000), now);
+
+    let later = now + Duration::from_millis(1_500);
+    items.expire(later);
+    let is_new = items.learn(&copy(100), later);
+
+    assert!(!is_new);
+}
+
+/// Guards against a peer that keeps a departed node as ready, since departed records are not
+/// compared.
+#[test]
+fn outdated_peer_is_corrected_about_a_departed_node() {
+    let now = Instant::now();
+    let mut node = lone_node(now);
+    let mut ready = record(3, "west", "west-1");
+    ready.state = EndpointState::Ready;
+    let mut left = ready.clone();
+    left.state = EndpointState::Left;
+    let news = News {
+        records: vec![left.clone()],
+        items: Vec::new(),
+    };
+    node.handle(address(1), Message::Records { news }, now);
+
+    let reply = Message::BucketsReply {
+        buckets: 0,
+        records: vec![ready],
+    };
+    let actions = node.handle(address(2), reply, now);
+
+    let correction = Message::BucketsReply {
+        buckets: 0,
+        records: vec![left],
+    };
+    let expected = Action::Send {
+        to: address(2),
+        message: correction,
+    };
+    assert_eq!(actions, [expected]);
+}
+
 /// Guards against a decoder or a handler that panics on arbitrary bytes.
 #[test]
 fn arbitrary_bytes_never_panic() {
