--- /dev/null
+++ b/crates/request/src/admission.rs
@@ -0,0 +1,381 @@
+//! Admission at the target's node: slots, queue, fences, cancellation and draining.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::Class;
+use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::units::duration_ms;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Now;
+use crate::options::Options;
+use crate::outcome::Reason;
+use crate::seen::AttemptId;
+use crate::seen::Mark;
+use crate::seen::Seen;
+
+/// Part of a new run time in the average, as a divisor.
+const RUN_TIME_WEIGHT: u32 = 8;
+/// Shortest `retry-after`; a shorter one would only repeat the refusal.
+const MIN_RETRY_AFTER_MS: u32 = 10;
+
+/// `Offer` is an attempt that arrives at the target's node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The attempt.
+    pub attempt_id: AttemptId,
+    /// Life of the node that the entry node meant.
+    pub incarnation: Incarnation,
+    /// Class of the service or caller.
+    pub class: Class,
+    /// By when the answer is needed.
+    pub deadline: Instant,
+}
+
+/// `Admitted` is the answer to an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// Hand the request to the target now.
+    Start,
+    /// It waits; a later action starts or refuses it. A displaced attempt must be refused.
+    Queued {
+        /// Attempt of a lower precedence that lost its place.
+        displaced: Option<AttemptId>,
+    },
+    /// It is refused; for a reason with outcome `NotRun` it never runs.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// When a resend is worthwhile, from the drain rate of the queue.
+        retry_after_ms: Option<u32>,
+    },
+    /// The attempt waits or was started before; ignore the repeated frame.
+    Duplicate,
+}
+
+/// `AdmissionAction` is due after a slot became free or time passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// Hand the request to the target.
+    Start(AttemptId),
+    /// Answer the entry node that the attempt has not run.
+    Refuse {
+        /// The attempt.
+        attempt_id: AttemptId,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// `FenceAnswer` tells what a fence found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FenceAnswer {
+    /// The attempt had not started, and never will.
+    NotStarted,
+    /// The attempt had started, or has ended.
+    Started,
+    /// The node does not remember far enough.
+    CannotKnow,
+}
+
+/// `Cancelled` tells what a cancellation found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelled {
+    /// The attempt will not start.
+    NotStarted,
+    /// The attempt runs: pass the cancellation to the target.
+    Running,
+    /// The attempt has ended or is not known any more.
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    class: Class,
+    deadline: Instant,
+    sequence: u64,
+}
+
+/// `Admission` guards the slots of one local target.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    incarnation: Incarnation,
+    slots: usize,
+    running: HashMap<AttemptId, Instant>,
+    queue: BTreeMap<Rank, AttemptId>,
+    ranks: HashMap<AttemptId, Rank>,
+    seen: Seen,
+    sequence: u64,
+    run_time: Duration,
+    is_draining: bool,
+}
+
+impl Admission {
+    /// `new` guards a target with a number of slots, in one life of its node.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, slots: u16, options: &Options) -> Self {
+        Self {
+            incarnation,
+            slots: usize::from(slots),
+            running: HashMap::new(),
+            queue: BTreeMap::new(),
+            ranks: HashMap::new(),
+            seen: Seen::new(options),
+            sequence: 0,
+            run_time: Duration::ZERO,
+            is_draining: false,
+        }
+    }
+
+    /// `offer` decides about an attempt that arrived.
+    pub fn offer(&mut self, offer: &Offer, now: Now) -> Admitted {
+        if let Some(refused) = self.screen(offer.attempt_id, offer.incarnation) {
+            return refused;
+        }
+        if self.is_draining {
+            return self.refuse(offer.attempt_id, Reason::Draining, None, now);
+        }
+        if offer.deadline <= now.at {
+            return self.refuse(offer.attempt_id, Reason::DeadlinePassed, None, now);
+        }
+        if self.running.len() < self.slots && self.queue.is_empty() {
+            self.start(offer.attempt_id, now);
+            return Admitted::Start;
+        }
+        self.enqueue(offer, now)
+    }
+
+    /// `screen` answers an attempt that needs no decision: one for another life of the node, a
+    /// repeated one, one that was barred or may have been. A node screens a call frame before it
+    /// claims the call's key.
+    #[must_use]
+    pub fn screen(&self, attempt_id: AttemptId, incarnation: Incarnation) -> Option<Admitted> {
+        let refused = |reason: Reason| Admitted::Refused {
+            reason,
+            retry_after_ms: reason.retry_after_ms(),
+        };
+        if incarnation != self.incarnation {
+            return Some(refused(Reason::EarlierLife));
+        }
+        match self.seen.get(attempt_id) {
+            Some(Mark::Barred) => Some(refused(Reason::Fenced)),
+            Some(Mark::Queued | Mark::Started) => Some(Admitted::Duplicate),
+            None if self.seen.is_stale(attempt_id) => Some(refused(Reason::StaleAttempt)),
+            None => None,
+        }
+    }
+
+    /// `finished` frees the slot of an attempt and returns what may start now.
+    pub fn finished(&mut self, attempt_id: AttemptId, now: Now) -> Vec<AdmissionAction> {
+        let Some(since) = self.running.remove(&attempt_id) else {
+            return Vec::new();
+        };
+        let sample = now.at.saturating_duration_since(since);
+        self.run_time = if self.run_time.is_zero() {
+            sample
+        } else {
+            (self.run_time * (RUN_TIME_WEIGHT - 1) + sample) / RUN_TIME_WEIGHT
+        };
+        self.advance(now)
+    }
+
+    /// `advance` refuses queued attempts whose deadline passed and starts what fits.
+    pub fn advance(&mut self, now: Now) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        self.refuse_expired(now, &mut actions);
+        while self.running.len() < self.slots {
+            let Some((_, attempt_id)) = self.queue.pop_first() else {
+                break;
+            };
+            self.ranks.remove(&attempt_id);
+            self.start(attempt_id, now);
+            actions.push(AdmissionAction::Start(attempt_id));
+        }
+        actions
+    }
+
+    /// `fence` bars an attempt from starting, and tells whether it had started. An attempt that
+    /// is not known gets a tombstone, so that its call frame is refused when it arrives later.
+    pub fn fence(
+        &mut self,
+        attempt_id: AttemptId,
+        incarnation: Incarnation,
+        now: Now,
+    ) -> FenceAnswer {
+        if incarnation != self.incarnation {
+            return FenceAnswer::CannotKnow;
+        }
+        match self.seen.get(attempt_id) {
+            Some(Mark::Started) => FenceAnswer::Started,
+            None if self.seen.is_stale(attempt_id) => FenceAnswer::CannotKnow,
+            Some(Mark::Queued | Mark::Barred) | None => {
+                self.bar(attempt_id, now);
+                FenceAnswer::NotStarted
+            }
+        }
+    }
+
+    /// `cancel` takes a queued attempt out, or bars one whose call has not arrived.
+    pub fn cancel(&mut self, attempt_id: AttemptId, now: Now) -> Cancelled {
+        if self.running.contains_key(&attempt_id) {
+            return Cancelled::Running;
+        }
+        match self.seen.get(attempt_id) {
+            Some(Mark::Started) => Cancelled::Ended,
+            None if self.seen.is_stale(attempt_id) => Cancelled::Ended,
+            Some(Mark::Queued | Mark::Barred) | None => {
+                self.bar(attempt_id, now);
+                Cancelled::NotStarted
+            }
+        }
+    }
+
+    /// `drain` refuses everything new from now on; queued and running attempts finish.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// `resize` takes in a new number of slots; running attempts are not cut off.
+    pub fn resize(&mut self, slots: u16) {
+        self.slots = usize::from(slots);
+    }
+
+    /// `target_lost` forgets what ran on a vanished target, refuses what waits, and returns the
+    /// attempts whose outcome is unknown.
+    pub fn target_lost(&mut self, now: Now) -> (Vec<AttemptId>, Vec<AdmissionAction>) {
+        let mut lost: Vec<AttemptId> = self.running.drain().map(|(id, _)| id).collect();
+        lost.sort_unstable();
+        let waiting: Vec<AttemptId> = self.queue.values().copied().collect();
+        let reason = Reason::NoTarget;
+        let refused = waiting
+            .into_iter()
+            .map(|attempt_id| {
+                self.bar(attempt_id, now);
+                AdmissionAction::Refuse { attempt_id, reason }
+            })
+            .collect();
+        (lost, refused)
+    }
+
+    /// `running` returns the number of slots in use.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// `queued` returns the number of waiting attempts.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// `is_drained` tells whether a drain has finished.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.is_draining && self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// `wake_at` returns when the next queued attempt's deadline passes.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.queue.keys().map(|rank| rank.deadline).min()
+    }
+
+    fn enqueue(&mut self, offer: &Offer, now: Now) -> Admitted {
+        self.sequence += 1;
+        let rank = Rank {
+            class: offer.class,
+            deadline: offer.deadline,
+            sequence: self.sequence,
+        };
+        let ahead = self.queue.range(..rank).count();
+        let wait = self.wait_behind(ahead);
+        let is_full = self.queue.len() >= self.slots;
+        if is_full && ahead >= self.queue.len() {
+            let retry_after_ms = self.retry_after_ms();
+            return self.refuse(
+                offer.attempt_id,
+                Reason::QueueFull,
+                Some(retry_after_ms),
+                now,
+            );
+        }
+        if now.at + wait >= offer.deadline {
+            let retry_after_ms = self.retry_after_ms();
+            return self.refuse(
+                offer.attempt_id,
+                Reason::DeadlinePassed,
+                Some(retry_after_ms),
+                now,
+            );
+        }
+        let displaced = is_full
+            .then(|| self.queue.last_key_value().map(|(_, id)| *id))
+            .flatten();
+        if let Some(displaced) = displaced {
+            self.bar(displaced, now);
+        }
+        self.queue.insert(rank, offer.attempt_id);
+        self.ranks.insert(offer.attempt_id, rank);
+        self.seen.set(offer.attempt_id, Mark::Queued, now);
+        Admitted::Queued { displaced }
+    }
+
+    /// Time until the attempt behind `ahead` others gets a slot, by the average run time.
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
+        let place = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        self.run_time.saturating_mul(place) / slots
+    }
+
+    fn retry_after_ms(&self) -> u32 {
+        let wait_ms = duration_ms(self.wait_behind(self.queue.len()));
+        u32::try_from(wait_ms)
+            .unwrap_or(u32::MAX)
+            .max(MIN_RETRY_AFTER_MS)
+    }
+
+    fn refuse_expired(&mut self, now: Now, actions: &mut Vec<AdmissionAction>) {
+        let expired: Vec<AttemptId> = self
+            .queue
+            .iter()
+            .filter(|(rank, _)| rank.deadline <= now.at)
+            .map(|(_, attempt_id)| *attempt_id)
+            .collect();
+        for attempt_id in expired {
+            self.bar(attempt_id, now);
+            let reason = Reason::DeadlinePassed;
+            actions.push(AdmissionAction::Refuse { attempt_id, reason });
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        attempt_id: AttemptId,
+        reason: Reason,
+        retry_after_ms: Option<u32>,
+        now: Now,
+    ) -> Admitted {
+        self.bar(attempt_id, now);
+        Admitted::Refused {
+            reason,
+            retry_after_ms: retry_after_ms.or(reason.retry_after_ms()),
+        }
+    }
+
+    fn bar(&mut self, attempt_id: AttemptId, now: Now) {
+        if let Some(rank) = self.ranks.remove(&attempt_id) {
+            self.queue.remove(&rank);
+        }
+        self.seen.set(attempt_id, Mark::Barred, now);
+    }
+
+    fn start(&mut self, attempt_id: AttemptId, now: Now) {
+        self.running.insert(attempt_id, now.at);
+        self.seen.set(attempt_id, Mark::Started, now);
+    }
+}
--- /dev/null
+++ b/crates/request/src/balance.rs
@@ -0,0 +1,255 @@
+//! Choice of a target: levels of distance, subsets, weights and the better of two.
+
+use std::time::Instant;
+
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::ids::DataCentreName;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RegionName;
+use hemlockfall_core::rendezvous;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::ejection::Health;
+use crate::options::Options;
+
+/// `LEVELS` is the number of distances: own data centre, own region, others.
+pub const LEVELS: usize = 3;
+
+const FULL_WEIGHT_PERMILLE: u64 = 1_000;
+const COLD_WEIGHT_PERMILLE: u64 = 100;
+/// Weight left to a target that reports itself unhealthy. Reports lag and mislead, so they
+/// lower a weight and never exclude a target.
+const UNHEALTHY_WEIGHT_PERMILLE: u64 = 100;
+/// Load from which a report lowers the weight, in percent.
+const BUSY_LOAD_PERCENT: u8 = 80;
+const BUSY_WEIGHT_PERMILLE: u64 = 500;
+/// Part of a new latency sample in the average, as a divisor.
+const LATENCY_WEIGHT: u64 = 8;
+/// Added to every latency average, so that in-flight counts decide between fast targets.
+const LATENCY_FLOOR_US: u64 = 200;
+
+/// `Place` is where a node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+}
+
+impl Place {
+    /// `level` returns the distance of a target's node.
+    #[must_use]
+    pub fn level(&self, record: &EndpointRecord) -> usize {
+        match (
+            self.region == record.region,
+            self.data_centre == record.data_centre,
+        ) {
+            (true, true) => 0,
+            (true, false) => 1,
+            (false, _) => 2,
+        }
+    }
+}
+
+/// `Load` is what this node knows of one target by its own measurements and its reports.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Attempts of this node that the target has not answered.
+    pub in_flight: u32,
+    /// Average latency, in microseconds; 0 before the first sample.
+    pub latency_us: u64,
+    /// Since when the target takes requests.
+    pub ready_since: Instant,
+    /// Record of failures.
+    pub health: Health,
+    reported_weight_permille: u64,
+}
+
+impl Load {
+    /// `new` makes the figures of a target that became ready.
+    #[must_use]
+    pub fn new(ready_since: Instant, now: Instant) -> Self {
+        Self {
+            in_flight: 0,
+            latency_us: 0,
+            ready_since,
+            health: Health::new(now),
+            reported_weight_permille: FULL_WEIGHT_PERMILLE,
+        }
+    }
+
+    /// `sample` takes a measured latency into the average.
+    pub fn sample(&mut self, latency_us: u64) {
+        self.latency_us = if self.latency_us == 0 {
+            latency_us
+        } else {
+            (self.latency_us * (LATENCY_WEIGHT - 1) + latency_us) / LATENCY_WEIGHT
+        };
+    }
+
+    /// `report` notes the target's own report.
+    pub fn report(&mut self, is_healthy: bool, load_percent: u8) {
+        self.reported_weight_permille = match (is_healthy, load_percent >= BUSY_LOAD_PERCENT) {
+            (false, _) => UNHEALTHY_WEIGHT_PERMILLE,
+            (true, true) => BUSY_WEIGHT_PERMILLE,
+            (true, false) => FULL_WEIGHT_PERMILLE,
+        };
+    }
+
+    /// `weight_permille` returns the weight by cold start and report.
+    #[must_use]
+    pub fn weight_permille(&self, now: Instant, options: &Options) -> u64 {
+        let age = now.saturating_duration_since(self.ready_since);
+        let cold_start = options.cold_start();
+        let ramp_permille = if age >= cold_start {
+            FULL_WEIGHT_PERMILLE
+        } else {
+            let passed_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+            let total_us = u64::try_from(cold_start.as_micros()).unwrap_or(u64::MAX);
+            COLD_WEIGHT_PERMILLE
+                + (FULL_WEIGHT_PERMILLE - COLD_WEIGHT_PERMILLE) * passed_us / total_us
+        };
+        ramp_permille * self.reported_weight_permille / FULL_WEIGHT_PERMILLE
+    }
+
+    /// `cost` returns the expected cost of one more attempt; the lower one is chosen.
+    #[must_use]
+    pub fn cost(&self, now: Instant, options: &Options) -> u64 {
+        let weight_permille = self.weight_permille(now, options).max(1);
+        let latency_us = self.latency_us + LATENCY_FLOOR_US;
+        latency_us * u64::from(self.in_flight + 1) * FULL_WEIGHT_PERMILLE / weight_permille
+    }
+}
+
+/// `Pool` holds the subsets of one service version, by level.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// Chosen targets of each level, as indices of the target table.
+    pub subsets: [Vec<usize>; LEVELS],
+    /// Share of each level's known targets that are ready, in permille.
+    pub ready_permille: [u32; LEVELS],
+}
+
+/// `PoolMember` is one known target while a pool is built.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolMember<'a> {
+    /// Index in the target table.
+    pub index: usize,
+    /// Node of the target.
+    pub node: &'a NodeName,
+    /// Distance.
+    pub level: usize,
+    /// Whether it takes requests.
+    pub is_ready: bool,
+}
+
+impl Pool {
+    /// `new` chooses the subsets by rendezvous of the calling node with the targets.
+    #[must_use]
+    pub fn new(place: &Place, members: &[PoolMember<'_>], options: &Options) -> Self {
+        let mut pool = Self::default();
+        for level in 0..LEVELS {
+            let known = members.iter().filter(|member| member.level == level);
+            let ready: Vec<&PoolMember<'_>> =
+                known.clone().filter(|member| member.is_ready).collect();
+            pool.ready_permille[level] = permille(ready.len(), known.count());
+            let ranked = rendezvous::rank(
+                place.node.as_bytes(),
+                ready,
+                |member| member.node.as_str(),
+                options.subset_size,
+            );
+            pool.subsets[level] = ranked.into_iter().map(|member| member.index).collect();
+        }
+        pool
+    }
+
+    /// `candidates` collects the targets to choose from: nearer levels first, farther ones only
+    /// while fewer of the nearer ones are usable than the options ask for.
+    pub fn candidates<F>(&self, options: &Options, is_usable: F, candidates: &mut Vec<usize>)
+    where
+        F: Fn(usize) -> bool,
+    {
+        candidates.clear();
+        for level in 0..LEVELS {
+            let subset = &self.subsets[level];
+            let before = candidates.len();
+            candidates.extend(subset.iter().copied().filter(|index| is_usable(*index)));
+            let usable = candidates.len() - before;
+            let usable_permille =
+                self.ready_permille[level] * permille(usable, subset.len()) / 1_000;
+            if usable > 0 && usable_permille >= options.nearer_usable_permille {
+                return;
+            }
+        }
+    }
+}
+
+/// `better_of_two` draws two different candidates by weight and returns the cheaper one.
+///
+/// Drawing by weight as well as comparing cost keeps a cold target from being every second
+/// request's partner while its in-flight count is zero.
+pub fn better_of_two<'a, F>(
+    candidates: &[usize],
+    load: F,
+    now: Instant,
+    options: &Options,
+    random: &mut SmallRng,
+) -> Option<usize>
+where
+    F: Fn(usize) -> &'a Load,
+{
+    let first = draw(candidates, None, &load, now, options, random)?;
+    let Some(second) = draw(candidates, Some(first), &load, now, options, random) else {
+        return Some(first);
+    };
+    let first_cost = load(first).cost(now, options);
+    let second_cost = load(second).cost(now, options);
+    Some(if second_cost < first_cost {
+        second
+    } else {
+        first
+    })
+}
+
+fn draw<'a, F>(
+    candidates: &[usize],
+    excluded: Option<usize>,
+    load: &F,
+    now: Instant,
+    options: &Options,
+    random: &mut SmallRng,
+) -> Option<usize>
+where
+    F: Fn(usize) -> &'a Load,
+{
+    let weight = |index: usize| load(index).weight_permille(now, options).max(1);
+    let open = || {
+        candidates
+            .iter()
+            .copied()
+            .filter(|index| Some(*index) != excluded)
+    };
+    let total: u64 = open().map(weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut position = random.random_range(0..total);
+    for index in open() {
+        let own = weight(index);
+        if position < own {
+            return Some(index);
+        }
+        position -= own;
+    }
+    None
+}
+
+fn permille(part: usize, whole: usize) -> u32 {
+    let share = (part * 1_000).checked_div(whole).unwrap_or(0);
+    u32::try_from(share).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/request/src/budget.rs
@@ -0,0 +1,106 @@
+//! Retry budgets, backoff and deadlines.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::units::duration_ms;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::clock::millis;
+use crate::options::Options;
+
+const TOKEN_MILLI: u64 = 1_000;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Tokens that an idle bucket keeps, in seconds of the minimum rate. It bounds the burst of
+/// retries after a quiet time.
+const BURST_MILLI: u64 = 2 * TOKEN_MILLI;
+
+/// Time taken off the time left at each hop, for transit and for passing the answer back.
+const HOP_MS: u32 = 1;
+
+/// `RetryBudget` is the token bucket of one service: a share of the fresh requests, at least
+/// one retry per second.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens_milli: u64,
+    earned_milli: u64,
+    last_earned_milli: u64,
+    second_since: Instant,
+}
+
+impl RetryBudget {
+    /// `new` makes a bucket with one token.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tokens_milli: TOKEN_MILLI,
+            earned_milli: 0,
+            last_earned_milli: 0,
+            second_since: now,
+        }
+    }
+
+    /// `earn` counts a fresh request.
+    pub fn earn(&mut self, budget_permille: u16, now: Instant) {
+        self.advance(now);
+        let earned_milli = u64::from(budget_permille);
+        self.earned_milli += earned_milli;
+        self.tokens_milli = (self.tokens_milli + earned_milli).min(self.limit_milli());
+    }
+
+    /// `take` takes the token of one retry, if there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.advance(now);
+        if self.tokens_milli < TOKEN_MILLI {
+            return false;
+        }
+        self.tokens_milli -= TOKEN_MILLI;
+        true
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.second_since);
+        if passed < SECOND {
+            return;
+        }
+        let seconds = passed.as_secs();
+        let missing_milli = TOKEN_MILLI.saturating_sub(self.earned_milli)
+            + (seconds - 1).saturating_mul(TOKEN_MILLI);
+        self.last_earned_milli = self.earned_milli;
+        self.earned_milli = 0;
+        self.tokens_milli = self
+            .tokens_milli
+            .saturating_add(missing_milli)
+            .min(self.limit_milli());
+        self.second_since += Duration::from_secs(seconds);
+    }
+
+    fn limit_milli(&self) -> u64 {
+        BURST_MILLI + self.last_earned_milli + self.earned_milli
+    }
+}
+
+/// `backoff` returns the pause before a retry (0 is the first): from the base to twice the base,
+/// doubling with each retry.
+pub fn backoff(retry: u32, options: &Options, random: &mut SmallRng) -> Duration {
+    let base_us = (u64::from(options.backoff_ms) * 1_000) << retry.min(8);
+    Duration::from_micros(random.random_range(base_us..base_us * 2))
+}
+
+/// `deadline` returns by when a request must be answered.
+#[must_use]
+pub fn deadline(now: Instant, caller_timeout_ms: Option<u32>, route_timeout_ms: u32) -> Instant {
+    now + millis(caller_timeout_ms.map_or(route_timeout_ms, |limit| limit.min(route_timeout_ms)))
+}
+
+/// `time_left_ms` returns the time that the next hop gets; `None` when nothing is left.
+#[must_use]
+pub fn time_left_ms(deadline: Instant, now: Instant) -> Option<u32> {
+    let left_ms = duration_ms(deadline.saturating_duration_since(now));
+    let next_ms = u32::try_from(left_ms)
+        .unwrap_or(u32::MAX)
+        .saturating_sub(HOP_MS);
+    (next_ms > 0).then_some(next_ms)
+}
--- /dev/null
+++ b/crates/request/src/call.rs
@@ -0,0 +1,578 @@
+//! The entry node's state machine of one request.
+
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::Class;
+use hemlockfall_core::ids::Digest;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RouteName;
+use hemlockfall_core::ids::ServiceName;
+use hemlockfall_core::ids::VersionName;
+use hemlockfall_core::units::duration_ms;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use uuid::Uuid;
+
+use crate::admission::FenceAnswer;
+use crate::budget;
+use crate::clock::Now;
+use crate::clock::millis;
+use crate::outcome::AttemptResult;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+use crate::placement::Key;
+use crate::route;
+use crate::route::Share;
+use crate::router::Router;
+use crate::router::Target;
+use crate::seen::AttemptId;
+
+/// `CallRequest` is what routing needs to know of a request.
+#[derive(Clone, Debug)]
+pub struct CallRequest<'a> {
+    /// Identifies the request across its attempts.
+    pub request_id: Uuid,
+    /// Host of the request.
+    pub host: &'a str,
+    /// Path of the request.
+    pub path: &'a str,
+    /// Time that the caller gives, in milliseconds.
+    pub timeout_ms: Option<u32>,
+    /// The request arrived marked as a retry.
+    pub is_retry: bool,
+    /// Idempotency key that the caller chose.
+    pub key: Option<&'a str>,
+    /// Fingerprint; may be left out while the router counts none.
+    pub fingerprint: Option<Digest>,
+}
+
+/// `Attempt` is what the node sends to a target's node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Receiver.
+    pub to: Target,
+    /// Identifies the attempt.
+    pub attempt_id: AttemptId,
+    /// Time that the target's node gets, in milliseconds.
+    pub time_left_ms: u32,
+    /// Marks the attempt so that it is not retried further down.
+    pub is_retry: bool,
+    /// Class of the service.
+    pub class: Class,
+    /// Key of a request that may not be repeated.
+    pub key: Option<AttemptKey>,
+}
+
+/// `AttemptKey` is the key part of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptKey {
+    /// The key.
+    pub key: Key,
+    /// The entry node generated it for this request.
+    pub is_generated: bool,
+    /// Earlier attempts of this request that surely have not run.
+    pub voided: Vec<AttemptId>,
+}
+
+/// `Answer` is the final answer to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Pass on the complete answer of an attempt.
+    PassOn {
+        /// The attempt.
+        attempt_id: AttemptId,
+    },
+    /// Generate an answer.
+    Generated {
+        /// Outcome of the request over all of its attempts.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+        /// When a resend is worthwhile.
+        retry_after_ms: Option<u32>,
+    },
+}
+
+/// `Decision` is the log record of one routing decision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// The request.
+    pub request_id: Uuid,
+    /// Service.
+    pub service: ServiceName,
+    /// Route.
+    pub route: RouteName,
+    /// Version.
+    pub version: VersionName,
+    /// Chosen node; `None` when no target was usable.
+    pub node: Option<NodeName>,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+}
+
+/// `CallAction` is what the node does for a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallAction {
+    /// Send an attempt.
+    SendAttempt(Box<Attempt>),
+    /// Ask a target's node to fence an attempt, on a fresh connection.
+    Fence {
+        /// Receiver.
+        to: Target,
+        /// The attempt.
+        attempt_id: AttemptId,
+    },
+    /// Tell a target's node that an attempt is no longer wanted.
+    Cancel {
+        /// Receiver.
+        to: Target,
+        /// The attempt.
+        attempt_id: AttemptId,
+    },
+    /// Answer the caller; it is the only answer.
+    AnswerCaller(Answer),
+    /// Write the routing decision to the log.
+    Log(Box<Decision>),
+}
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    target: Target,
+    attempt_id: AttemptId,
+    sent_at: Instant,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Waiting(InFlight),
+    Fencing { lost: InFlight, until: Instant },
+    Backoff { until: Instant },
+    Done,
+}
+
+/// `Call` is one request in flight at its entry node.
+#[derive(Clone, Debug)]
+pub struct Call {
+    request_id: Uuid,
+    service: ServiceName,
+    route: RouteName,
+    version: VersionName,
+    class: Class,
+    is_repeatable: bool,
+    is_retry: bool,
+    key: Option<Key>,
+    is_generated: bool,
+    deadline: Instant,
+    attempts: u32,
+    tried: Vec<NodeName>,
+    voided: Vec<AttemptId>,
+    /// Reason of the first attempt that may have run.
+    doubt: Option<Reason>,
+    state: State,
+}
+
+impl Call {
+    /// `start` routes a request and sends its first attempt.
+    ///
+    /// `cap` is the local guard's limit of a version's share (service, route, version), in
+    /// permille.
+    ///
+    /// # Errors
+    /// [`Reason::NoService`], [`Reason::NoRoute`] and [`Reason::FingerprintRefused`]: answer the
+    /// caller with the reason, there is no call.
+    pub fn start<F>(
+        request: &CallRequest<'_>,
+        router: &mut Router,
+        cap: F,
+        now: Now,
+    ) -> Result<(Self, Vec<CallAction>), Reason>
+    where
+        F: Fn(&str, &str, &str) -> u16,
+    {
+        let mut call = Self::route(request, router, cap, now)?;
+        if let Some(fingerprint) = request.fingerprint
+            && router
+                .fingerprints()
+                .refused_for(&fingerprint, now.at)
+                .is_some()
+        {
+            return Err(Reason::FingerprintRefused);
+        }
+        let mut actions = Vec::with_capacity(2);
+        call.send(router, now, &mut actions);
+        Ok((call, actions))
+    }
+
+    /// `attempt_ended` takes in the result of an attempt; results of other attempts are ignored.
+    pub fn attempt_ended(
+        &mut self,
+        attempt_id: AttemptId,
+        result: AttemptResult,
+        router: &mut Router,
+        now: Now,
+    ) -> Vec<CallAction> {
+        let in_flight = match &self.state {
+            State::Waiting(in_flight) if in_flight.attempt_id == attempt_id => in_flight.clone(),
+            State::Fencing { lost, .. } if lost.attempt_id == attempt_id => {
+                return self.resolve(attempt_id, result, router, now);
+            }
+            State::Waiting(_) | State::Fencing { .. } | State::Backoff { .. } | State::Done => {
+                return Vec::new();
+            }
+        };
+        let latency = now.at.saturating_duration_since(in_flight.sent_at);
+        router.attempt_finished(&in_flight.target, result, latency, now);
+        self.resolve(attempt_id, result, router, now)
+    }
+
+    /// `link_lost` takes in the loss of the link to a node. An attempt that may not be repeated
+    /// is fenced before anything else happens to it.
+    pub fn link_lost(&mut self, node: &str, router: &mut Router, now: Now) -> Vec<CallAction> {
+        let State::Waiting(in_flight) = &self.state else {
+            return Vec::new();
+        };
+        if in_flight.target.node != node {
+            return Vec::new();
+        }
+        let lost = in_flight.clone();
+        let reason = Reason::LinkLost;
+        let result = AttemptResult::Unknown { reason };
+        let latency = now.at.saturating_duration_since(lost.sent_at);
+        router.attempt_finished(&lost.target, result, latency, now);
+        if self.is_repeatable {
+            return self.resolve(lost.attempt_id, result, router, now);
+        }
+        let until = self
+            .deadline
+            .min(now.at + millis(router.options().fence_timeout_ms));
+        let action = CallAction::Fence {
+            to: lost.target.clone(),
+            attempt_id: lost.attempt_id,
+        };
+        self.state = State::Fencing { lost, until };
+        vec![action]
+    }
+
+    /// `fence_answered` takes in the answer to a fence.
+    pub fn fence_answered(
+        &mut self,
+        attempt_id: AttemptId,
+        answer: FenceAnswer,
+        router: &mut Router,
+        now: Now,
+    ) -> Vec<CallAction> {
+        let is_awaited = matches!(
+            &self.state,
+            State::Fencing { lost, .. } if lost.attempt_id == attempt_id
+        );
+        if !is_awaited {
+            return Vec::new();
+        }
+        let result = match answer {
+            FenceAnswer::NotStarted => AttemptResult::refused(Reason::Fenced, None),
+            FenceAnswer::Started | FenceAnswer::CannotKnow => AttemptResult::Unknown {
+                reason: Reason::LinkLost,
+            },
+        };
+        self.resolve(attempt_id, result, router, now)
+    }
+
+    /// `caller_gone` ends the call, since its caller closed the connection.
+    pub fn caller_gone(&mut self, router: &mut Router) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        self.cancel_in_flight(router, &mut actions);
+        self.state = State::Done;
+        actions
+    }
+
+    /// `tick` does what is due: a retry after its backoff, the end of a wait for a fence, or the
+    /// final answer when the time is up.
+    pub fn tick(&mut self, router: &mut Router, now: Now) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        if matches!(self.state, State::Done) {
+            return actions;
+        }
+        if now.at >= self.deadline {
+            self.time_up(router, now, &mut actions);
+            return actions;
+        }
+        match &self.state {
+            State::Backoff { until } if *until <= now.at => self.send(router, now, &mut actions),
+            State::Fencing { until, .. } if *until <= now.at => {
+                self.doubt.get_or_insert(Reason::LinkLost);
+                self.answer(Reason::LinkLost, None, &mut actions);
+            }
+            State::Waiting(_) | State::Fencing { .. } | State::Backoff { .. } | State::Done => {}
+        }
+        actions
+    }
+
+    /// `wake_at` returns when [`Call::tick`] has something to do; `None` when the call is done.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Instant> {
+        match &self.state {
+            State::Waiting(_) => Some(self.deadline),
+            State::Fencing { until, .. } | State::Backoff { until } => {
+                Some((*until).min(self.deadline))
+            }
+            State::Done => None,
+        }
+    }
+
+    /// `is_done` tells whether the caller got its answer or is gone.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// `service` returns the service of the call.
+    #[must_use]
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// `route_name` returns the route of the call.
+    #[must_use]
+    pub fn route_name(&self) -> &RouteName {
+        &self.route
+    }
+
+    /// `version` returns the version that serves the call.
+    #[must_use]
+    pub fn version(&self) -> &VersionName {
+        &self.version
+    }
+
+    fn route<F>(
+        request: &CallRequest<'_>,
+        router: &mut Router,
+        cap: F,
+        now: Now,
+    ) -> Result<Self, Reason>
+    where
+        F: Fn(&str, &str, &str) -> u16,
+    {
+        let found = router.routes().find(request.host, request.path)?;
+        let entry = router.routes().entry(found);
+        let route = router.routes().route(found);
+        let share = Share {
+            request_id: request.request_id,
+            now_unix_ms: now.unix_ms,
+            store_down_since_unix_ms: router.store_down_since_unix_ms(),
+        };
+        let mut version = route::choose_version(entry, route, share, cap);
+        // A new version without a ready target must not fail the share of requests it would get.
+        if let Some(state) = &entry.move_state
+            && *version == state.to
+            && !state.status.is_final()
+            && route.version.is_none()
+            && !router.has_ready(&entry.service, version)
+        {
+            version = &state.from;
+        }
+        let budget_permille = entry.limits.retry_budget_permille;
+        let mut call = Self {
+            request_id: request.request_id,
+            service: entry.service.clone(),
+            route: route.name.clone(),
+            version: version.clone(),
+            class: entry.class,
+            is_repeatable: route.repeatable,
+            is_retry: request.is_retry,
+            key: None,
+            is_generated: request.key.is_none(),
+            deadline: budget::deadline(now.at, request.timeout_ms, route.timeout_ms),
+            attempts: 0,
+            tried: Vec::new(),
+            voided: Vec::new(),
+            doubt: None,
+            state: State::Done,
+        };
+        if !call.is_repeatable {
+            let text = request
+                .key
+                .map_or_else(|| router.new_id(now).simple().to_smolstr(), SmolStr::from);
+            call.key = Some(Key::new(call.service.clone(), text));
+        }
+        if !call.is_retry {
+            router.earn_retry(&call.service, budget_permille, now);
+        }
+        Ok(call)
+    }
+
+    fn send(&mut self, router: &mut Router, now: Now, actions: &mut Vec<CallAction>) {
+        let Some(time_left_ms) = budget::time_left_ms(self.deadline, now.at) else {
+            self.answer(Reason::DeadlinePassed, None, actions);
+            return;
+        };
+        let target = match &self.key {
+            Some(key) => router.runner(key, &self.version, &self.tried, now),
+            None => router.pick(&self.service, &self.version, &self.tried, now),
+        };
+        self.attempts += 1;
+        actions.push(CallAction::Log(Box::new(self.decision(target.as_ref()))));
+        let Some(to) = target else {
+            self.answer(Reason::NoTarget, None, actions);
+            return;
+        };
+        let attempt_id = router.new_id(now);
+        router.attempt_started(&to);
+        self.tried.push(to.node.clone());
+        self.state = State::Waiting(InFlight {
+            target: to.clone(),
+            attempt_id,
+            sent_at: now.at,
+        });
+        actions.push(CallAction::SendAttempt(Box::new(Attempt {
+            to,
+            attempt_id,
+            time_left_ms,
+            is_retry: self.is_retry || self.attempts > 1,
+            class: self.class,
+            key: self.attempt_key(),
+        })));
+    }
+
+    fn attempt_key(&self) -> Option<AttemptKey> {
+        self.key.as_ref().map(|key| AttemptKey {
+            key: key.clone(),
+            is_generated: self.is_generated,
+            voided: self.voided.clone(),
+        })
+    }
+
+    fn decision(&self, target: Option<&Target>) -> Decision {
+        Decision {
+            request_id: self.request_id,
+            service: self.service.clone(),
+            route: self.route.clone(),
+            version: self.version.clone(),
+            node: target.map(|target| target.node.clone()),
+            attempt: self.attempts,
+        }
+    }
+
+    /// Retries after the end of an attempt, or answers. A complete answer is never retried, even
+    /// if it tells a failure: a failing leaf would otherwise be retried at every level above it.
+    fn resolve(
+        &mut self,
+        attempt_id: AttemptId,
+        result: AttemptResult,
+        router: &mut Router,
+        now: Now,
+    ) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        match result {
+            AttemptResult::Answered { .. } => {
+                self.state = State::Done;
+                let answer = Answer::PassOn { attempt_id };
+                actions.push(CallAction::AnswerCaller(answer));
+            }
+            AttemptResult::KeyRefused { reason } => self.answer(reason, None, &mut actions),
+            AttemptResult::NotRun {
+                reason,
+                retry_after_ms,
+            } => {
+                self.voided.push(attempt_id);
+                if !(helps_to_retry(reason) && self.retry(router, now)) {
+                    self.answer(reason, retry_after_ms, &mut actions);
+                }
+            }
+            AttemptResult::Unknown { reason } => {
+                self.doubt.get_or_insert(reason);
+                if !(self.is_repeatable && self.retry(router, now)) {
+                    self.answer(reason, None, &mut actions);
+                }
+            }
+        }
+        actions
+    }
+
+    fn retry(&mut self, router: &mut Router, now: Now) -> bool {
+        let retries = self.attempts.saturating_sub(1);
+        if self.is_retry || retries >= router.options().max_retries {
+            return false;
+        }
+        let until = now.at + router.backoff(retries);
+        if until >= self.deadline || !router.take_retry(&self.service, now) {
+            return false;
+        }
+        self.state = State::Backoff { until };
+        true
+    }
+
+    fn time_up(&mut self, router: &mut Router, now: Now, actions: &mut Vec<CallAction>) {
+        let reason = match &self.state {
+            State::Waiting(in_flight) => {
+                let result = AttemptResult::Unknown {
+                    reason: Reason::TimedOut,
+                };
+                let target = in_flight.target.clone();
+                let attempt_id = in_flight.attempt_id;
+                let latency = now.at.saturating_duration_since(in_flight.sent_at);
+                router.attempt_finished(&target, result, latency, now);
+                let to = target;
+                actions.push(CallAction::Cancel { to, attempt_id });
+                Reason::TimedOut
+            }
+            State::Fencing { .. } => Reason::TimedOut,
+            State::Backoff { .. } | State::Done => Reason::DeadlinePassed,
+        };
+        if reason == Reason::TimedOut {
+            self.doubt.get_or_insert(reason);
+        }
+        self.answer(reason, None, actions);
+    }
+
+    fn cancel_in_flight(&mut self, router: &mut Router, actions: &mut Vec<CallAction>) {
+        let in_flight = match &self.state {
+            State::Waiting(in_flight) => {
+                router.attempt_abandoned(&in_flight.target);
+                in_flight
+            }
+            State::Fencing { lost, .. } => lost,
+            State::Backoff { .. } | State::Done => return,
+        };
+        actions.push(CallAction::Cancel {
+            to: in_flight.target.clone(),
+            attempt_id: in_flight.attempt_id,
+        });
+    }
+
+    /// Answers the caller. "Not run" holds for the request only when it holds for every attempt.
+    fn answer(
+        &mut self,
+        reason: Reason,
+        retry_after_ms: Option<u32>,
+        actions: &mut Vec<CallAction>,
+    ) {
+        self.state = State::Done;
+        let (outcome, reason) = match (reason.outcome(), self.doubt) {
+            (Outcome::NotRun, Some(doubt)) => (Outcome::Unknown, doubt),
+            (outcome, _) => (outcome, reason),
+        };
+        let retry_after_ms = match outcome {
+            Outcome::NotRun => retry_after_ms.or(reason.retry_after_ms()),
+            Outcome::Ran | Outcome::Unknown => reason.retry_after_ms(),
+        };
+        actions.push(CallAction::AnswerCaller(Answer::Generated {
+            outcome,
+            reason,
+            retry_after_ms,
+        }));
+    }
+
+    /// `time_left_ms` returns the time until the deadline, in milliseconds.
+    #[must_use]
+    pub fn time_left_ms(&self, now: Instant) -> u64 {
+        duration_ms(self.deadline.saturating_duration_since(now))
+    }
+}
+
+/// Whether another target could do better than the one that refused for a reason.
+fn helps_to_retry(reason: Reason) -> bool {
+    !matches!(
+        reason,
+        Reason::FingerprintRefused | Reason::Cancelled | Reason::NoService | Reason::NoRoute
+    )
+}
--- /dev/null
+++ b/crates/request/src/idempotency.rs
@@ -0,0 +1,452 @@
+//! Idempotency keys: a request that may not be repeated is claimed at a majority of its key's
+//! keepers before it is dispatched, so that no second attempt can be.
+//!
+//! The runner sends `Claim` to the keepers (itself included), dispatches once a majority
+//! granted it, and sends `Finished` with the answer, or `Release` when the attempt surely has
+//! not run. Two majorities of three keepers intersect, so of two claimants at most one runs.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use hemlockfall_core::ids::NodeName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Now;
+use crate::clock::millis;
+use crate::key_records::ClaimVerdict;
+use crate::key_records::KeyRecords;
+use crate::key_records::KeyState;
+use crate::key_records::RecordedAnswer;
+use crate::key_records::bounded;
+use crate::options::Options;
+use crate::outcome::Reason;
+use crate::placement::Key;
+use crate::placement::majority;
+use crate::seen::AttemptId;
+use crate::seen::Mark;
+use crate::seen::Seen;
+
+/// `KeyMessage` is what key nodes send each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyMessage {
+    /// A runner asks a keeper to record a key for an attempt.
+    Claim {
+        /// The key.
+        key: Key,
+        /// The attempt that wants to run.
+        claimant: AttemptId,
+        /// Earlier attempts of the same request that surely have not run.
+        voided: Vec<AttemptId>,
+    },
+    /// A keeper answers a claim.
+    ClaimAnswer {
+        /// The attempt.
+        claimant: AttemptId,
+        /// The keeper's verdict.
+        verdict: ClaimVerdict,
+    },
+    /// The attempt ran, with this answer.
+    Finished {
+        /// The key.
+        key: Key,
+        /// The attempt that ran.
+        claimant: AttemptId,
+        /// Its answer.
+        answer: RecordedAnswer,
+    },
+    /// The attempt surely has not run and never will.
+    Release {
+        /// The key.
+        key: Key,
+        /// The attempt.
+        claimant: AttemptId,
+    },
+}
+
+/// `ClaimRequest` is a call for a key that arrived at its runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// The key.
+    pub key: Key,
+    /// The attempt.
+    pub claimant: AttemptId,
+    /// Keepers of the key in the runner's view.
+    pub keepers: Vec<NodeName>,
+    /// Earlier attempts of the same request that surely have not run.
+    pub voided: Vec<AttemptId>,
+    /// The entry node generated the key for this request, so nobody can have used it before.
+    pub is_generated: bool,
+    /// By when the answer is needed.
+    pub deadline: Instant,
+}
+
+/// `KeyDecision` is the end of a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyDecision {
+    /// Offer the attempt to admission; then report [`KeyStore::finished`] or
+    /// [`KeyStore::released`].
+    Run,
+    /// Answer with the recorded answer; the attempt does not run.
+    Recorded(RecordedAnswer),
+    /// Answer with this reason; the attempt does not run.
+    Refused(Reason),
+}
+
+/// `KeyAction` is what the node does for the key store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyAction {
+    /// Send a message to a peer.
+    Send {
+        /// Receiver.
+        to: NodeName,
+        /// Message.
+        message: KeyMessage,
+    },
+    /// Go on with the call of an attempt.
+    Decide {
+        /// The attempt.
+        claimant: AttemptId,
+        /// How.
+        decision: KeyDecision,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    key: Key,
+    keepers: Vec<NodeName>,
+    answered: Vec<NodeName>,
+    granted: usize,
+    is_known: bool,
+    is_generated: bool,
+    until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    key: Key,
+    keepers: Vec<NodeName>,
+}
+
+/// `KeyStore` is the part of a node in the handling of keys, as runner and as keeper.
+#[derive(Clone, Debug)]
+pub struct KeyStore {
+    node: NodeName,
+    options: Options,
+    records: KeyRecords,
+    claims: HashMap<AttemptId, Claim>,
+    held: HashMap<AttemptId, Held>,
+    begun: Seen,
+}
+
+impl KeyStore {
+    /// `new` starts the memory of a node.
+    #[must_use]
+    pub fn new(node: NodeName, options: Options, now: Now) -> Self {
+        Self {
+            node,
+            records: KeyRecords::new(now, &options),
+            claims: HashMap::new(),
+            held: HashMap::new(),
+            begun: Seen::new(&options),
+            options,
+        }
+    }
+
+    /// `begin` claims the key of a call that arrived. A repeated call frame does nothing.
+    pub fn begin(&mut self, request: ClaimRequest, now: Now) -> Vec<KeyAction> {
+        let claimant = request.claimant;
+        if self.begun.get(claimant).is_some() {
+            return Vec::new();
+        }
+        if self.begun.is_stale(claimant) {
+            return vec![refuse(claimant, Reason::StaleAttempt)];
+        }
+        self.begun.set(claimant, Mark::Started, now);
+        if request.keepers.is_empty() {
+            return vec![refuse(claimant, Reason::NoTarget)];
+        }
+        let timeout_at = now.at + millis(self.options.key_claim_timeout_ms);
+        let claim = Claim {
+            key: request.key.clone(),
+            keepers: request.keepers,
+            answered: Vec::new(),
+            granted: 0,
+            is_known: false,
+            is_generated: request.is_generated,
+            until: timeout_at.min(request.deadline),
+        };
+        let mut actions = self.send_to_keepers(&claim.keepers, || KeyMessage::Claim {
+            key: request.key.clone(),
+            claimant,
+            voided: request.voided.clone(),
+        });
+        let is_keeper = claim.keepers.contains(&self.node);
+        self.claims.insert(claimant, claim);
+        self.claim_locally(
+            &request.key,
+            claimant,
+            &request.voided,
+            is_keeper,
+            now,
+            &mut actions,
+        );
+        actions
+    }
+
+    /// `receive` takes in a peer's message.
+    pub fn receive(&mut self, from: &NodeName, message: KeyMessage, now: Now) -> Vec<KeyAction> {
+        let mut actions = Vec::new();
+        match message {
+            KeyMessage::Claim {
+                key,
+                claimant,
+                voided,
+            } => {
+                let verdict = self
+                    .records
+                    .claim(&key, claimant, &voided, now, &self.options);
+                actions.push(KeyAction::Send {
+                    to: from.clone(),
+                    message: KeyMessage::ClaimAnswer { claimant, verdict },
+                });
+            }
+            KeyMessage::ClaimAnswer { claimant, verdict } => {
+                self.count(claimant, from, verdict, now, &mut actions);
+            }
+            KeyMessage::Finished {
+                key,
+                claimant,
+                answer,
+            } => {
+                self.records
+                    .finish(&key, claimant, answer, now, &self.options);
+            }
+            KeyMessage::Release { key, claimant } => self.records.release(&key, claimant),
+        }
+        actions
+    }
+
+    /// `finished` records the answer of an attempt that ran.
+    pub fn finished(
+        &mut self,
+        claimant: AttemptId,
+        answer: RecordedAnswer,
+        now: Now,
+    ) -> Vec<KeyAction> {
+        let Some(held) = self.held.remove(&claimant) else {
+            return Vec::new();
+        };
+        let answer = bounded(answer, &self.options);
+        let actions = self.send_to_keepers(&held.keepers, || KeyMessage::Finished {
+            key: held.key.clone(),
+            claimant,
+            answer: answer.clone(),
+        });
+        self.records
+            .finish(&held.key, claimant, answer, now, &self.options);
+        actions
+    }
+
+    /// `released` drops the records of an attempt that surely has not run and never will: it was
+    /// refused, fenced or cancelled before it started, or shed by the target.
+    pub fn released(&mut self, claimant: AttemptId) -> Vec<KeyAction> {
+        if let Some(held) = self.held.remove(&claimant) {
+            return self.release(&held.key, &held.keepers, claimant);
+        }
+        let Some(claim) = self.claims.remove(&claimant) else {
+            return Vec::new();
+        };
+        self.release(&claim.key, &claim.keepers, claimant)
+    }
+
+    /// `lost` ends an attempt whose outcome is unknown; its records stay as they are.
+    pub fn lost(&mut self, claimant: AttemptId) {
+        self.held.remove(&claimant);
+    }
+
+    /// `tick` ends claims whose time is up.
+    pub fn tick(&mut self, now: Now) -> Vec<KeyAction> {
+        self.records.expire(now, &self.options);
+        let mut due: Vec<AttemptId> = self
+            .claims
+            .iter()
+            .filter(|(_, claim)| claim.until <= now.at)
+            .map(|(claimant, _)| *claimant)
+            .collect();
+        due.sort_unstable();
+        let mut actions = Vec::new();
+        for claimant in due {
+            self.give_up(claimant, &mut actions);
+        }
+        actions
+    }
+
+    /// `wake_at` returns when [`KeyStore::tick`] has a claim to end.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.claims.values().map(|claim| claim.until).min()
+    }
+
+    /// `rejoined` notes that the node became a member of its service again, after it had left it
+    /// with its memory intact: keys of the time between have other keepers.
+    pub fn rejoined(&mut self, now: Now) {
+        self.records.restart(now, &self.options);
+    }
+
+    /// `records` returns the records kept here.
+    #[must_use]
+    pub fn records(&self) -> &KeyRecords {
+        &self.records
+    }
+
+    /// Consults the runner's own records. A runner that is no keeper (its version differs from
+    /// that of the keepers) has records only of what it ran itself; they can only refuse.
+    fn claim_locally(
+        &mut self,
+        key: &Key,
+        claimant: AttemptId,
+        voided: &[AttemptId],
+        is_keeper: bool,
+        now: Now,
+        actions: &mut Vec<KeyAction>,
+    ) {
+        let verdict = self
+            .records
+            .claim(key, claimant, voided, now, &self.options);
+        if is_keeper {
+            let node = self.node.clone();
+            self.count(claimant, &node, verdict, now, actions);
+            return;
+        }
+        match verdict {
+            ClaimVerdict::Known(KeyState::Finished(answer)) => {
+                self.conclude(claimant, answer, actions);
+            }
+            ClaimVerdict::Known(KeyState::Started) => {
+                if let Some(claim) = self.claims.get_mut(&claimant) {
+                    claim.is_known = true;
+                }
+            }
+            ClaimVerdict::Granted | ClaimVerdict::CannotKnow => {}
+        }
+    }
+
+    fn count(
+        &mut self,
+        claimant: AttemptId,
+        from: &NodeName,
+        verdict: ClaimVerdict,
+        now: Now,
+        actions: &mut Vec<KeyAction>,
+    ) {
+        let Some(claim) = self.claims.get_mut(&claimant) else {
+            return;
+        };
+        if !claim.keepers.contains(from) || claim.answered.contains(from) {
+            return;
+        }
+        claim.answered.push(from.clone());
+        match verdict {
+            ClaimVerdict::Known(KeyState::Finished(answer)) => {
+                self.conclude(claimant, answer, actions);
+                return;
+            }
+            ClaimVerdict::Known(KeyState::Started) => claim.is_known = true,
+            ClaimVerdict::Granted => claim.granted += 1,
+            ClaimVerdict::CannotKnow if claim.is_generated => claim.granted += 1,
+            ClaimVerdict::CannotKnow => {}
+        }
+        let needed = majority(claim.keepers.len());
+        if !claim.is_known && claim.granted >= needed && claim.until > now.at {
+            self.dispatch(claimant, actions);
+        } else if self.is_complete(claimant) {
+            self.give_up(claimant, actions);
+        }
+    }
+
+    /// A claim is complete when the missing verdicts cannot lead to a run. A key known as
+    /// started waits for the others, since one of them may hold the answer.
+    fn is_complete(&self, claimant: AttemptId) -> bool {
+        self.claims
+            .get(&claimant)
+            .is_some_and(|claim| claim.answered.len() == claim.keepers.len())
+    }
+
+    fn dispatch(&mut self, claimant: AttemptId, actions: &mut Vec<KeyAction>) {
+        let Some(claim) = self.claims.remove(&claimant) else {
+            return;
+        };
+        let held = Held {
+            key: claim.key,
+            keepers: claim.keepers,
+        };
+        self.held.insert(claimant, held);
+        actions.push(KeyAction::Decide {
+            claimant,
+            decision: KeyDecision::Run,
+        });
+    }
+
+    fn conclude(
+        &mut self,
+        claimant: AttemptId,
+        answer: RecordedAnswer,
+        actions: &mut Vec<KeyAction>,
+    ) {
+        let Some(claim) = self.claims.remove(&claimant) else {
+            return;
+        };
+        actions.extend(self.release(&claim.key, &claim.keepers, claimant));
+        let decision = if answer.content.is_some() {
+            KeyDecision::Recorded(answer)
+        } else {
+            KeyDecision::Refused(Reason::KeyAnswerNotKept)
+        };
+        actions.push(KeyAction::Decide { claimant, decision });
+    }
+
+    fn give_up(&mut self, claimant: AttemptId, actions: &mut Vec<KeyAction>) {
+        let Some(claim) = self.claims.remove(&claimant) else {
+            return;
+        };
+        actions.extend(self.release(&claim.key, &claim.keepers, claimant));
+        let reason = match (claim.is_known, claim.is_generated) {
+            (true, _) => Reason::KeyPending,
+            (false, true) => Reason::NoWitness,
+            (false, false) => Reason::KeyCannotKnow,
+        };
+        actions.push(refuse(claimant, reason));
+    }
+
+    fn release(&mut self, key: &Key, keepers: &[NodeName], claimant: AttemptId) -> Vec<KeyAction> {
+        self.records.release(key, claimant);
+        self.send_to_keepers(keepers, || KeyMessage::Release {
+            key: key.clone(),
+            claimant,
+        })
+    }
+
+    fn send_to_keepers<F: Fn() -> KeyMessage>(
+        &self,
+        keepers: &[NodeName],
+        message: F,
+    ) -> Vec<KeyAction> {
+        keepers
+            .iter()
+            .filter(|keeper| **keeper != self.node)
+            .map(|keeper| KeyAction::Send {
+                to: keeper.clone(),
+                message: message(),
+            })
+            .collect()
+    }
+}
+
+fn refuse(claimant: AttemptId, reason: Reason) -> KeyAction {
+    KeyAction::Decide {
+        claimant,
+        decision: KeyDecision::Refused(reason),
+    }
+}
--- /dev/null
+++ b/crates/request/src/key_records.rs
@@ -0,0 +1,293 @@
+//! Records of idempotency keys at one keeper, bounded by count, bytes and time.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Now;
+use crate::options::Options;
+use crate::placement::Key;
+use crate::placement::MAX_CLOCK_LEAD_MS;
+use crate::placement::life;
+use crate::seen::AttemptId;
+
+/// Bytes counted for a record besides its key and answer.
+const RECORD_BYTES: usize = 160;
+
+/// `RecordedAnswer` is the answer of a request that ran, as kept with its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Encoded headers and body; `None` when they exceed the limit of a record.
+    pub content: Option<Vec<u8>>,
+}
+
+/// `KeyState` is what a record says about its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyState {
+    /// An attempt may be running or may have run.
+    Started,
+    /// The request ran, with this answer.
+    Finished(RecordedAnswer),
+}
+
+/// `ClaimVerdict` is a keeper's answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimVerdict {
+    /// The key was new here and is now recorded for the claimant.
+    Granted,
+    /// Another claimant has the key.
+    Known(KeyState),
+    /// The keeper's records do not reach back to the key's time. The claimant is recorded all
+    /// the same.
+    CannotKnow,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    claimant: AttemptId,
+    state: KeyState,
+    since: Instant,
+    /// Whether the keeper could vouch for the key when it was claimed.
+    is_vouched: bool,
+}
+
+/// `KeyRecords` is the memory of one keeper.
+#[derive(Clone, Debug)]
+pub struct KeyRecords {
+    records: HashMap<Key, Record>,
+    /// Time and wall-clock time of each record, oldest first.
+    order: VecDeque<(Now, Key)>,
+    bytes: usize,
+    /// Keys from before this time may have been recorded by somebody else, or dropped here.
+    reaches_back_to_unix_ms: u64,
+}
+
+impl KeyRecords {
+    /// `new` starts a memory. It vouches for keys from a little after its start on, because
+    /// until then other nodes may not have counted this one among a key's keepers.
+    #[must_use]
+    pub fn new(now: Now, options: &Options) -> Self {
+        Self {
+            records: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+            reaches_back_to_unix_ms: now.unix_ms + u64::from(options.key_view_lag_ms),
+        }
+    }
+
+    /// `restart` keeps the records but vouches only for keys from a little later on.
+    pub fn restart(&mut self, now: Now, options: &Options) {
+        self.reaches_back_to_unix_ms = now.unix_ms + u64::from(options.key_view_lag_ms);
+    }
+
+    /// `claim` records a key for a claimant, unless another one has it. Claimants in `voided`
+    /// surely have not run and count as absent.
+    pub fn claim(
+        &mut self,
+        key: &Key,
+        claimant: AttemptId,
+        voided: &[AttemptId],
+        now: Now,
+        options: &Options,
+    ) -> ClaimVerdict {
+        self.expire(now, options);
+        let verdict = |is_vouched: bool| {
+            if is_vouched {
+                ClaimVerdict::Granted
+            } else {
+                ClaimVerdict::CannotKnow
+            }
+        };
+        match self.records.get_mut(key) {
+            Some(record) if record.claimant == claimant && record.state == KeyState::Started => {
+                verdict(record.is_vouched)
+            }
+            Some(record)
+                if record.state == KeyState::Started && voided.contains(&record.claimant) =>
+            {
+                record.claimant = claimant;
+                verdict(record.is_vouched)
+            }
+            Some(record) => ClaimVerdict::Known(record.state.clone()),
+            None => {
+                let is_vouched =
+                    key.time_unix_ms(now.unix_ms, options) >= self.reaches_back_to_unix_ms;
+                self.insert(
+                    key.clone(),
+                    claimant,
+                    KeyState::Started,
+                    is_vouched,
+                    now,
+                    options,
+                );
+                verdict(is_vouched)
+            }
+        }
+    }
+
+    /// `state` returns what is recorded for a key.
+    #[must_use]
+    pub fn state(&self, key: &Key) -> Option<(AttemptId, &KeyState)> {
+        let record = self.records.get(key)?;
+        Some((record.claimant, &record.state))
+    }
+
+    /// `finish` records the answer of a key. A finished record never changes again.
+    pub fn finish(
+        &mut self,
+        key: &Key,
+        claimant: AttemptId,
+        answer: RecordedAnswer,
+        now: Now,
+        options: &Options,
+    ) {
+        let answer = bounded(answer, options);
+        let added = answer_bytes(&answer);
+        match self.records.get_mut(key) {
+            Some(Record {
+                state: KeyState::Finished(_),
+                ..
+            }) => {}
+            Some(record) => {
+                record.claimant = claimant;
+                record.state = KeyState::Finished(answer);
+                self.bytes += added;
+                self.trim(options);
+            }
+            None => self.insert(
+                key.clone(),
+                claimant,
+                KeyState::Finished(answer),
+                true,
+                now,
+                options,
+            ),
+        }
+    }
+
+    /// `release` drops the record of a claimant that surely has not run.
+    pub fn release(&mut self, key: &Key, claimant: AttemptId) {
+        let is_own = self
+            .records
+            .get(key)
+            .is_some_and(|record| record.claimant == claimant && record.state == KeyState::Started);
+        if is_own {
+            self.remove(key);
+        }
+    }
+
+    /// `len` returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// `is_empty` tells whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// `bytes` returns the estimated size of the records, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// `expire` drops records at the end of their life.
+    pub fn expire(&mut self, now: Now, options: &Options) {
+        // A key may be dated a little into the future; its record must outlive its own date.
+        let life = life(options) + Duration::from_millis(MAX_CLOCK_LEAD_MS);
+        while let Some((since, _)) = self.order.front() {
+            if now.at.saturating_duration_since(since.at) < life {
+                break;
+            }
+            self.pop_oldest();
+        }
+        let oldest_unix_ms = now.unix_ms.saturating_sub(u64::from(options.key_life_ms));
+        self.reaches_back_to_unix_ms = self.reaches_back_to_unix_ms.max(oldest_unix_ms);
+    }
+
+    fn insert(
+        &mut self,
+        key: Key,
+        claimant: AttemptId,
+        state: KeyState,
+        is_vouched: bool,
+        now: Now,
+        options: &Options,
+    ) {
+        self.bytes += key_bytes(&key) + state_bytes(&state);
+        self.order.push_back((now, key.clone()));
+        let since = now.at;
+        self.records.insert(
+            key,
+            Record {
+                claimant,
+                state,
+                since,
+                is_vouched,
+            },
+        );
+        self.trim(options);
+    }
+
+    /// Drops the oldest records above the limits. The memory then vouches only for keys that
+    /// are younger than the dropped records.
+    fn trim(&mut self, options: &Options) {
+        while self.records.len() > options.key_max_records || self.bytes > options.key_max_bytes {
+            let Some(since) = self.pop_oldest() else {
+                return;
+            };
+            let dropped_unix_ms = since.unix_ms + MAX_CLOCK_LEAD_MS + 1;
+            self.reaches_back_to_unix_ms = self.reaches_back_to_unix_ms.max(dropped_unix_ms);
+        }
+    }
+
+    /// Drops the oldest record; an entry of the order whose record was replaced is skipped.
+    fn pop_oldest(&mut self) -> Option<Now> {
+        let (since, key) = self.order.pop_front()?;
+        let is_same = |record: &Record| record.since == since.at;
+        if self.records.get(&key).is_some_and(is_same) {
+            self.remove(&key);
+        }
+        Some(since)
+    }
+
+    fn remove(&mut self, key: &Key) {
+        if let Some(record) = self.records.remove(key) {
+            self.bytes -= key_bytes(key) + state_bytes(&record.state);
+        }
+    }
+}
+
+/// `bounded` drops the content of an answer that is too large for a record.
+#[must_use]
+pub fn bounded(answer: RecordedAnswer, options: &Options) -> RecordedAnswer {
+    let limit = options.key_answer_max_bytes;
+    RecordedAnswer {
+        content: answer.content.filter(|content| content.len() <= limit),
+        ..answer
+    }
+}
+
+fn key_bytes(key: &Key) -> usize {
+    RECORD_BYTES + 2 * (key.service.len() + key.text.len())
+}
+
+fn state_bytes(state: &KeyState) -> usize {
+    match state {
+        KeyState::Started => 0,
+        KeyState::Finished(answer) => answer_bytes(answer),
+    }
+}
+
+fn answer_bytes(answer: &RecordedAnswer) -> usize {
+    answer.content.as_ref().map_or(0, Vec::len)
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,1 +1,24 @@
-//! hemlockfall-request: see docs/design.md.
+//! Decision logic of the request path: routing, choice of targets, retries, admission,
+//! idempotency and suspicion of links. See docs/design.md, section 9.
+//!
+//! Nothing here opens sockets, starts threads or reads clocks. A node feeds events with the
+//! current time ([`clock::Now`]) and performs the returned actions.
+
+pub mod admission;
+pub mod balance;
+pub mod budget;
+pub mod call;
+pub mod clock;
+pub mod ejection;
+pub mod fingerprint;
+pub mod idempotency;
+pub mod key_records;
+pub mod options;
+pub mod outcome;
+pub mod placement;
+pub mod route;
+pub mod router;
+pub mod seen;
+pub mod suspicion;
+
+mod plugin;
--- /dev/null
+++ b/crates/request/src/router.rs
@@ -0,0 +1,390 @@
+//! The routing state of one node: configuration, targets, budgets and fingerprints.
+//!
+//! Indices are rebuilt when the configuration or a relevant part of an endpoint record changes;
+//! a request only searches them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockfall_core::catalogue::Configuration;
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::NodeName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use uuid::Uuid;
+
+use crate::balance;
+use crate::balance::Load;
+use crate::balance::Place;
+use crate::budget;
+use crate::clock::Now;
+use crate::fingerprint::Fingerprints;
+use crate::options::Options;
+use crate::outcome::AttemptResult;
+use crate::outcome::Reason;
+use crate::placement::Key;
+use crate::route::RouteTable;
+use services::ServiceTargets;
+
+mod services;
+
+/// `Target` names one life of a target's node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+    index: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    record: EndpointRecord,
+    level: usize,
+    load: Load,
+    is_suspected: bool,
+}
+
+/// `Router` is the routing state of one node.
+#[derive(Debug)]
+pub struct Router {
+    place: Place,
+    options: Options,
+    routes: RouteTable,
+    known: Vec<Known>,
+    /// Indices of `known`, sorted by node name.
+    by_node: Vec<usize>,
+    /// Sorted by service.
+    services: Vec<ServiceTargets>,
+    fingerprints: Fingerprints,
+    random: SmallRng,
+    store_down_since_unix_ms: Option<u64>,
+    candidates: Vec<usize>,
+}
+
+impl Router {
+    /// `new` makes the state of a node without configuration and targets.
+    #[must_use]
+    pub fn new(place: Place, options: Options, seed: u64) -> Self {
+        Self {
+            place,
+            routes: RouteTable::default(),
+            known: Vec::new(),
+            by_node: Vec::new(),
+            services: Vec::new(),
+            fingerprints: Fingerprints::new(&options),
+            random: SmallRng::seed_from_u64(seed),
+            store_down_since_unix_ms: None,
+            candidates: Vec::new(),
+            options,
+        }
+    }
+
+    /// `set_configuration` puts a configuration in force.
+    pub fn set_configuration(&mut self, configuration: Arc<Configuration>) {
+        self.routes = RouteTable::new(configuration);
+    }
+
+    /// `set_store_down_since` notes that the store cannot be reached.
+    pub fn set_store_down_since(&mut self, since_unix_ms: Option<u64>) {
+        self.store_down_since_unix_ms = since_unix_ms;
+    }
+
+    /// `set_endpoint` takes in a changed endpoint record.
+    pub fn set_endpoint(&mut self, record: &EndpointRecord, now: Now) {
+        match self.position(&record.node) {
+            Ok(position) => self.change(self.by_node[position], record, now),
+            Err(position) => {
+                let index = self.known.len();
+                self.known.push(self.new_known(record, now));
+                self.by_node.insert(position, index);
+                self.join_service(index, now);
+            }
+        }
+    }
+
+    /// `forget_endpoint` takes out a node that membership no longer lists.
+    pub fn forget_endpoint(&mut self, node: &str, now: Now) {
+        let Ok(position) = self.position(node) else {
+            return;
+        };
+        // The entry stays as `Left`, so that the indices of other targets remain valid.
+        let index = self.by_node[position];
+        let mut record = self.known[index].record.clone();
+        record.state = hemlockfall_core::endpoint::EndpointState::Left;
+        self.change(index, &record, now);
+    }
+
+    /// `report` notes what a target said about itself.
+    pub fn report(&mut self, node: &str, is_healthy: bool, load_percent: u8) {
+        if let Ok(position) = self.position(node) {
+            let index = self.by_node[position];
+            self.known[index].load.report(is_healthy, load_percent);
+        }
+    }
+
+    /// `set_suspected` marks a target whose link hangs; others are preferred.
+    pub fn set_suspected(&mut self, node: &str, is_suspected: bool) {
+        if let Ok(position) = self.position(node) {
+            let index = self.by_node[position];
+            self.known[index].is_suspected = is_suspected;
+        }
+    }
+
+    /// `expire` drops state that no longer counts; call it about once per second.
+    pub fn expire(&mut self, now: Now) {
+        self.fingerprints.expire(now.at);
+        for service in &mut self.services {
+            service.key_members.expire(now.unix_ms, &self.options);
+        }
+    }
+
+    /// `routes` returns the routes in force.
+    #[must_use]
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// `options` returns the settings.
+    #[must_use]
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// `store_down_since_unix_ms` returns since when the store cannot be reached.
+    #[must_use]
+    pub fn store_down_since_unix_ms(&self) -> Option<u64> {
+        self.store_down_since_unix_ms
+    }
+
+    /// `fingerprints` returns the counted fingerprints.
+    #[must_use]
+    pub fn fingerprints(&self) -> &Fingerprints {
+        &self.fingerprints
+    }
+
+    /// `fingerprints_mut` returns the counted fingerprints for changes.
+    pub fn fingerprints_mut(&mut self) -> &mut Fingerprints {
+        &mut self.fingerprints
+    }
+
+    /// `has_ready` tells whether a version has a target that takes requests.
+    #[must_use]
+    pub fn has_ready(&self, service: &str, version: &str) -> bool {
+        let Ok(position) = self.service_position(service) else {
+            return false;
+        };
+        self.services[position].members.iter().any(|index| {
+            let record = &self.known[*index].record;
+            record.takes_requests()
+                && record
+                    .target
+                    .as_ref()
+                    .is_some_and(|target| target.version == version)
+        })
+    }
+
+    /// `pick` chooses a target for a repeatable request; targets in `tried` are avoided.
+    pub fn pick(
+        &mut self,
+        service: &str,
+        version: &str,
+        tried: &[NodeName],
+        now: Now,
+    ) -> Option<Target> {
+        let position = self.service_position(service).ok()?;
+        self.refresh(position, now);
+        let known = &self.known;
+        let pool = self.services[position].pool(version)?;
+        let is_fit = |index: usize| {
+            !known[index].is_suspected && !known[index].load.health.is_ejected(now.at)
+        };
+        let is_untried = |index: usize| !tried.contains(&known[index].record.node);
+        let mut candidates = std::mem::take(&mut self.candidates);
+        pool.candidates(
+            &self.options,
+            |index| is_fit(index) && is_untried(index),
+            &mut candidates,
+        );
+        if candidates.is_empty() {
+            pool.candidates(&self.options, is_untried, &mut candidates);
+        }
+        if candidates.is_empty() {
+            pool.candidates(&self.options, |_| true, &mut candidates);
+        }
+        let chosen = balance::better_of_two(
+            &candidates,
+            |index| &known[index].load,
+            now.at,
+            &self.options,
+            &mut self.random,
+        );
+        self.candidates = candidates;
+        chosen.map(|index| self.target(index))
+    }
+
+    /// `runner` chooses the target that runs a key; targets in `tried` are left out.
+    #[must_use]
+    pub fn runner(&self, key: &Key, version: &str, tried: &[NodeName], now: Now) -> Option<Target> {
+        let position = self.service_position(&key.service).ok()?;
+        let members = &self.services[position].key_members;
+        let is_fit = |node: &NodeName| {
+            self.position(node).is_ok_and(|at| {
+                let known = &self.known[self.by_node[at]];
+                !known.is_suspected && !known.load.health.is_ejected(now.at)
+            })
+        };
+        let is_untried = |node: &NodeName| !tried.contains(node);
+        let node = members
+            .runner(key, version, |node| is_untried(node) && is_fit(node))
+            .or_else(|| members.runner(key, version, is_untried))?;
+        let at = self.position(node).ok()?;
+        Some(self.target(self.by_node[at]))
+    }
+
+    /// `keepers` returns the nodes that keep the record of a key, in this node's view.
+    #[must_use]
+    pub fn keepers(&self, key: &Key, is_generated: bool, now: Now) -> Vec<NodeName> {
+        self.service_position(&key.service)
+            .map_or(Vec::new(), |position| {
+                self.services[position].key_members.keepers(
+                    key,
+                    is_generated,
+                    now.unix_ms,
+                    &self.options,
+                )
+            })
+    }
+
+    /// `attempt_started` counts an attempt in flight.
+    pub fn attempt_started(&mut self, target: &Target) {
+        if let Some(known) = self.same_life(target) {
+            known.load.in_flight += 1;
+        }
+    }
+
+    /// `attempt_abandoned` ends an attempt that tells nothing about its target.
+    pub fn attempt_abandoned(&mut self, target: &Target) {
+        if let Some(known) = self.same_life(target) {
+            known.load.in_flight = known.load.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// `attempt_finished` takes in the end of an attempt; returns the time for which the target
+    /// is ejected now, if it is.
+    pub fn attempt_finished(
+        &mut self,
+        target: &Target,
+        result: AttemptResult,
+        latency: Duration,
+        now: Now,
+    ) -> Option<Duration> {
+        self.attempt_abandoned(target);
+        let is_failure = failure_of(result)?;
+        let options = self.options.clone();
+        let known = self.same_life(target)?;
+        if !is_failure {
+            known
+                .load
+                .sample(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        }
+        let should_eject = known.load.health.record(is_failure, now.at, &options);
+        if !should_eject || !self.may_eject(target.index, now) {
+            return None;
+        }
+        Some(self.known[target.index].load.health.eject(now.at, &options))
+    }
+
+    /// `ejected` counts the ejected targets of a service.
+    #[must_use]
+    pub fn ejected(&self, service: &str, now: Now) -> usize {
+        self.service_position(service).map_or(0, |position| {
+            self.count_ejected(&self.services[position].members, now)
+        })
+    }
+
+    /// `earn_retry` counts a fresh request for a service's retry budget.
+    pub fn earn_retry(&mut self, service: &str, budget_permille: u16, now: Now) {
+        if let Ok(position) = self.service_position(service) {
+            self.services[position].budget.earn(budget_permille, now.at);
+        }
+    }
+
+    /// `take_retry` takes a retry from a service's budget, if it has one left.
+    pub fn take_retry(&mut self, service: &str, now: Now) -> bool {
+        self.service_position(service)
+            .is_ok_and(|position| self.services[position].budget.take(now.at))
+    }
+
+    /// `backoff` returns the pause before a retry.
+    pub fn backoff(&mut self, retry: u32) -> Duration {
+        budget::backoff(retry, &self.options, &mut self.random)
+    }
+
+    /// `new_id` makes a version 7 UUID.
+    pub fn new_id(&mut self, now: Now) -> Uuid {
+        let random: [u8; 10] = self.random.random();
+        uuid::Builder::from_unix_timestamp_millis(now.unix_ms, &random).into_uuid()
+    }
+
+    fn target(&self, index: usize) -> Target {
+        let record = &self.known[index].record;
+        Target {
+            node: record.node.clone(),
+            address: record.peer_address,
+            incarnation: record.incarnation,
+            index,
+        }
+    }
+
+    fn same_life(&mut self, target: &Target) -> Option<&mut Known> {
+        self.known
+            .get_mut(target.index)
+            .filter(|known| known.record.incarnation == target.incarnation)
+    }
+
+    fn position(&self, node: &str) -> Result<usize, usize> {
+        self.by_node
+            .binary_search_by(|index| self.known[*index].record.node.as_str().cmp(node))
+    }
+
+    fn service_position(&self, service: &str) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|known| known.service.as_str().cmp(service))
+    }
+
+    fn count_ejected(&self, indices: &[usize], now: Now) -> usize {
+        indices
+            .iter()
+            .filter(|index| {
+                let known = &self.known[**index];
+                known.record.takes_requests() && known.load.health.is_ejected(now.at)
+            })
+            .count()
+    }
+}
+
+/// Whether a result counts as success or failure of the target; `None` when it says nothing
+/// about it: refusals are the target's good right, and a vanished target is the fingerprint's
+/// fault until membership says otherwise.
+fn failure_of(result: AttemptResult) -> Option<bool> {
+    match result {
+        AttemptResult::Answered { is_failure } => Some(is_failure),
+        AttemptResult::NotRun {
+            reason: Reason::NotSent | Reason::Fenced,
+            ..
+        } => Some(true),
+        AttemptResult::Unknown {
+            reason: Reason::TargetLost | Reason::StaleAttempt,
+        }
+        | AttemptResult::NotRun { .. }
+        | AttemptResult::KeyRefused { .. } => None,
+        AttemptResult::Unknown { .. } => Some(true),
+    }
+}
