Add the decision code of moves

Adds the sliding windows, the local guard, evidence, the judge, the lease and owner state machines, the decision record and the report. All of them take time and messages as values and return actions.

--- /dev/null
+++ b/crates/moves/src/errors.rs
@@ -0,0 +1,70 @@
+//! Error type and result codes of the moves crate.
+
+use std::fmt;
+
+use hemlockfall_core::errors::ResultCode;
+
+/// `Result` is the result type of the moves crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `EVIDENCE_REFUSED`: an evidence message breaks a limit or contradicts itself.
+pub const EVIDENCE_REFUSED: ResultCode = ResultCode(6101);
+/// `REPORT_FAILED`: a report cannot be rendered.
+pub const REPORT_FAILED: ResultCode = ResultCode(6102);
+
+/// `Error` lists the failures of the moves crate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// A message cannot be decoded or encoded.
+    Codec(hemlockfall_core::errors::Error),
+    /// An evidence message breaks a limit.
+    EvidenceRefused(String),
+    /// A report or plot cannot be rendered.
+    ReportFailed(String),
+}
+
+impl Error {
+    /// `refused` makes an error for an evidence message.
+    #[must_use]
+    pub fn refused(reason: impl Into<String>) -> Self {
+        Self::EvidenceRefused(reason.into())
+    }
+
+    /// `report` makes an error for a failed rendering.
+    #[must_use]
+    pub fn report(reason: &impl fmt::Display) -> Self {
+        Self::ReportFailed(reason.to_string())
+    }
+
+    /// `code` returns the result code of the error.
+    #[must_use]
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Codec(error) => error.code(),
+            Self::EvidenceRefused(_) => EVIDENCE_REFUSED,
+            Self::ReportFailed(_) => REPORT_FAILED,
+        }
+    }
+}
+
+impl From<hemlockfall_core::errors::Error> for Error {
+    fn from(error: hemlockfall_core::errors::Error) -> Self {
+        Self::Codec(error)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Codec(error) => error.fmt(formatter),
+            Self::EvidenceRefused(reason) => {
+                write!(formatter, "{}: evidence refused: {reason}", self.code())
+            }
+            Self::ReportFailed(reason) => {
+                write!(formatter, "{}: report failed: {reason}", self.code())
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/moves/src/evidence.rs
@@ -0,0 +1,202 @@
+//! Evidence: counters that add up on their way from nodes over aggregators to the judge.
+
+use hemlockfall_core::codec;
+use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RegionName;
+use hemlockfall_core::ids::RouteName;
+use hemlockfall_core::ids::ServiceName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::window::Counts;
+
+/// `MAX_CELLS` is the largest number of cells in a summary.
+pub const MAX_CELLS: usize = 256;
+/// `MAX_MESSAGE_BYTES` is the size limit of an encoded message: one datagram.
+pub const MAX_MESSAGE_BYTES: usize = 1_200;
+/// Decompressed size that a decoder accepts.
+const DECODE_LIMIT_BYTES: usize = 16 * 1024;
+/// `MAX_SOURCES` is the number of senders whose sequence is remembered per move.
+pub const MAX_SOURCES: usize = 4_096;
+
+/// `Cell` holds the counts of both versions on one route in one region.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// Route.
+    pub route: RouteName,
+    /// Region of the proxies.
+    pub region: RegionName,
+    /// Old version.
+    pub old: Counts,
+    /// New version.
+    pub new: Counts,
+    /// Guards that cut the new version.
+    pub guards_tripped: u32,
+}
+
+/// `Summary` is a set of cells, sorted by route and region; summaries add up.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    cells: Vec<Cell>,
+}
+
+impl Summary {
+    /// `cells` returns the cells in order.
+    #[must_use]
+    pub fn cells(&self) -> &[Cell] {
+        &self.cells
+    }
+
+    /// `is_empty` tells whether there is nothing to send.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cells.is_empty()
+    }
+
+    /// `cell` finds or creates a cell; `None` when the summary is full.
+    pub fn cell(&mut self, route: &str, region: &str) -> Option<&mut Cell> {
+        let place = self.cells.binary_search_by(|cell| {
+            (cell.route.as_str(), cell.region.as_str()).cmp(&(route, region))
+        });
+        let index = match place {
+            Ok(index) => index,
+            Err(_) if self.cells.len() >= MAX_CELLS => return None,
+            Err(index) => {
+                let cell = Cell {
+                    route: route.into(),
+                    region: region.into(),
+                    ..Cell::default()
+                };
+                self.cells.insert(index, cell);
+                index
+            }
+        };
+        self.cells.get_mut(index)
+    }
+
+    /// `add` adds another summary.
+    pub fn add(&mut self, other: &Self) {
+        for cell in &other.cells {
+            self.add_cell(cell);
+        }
+    }
+
+    fn add_cell(&mut self, added: &Cell) {
+        if let Some(cell) = self.cell(&added.route, &added.region) {
+            cell.old.add(&added.old);
+            cell.new.add(&added.new);
+            cell.guards_tripped = cell.guards_tripped.saturating_add(added.guards_tripped);
+        }
+    }
+}
+
+/// `EvidenceMessage` carries what one sender counted since its last message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceMessage {
+    /// Service.
+    pub service: ServiceName,
+    /// Move.
+    pub move_id: MoveId,
+    /// Sender.
+    pub source: NodeName,
+    /// Increases with every message of the sender; a repeated message does not count twice.
+    pub sequence: u64,
+    /// Counts.
+    pub summary: Summary,
+}
+
+impl EvidenceMessage {
+    /// `encode` encodes the message.
+    ///
+    /// # Errors
+    /// [`Error::Codec`] when the value cannot be represented.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        Ok(codec::encode(self)?)
+    }
+
+    /// `decode` decodes and checks a message.
+    ///
+    /// # Errors
+    /// [`Error::Codec`] for malformed bytes, [`Error::EvidenceRefused`] for counts that
+    /// contradict each other, cells out of order or too many cells.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let message: Self = codec::decode(bytes, DECODE_LIMIT_BYTES)?;
+        message.check()?;
+        Ok(message)
+    }
+
+    /// `check` verifies limits and consistency.
+    ///
+    /// # Errors
+    /// [`Error::EvidenceRefused`] with the first violation.
+    pub fn check(&self) -> Result<()> {
+        let cells = &self.summary.cells;
+        if cells.len() > MAX_CELLS {
+            return Err(Error::refused(format!(
+                "{} cells, at most {MAX_CELLS} are allowed",
+                cells.len()
+            )));
+        }
+        if !cells.is_sorted_by(|a, b| (&a.route, &a.region) < (&b.route, &b.region)) {
+            return Err(Error::refused("cells are duplicate or out of order"));
+        }
+        let consistent = |counts: &Counts| {
+            u64::from(counts.timed()) + u64::from(counts.failures) <= u64::from(counts.attempts)
+        };
+        if cells
+            .iter()
+            .all(|cell| consistent(&cell.old) && consistent(&cell.new))
+        {
+            Ok(())
+        } else {
+            Err(Error::refused("more failures and latencies than attempts"))
+        }
+    }
+
+    /// `split` divides a message so that each part fits a datagram.
+    ///
+    /// # Errors
+    /// [`Error::Codec`] when the value cannot be represented.
+    pub fn split(self) -> Result<Vec<Self>> {
+        let cell_count = self.summary.cells.len();
+        if cell_count <= 1 || self.encode()?.len() <= MAX_MESSAGE_BYTES {
+            return Ok(vec![self]);
+        }
+        let mut first = self;
+        let mut second = first.clone();
+        second.summary.cells = first.summary.cells.split_off(cell_count / 2);
+        let mut parts = first.split()?;
+        parts.extend(second.split()?);
+        Ok(parts)
+    }
+}
+
+/// `Sequences` remembers the last sequence of each sender, so that a duplicate or reordered
+/// message is dropped.
+#[derive(Clone, Debug, Default)]
+pub struct Sequences {
+    last: Vec<(NodeName, u64)>,
+}
+
+impl Sequences {
+    /// `is_new` records a message and tells whether it is newer than all before it.
+    pub fn is_new(&mut self, source: &NodeName, sequence: u64) -> bool {
+        match self.last.binary_search_by(|known| known.0.cmp(source)) {
+            Ok(index) => {
+                let newer = sequence > self.last[index].1;
+                if newer {
+                    self.last[index].1 = sequence;
+                }
+                newer
+            }
+            Err(_) if self.last.len() >= MAX_SOURCES => false,
+            Err(index) => {
+                self.last.insert(index, (source.clone(), sequence));
+                true
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/moves/src/judge.rs
@@ -0,0 +1,336 @@
+//! Judge: verdicts on a move from the summed evidence of all regions and routes.
+
+use hemlockfall_core::catalogue::MoveState;
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::plan::COMMIT_MARGIN_MS;
+use hemlockfall_core::ids::RegionName;
+use hemlockfall_core::ids::RouteName;
+use hemlockfall_core::units::FULL_PERMILLE;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::evidence::Cell;
+use crate::evidence::Summary;
+use crate::options::Options;
+use crate::record::CellRecord;
+use crate::window::Counts;
+use crate::window::Window;
+
+/// Tail probability below which a version is bad. A verdict is final and the judge looks every
+/// second at every route and region, so the bound is stricter than that of the guard.
+const BAD_TAIL: f64 = 1e-4;
+/// Tail probability below which the share is held.
+const SUSPECT_TAIL: f64 = 0.01;
+/// Standard errors by which the mean latency must exceed the bound for a verdict and for a hold.
+const BAD_ERRORS: f64 = 4.0;
+const SUSPECT_ERRORS: f64 = 2.0;
+/// Timed attempts from which latency counts.
+const MIN_TIMED: u32 = 8;
+/// Time before the last moment to commit at which the judge decides with what it has; covers the
+/// write and one retry.
+const DECISION_LEAD_MS: u64 = 2_500;
+/// Time at full share before a clean move is finished.
+const SETTLE_MS: u64 = 10_000;
+/// A held move resumes after this time without suspicion.
+const CLEAR_MS: u64 = 5_000;
+/// `HOLD_PREFIX` begins the reason of a hold by the judge; a pause with another reason is an
+/// operator's and only an operator resumes it.
+pub const HOLD_PREFIX: &str = "held by judge: ";
+/// Most holds per move; each is a change of the catalogue and costs time before the deadline.
+const MAX_HOLDS: u32 = 3;
+
+/// `Verdict` is what the judge wants for a move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Follow the plan.
+    Continue,
+    /// Keep the share.
+    Hold(SmolStr),
+    /// Follow the plan again after a hold.
+    Resume,
+    /// Give all traffic back.
+    TakeBack(SmolStr),
+    /// Give all traffic to the new version.
+    Finish(SmolStr),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Finding {
+    Clean,
+    Suspect,
+    Bad,
+}
+
+#[derive(Clone, Debug)]
+struct JudgeCell {
+    route: RouteName,
+    region: RegionName,
+    old: Window,
+    new: Window,
+    tripped: Window,
+    old_total: Counts,
+    new_total: Counts,
+    guards_tripped: u32,
+}
+
+/// `Judge` holds the evidence of one move.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    options: Options,
+    limit_permille: u16,
+    cells: Vec<JudgeCell>,
+    suspect_since_unix_ms: Option<u64>,
+    last_suspect_unix_ms: u64,
+    full_since_unix_ms: Option<u64>,
+    holds: u32,
+    regions: Vec<(RegionName, u64)>,
+}
+
+impl Judge {
+    /// `new` makes a judge without evidence.
+    #[must_use]
+    pub fn new(limit_permille: u16, options: Options) -> Self {
+        Self {
+            options,
+            limit_permille,
+            cells: Vec::new(),
+            suspect_since_unix_ms: None,
+            last_suspect_unix_ms: 0,
+            full_since_unix_ms: None,
+            holds: 0,
+            regions: Vec::new(),
+        }
+    }
+
+    /// `record` adds evidence.
+    pub fn record(&mut self, summary: &Summary, now_unix_ms: u64) {
+        for cell in summary.cells() {
+            self.note_region(&cell.region, now_unix_ms);
+            if let Some(known) = self.cell(cell) {
+                known.record(cell, now_unix_ms);
+            }
+        }
+    }
+
+    /// `suspect_since_unix_ms` tells since when the evidence shows a fault.
+    #[must_use]
+    pub fn suspect_since_unix_ms(&self) -> Option<u64> {
+        self.suspect_since_unix_ms
+    }
+
+    /// `records` returns the evidence by route and region.
+    #[must_use]
+    pub fn records(&self) -> Vec<CellRecord> {
+        self.cells.iter().map(JudgeCell::to_record).collect()
+    }
+
+    /// `window_total` sums the last 10 s of the new version over all routes and regions.
+    pub fn window_total(&mut self, now_unix_ms: u64) -> Counts {
+        let mut sum = Counts::default();
+        for cell in &mut self.cells {
+            sum.add(cell.new.total(now_unix_ms));
+        }
+        sum
+    }
+
+    /// `decide` returns the verdict for a move that has no final status.
+    pub fn decide(&mut self, state: &MoveState, now_unix_ms: u64) -> Verdict {
+        let (finding, reason) = self.worst(now_unix_ms);
+        self.note_finding(finding, now_unix_ms);
+        self.note_share(state, now_unix_ms);
+        if finding == Finding::Bad {
+            return Verdict::TakeBack(reason);
+        }
+        let decide_at_unix_ms = state
+            .deadline_unix_ms
+            .saturating_sub(COMMIT_MARGIN_MS + DECISION_LEAD_MS);
+        let held_by_judge =
+            state.status == MoveStatus::Paused && state.reason.starts_with(HOLD_PREFIX);
+        if state.status == MoveStatus::Paused && !held_by_judge {
+            return Verdict::Continue;
+        }
+        if now_unix_ms >= decide_at_unix_ms {
+            return self.last_verdict(finding, &reason, now_unix_ms);
+        }
+        if held_by_judge {
+            let clear = now_unix_ms >= self.last_suspect_unix_ms + CLEAR_MS;
+            return if clear {
+                Verdict::Resume
+            } else {
+                Verdict::Continue
+            };
+        }
+        if finding == Finding::Suspect && self.holds < MAX_HOLDS {
+            self.holds += 1;
+            return Verdict::Hold(format_smolstr!("{HOLD_PREFIX}{reason}"));
+        }
+        let settled = self
+            .full_since_unix_ms
+            .is_some_and(|since| now_unix_ms >= since + SETTLE_MS);
+        if settled && finding == Finding::Clean {
+            return Verdict::Finish("evidence is clean at full share".into());
+        }
+        Verdict::Continue
+    }
+
+    /// Decides when no time for more evidence is left.
+    fn last_verdict(&mut self, finding: Finding, reason: &str, now_unix_ms: u64) -> Verdict {
+        if finding == Finding::Suspect {
+            return Verdict::TakeBack(format_smolstr!("suspect at the last moment: {reason}"));
+        }
+        let silent = self
+            .regions
+            .iter()
+            .find(|(_, heard)| now_unix_ms >= heard + crate::window::WINDOW_MS);
+        match silent {
+            Some((region, _)) if self.options.caution() > 1.0 => {
+                Verdict::TakeBack(format_smolstr!("no evidence from region {region}"))
+            }
+            _ => Verdict::Finish("no fault by the last moment to commit".into()),
+        }
+    }
+
+    fn note_finding(&mut self, finding: Finding, now_unix_ms: u64) {
+        if finding == Finding::Clean {
+            if now_unix_ms >= self.last_suspect_unix_ms + crate::window::WINDOW_MS {
+                self.suspect_since_unix_ms = None;
+            }
+        } else {
+            self.last_suspect_unix_ms = now_unix_ms;
+            self.suspect_since_unix_ms.get_or_insert(now_unix_ms);
+        }
+    }
+
+    fn note_share(&mut self, state: &MoveState, now_unix_ms: u64) {
+        if state.share_permille_at(now_unix_ms, None) >= FULL_PERMILLE {
+            self.full_since_unix_ms.get_or_insert(now_unix_ms);
+        } else {
+            self.full_since_unix_ms = None;
+        }
+    }
+
+    fn worst(&mut self, now_unix_ms: u64) -> (Finding, SmolStr) {
+        let (limit_permille, caution) = (self.limit_permille, self.options.caution());
+        let mut worst = (Finding::Clean, SmolStr::default());
+        for cell in &mut self.cells {
+            let found = cell.judge(limit_permille, caution, now_unix_ms);
+            if found.0 > worst.0 {
+                let (route, region) = (&cell.route, &cell.region);
+                worst = (
+                    found.0,
+                    format_smolstr!("route {route}, region {region}: {}", found.1),
+                );
+            }
+        }
+        worst
+    }
+
+    fn note_region(&mut self, region: &RegionName, now_unix_ms: u64) {
+        match self.regions.binary_search_by(|known| known.0.cmp(region)) {
+            Ok(index) => self.regions[index].1 = now_unix_ms,
+            Err(index) => self.regions.insert(index, (region.clone(), now_unix_ms)),
+        }
+    }
+
+    fn cell(&mut self, wanted: &Cell) -> Option<&mut JudgeCell> {
+        let place = self.cells.binary_search_by(|cell| {
+            (&cell.route, &cell.region).cmp(&(&wanted.route, &wanted.region))
+        });
+        let index = match place {
+            Ok(index) => index,
+            Err(_) if self.cells.len() >= crate::evidence::MAX_CELLS => return None,
+            Err(index) => {
+                self.cells.insert(index, JudgeCell::new(wanted));
+                index
+            }
+        };
+        self.cells.get_mut(index)
+    }
+}
+
+impl JudgeCell {
+    fn new(cell: &Cell) -> Self {
+        Self {
+            route: cell.route.clone(),
+            region: cell.region.clone(),
+            old: Window::default(),
+            new: Window::default(),
+            tripped: Window::default(),
+            old_total: Counts::default(),
+            new_total: Counts::default(),
+            guards_tripped: 0,
+        }
+    }
+
+    fn record(&mut self, cell: &Cell, now_unix_ms: u64) {
+        self.old.add(&cell.old, now_unix_ms);
+        self.new.add(&cell.new, now_unix_ms);
+        self.old_total.add(&cell.old);
+        self.new_total.add(&cell.new);
+        self.guards_tripped = self.guards_tripped.saturating_add(cell.guards_tripped);
+        let tripped = Counts {
+            attempts: cell.guards_tripped,
+            ..Counts::default()
+        };
+        self.tripped.add(&tripped, now_unix_ms);
+    }
+
+    fn judge(&mut self, limit_permille: u16, caution: f64, now_unix_ms: u64) -> (Finding, SmolStr) {
+        let old = *self.old.total(now_unix_ms);
+        let new = *self.new.total(now_unix_ms);
+        let window_tail = new.failure_tail(&old, limit_permille);
+        let total_tail = self.new_total.failure_tail(&self.old_total, limit_permille);
+        let bad_tail = BAD_TAIL * caution;
+        if window_tail < bad_tail {
+            return (Finding::Bad, failures_text(&new, &old));
+        }
+        if total_tail < bad_tail {
+            return (
+                Finding::Bad,
+                failures_text(&self.new_total, &self.old_total),
+            );
+        }
+        if new.is_slower(&old, MIN_TIMED, BAD_ERRORS / caution.sqrt()) {
+            return (Finding::Bad, latency_text(&new, &old));
+        }
+        if window_tail < SUSPECT_TAIL * caution {
+            return (Finding::Suspect, failures_text(&new, &old));
+        }
+        if new.is_slower(&old, MIN_TIMED, SUSPECT_ERRORS) {
+            return (Finding::Suspect, latency_text(&new, &old));
+        }
+        let tripped = self.tripped.total(now_unix_ms).attempts;
+        if tripped > 0 {
+            return (Finding::Suspect, format_smolstr!("{tripped} guards cut"));
+        }
+        (Finding::Clean, SmolStr::default())
+    }
+
+    fn to_record(&self) -> CellRecord {
+        CellRecord {
+            route: self.route.clone(),
+            region: self.region.clone(),
+            old: self.old_total,
+            new: self.new_total,
+            guards_tripped: self.guards_tripped,
+        }
+    }
+}
+
+fn failures_text(new: &Counts, old: &Counts) -> SmolStr {
+    format_smolstr!(
+        "{} of {} attempts failed, old version {} of {}",
+        new.failures,
+        new.attempts,
+        old.failures,
+        old.attempts
+    )
+}
+
+fn latency_text(new: &Counts, old: &Counts) -> SmolStr {
+    format_smolstr!(
+        "mean latency {:.0} ms, old version {:.0} ms",
+        new.mean_ms(),
+        old.mean_ms()
+    )
+}
--- /dev/null
+++ b/crates/moves/src/owner.rs
@@ -0,0 +1,627 @@
+//! Owner of a move: holds the lease, lets the judge decide and commits.
+//!
+//! One owner runs per service on each of the two candidates. Both receive the evidence, so a
+//! takeover loses none; only the holder of the lease commits.
+
+use hemlockfall_core::catalogue::MoveState;
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::catalogue::edit::MoveAction;
+use hemlockfall_core::catalogue::plan::COMMIT_MARGIN_MS;
+use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::OperationId;
+use hemlockfall_core::ids::Revision;
+use hemlockfall_core::ids::ServiceName;
+use hemlockfall_core::rendezvous;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::action::Action;
+use crate::action::LogLine;
+use crate::evidence::EvidenceMessage;
+use crate::evidence::Sequences;
+use crate::judge::Judge;
+use crate::judge::Verdict;
+use crate::lease::Change;
+use crate::lease::LeaseKeeper;
+use crate::lease::LeaseRead;
+use crate::lease::LeaseWrite;
+use crate::options::Options;
+use crate::record::MoveResult;
+use crate::record::Point;
+use crate::record::Series;
+
+/// `CANDIDATES` is the number of nodes that compete for a lease. Two keep the load on the store
+/// independent of the number of nodes.
+pub const CANDIDATES: usize = 2;
+/// Time between verdicts.
+const DECIDE_INTERVAL_MS: u64 = 1_000;
+/// Time after which a commit without an answer is looked up.
+const ANSWER_TIMEOUT_MS: u64 = 2_000;
+/// Pause after a failed store call.
+const RETRY_MS: u64 = 500;
+/// Time that a candidate without the lease leaves to the holder to write the result, whose
+/// record names the decision.
+const RESULT_DELAY_MS: u64 = 5_000;
+
+/// `candidates` returns the nodes that compete for the lease of a service, best first.
+pub fn candidates<'a>(
+    service: &str,
+    nodes: impl IntoIterator<Item = &'a NodeName>,
+) -> Vec<&'a NodeName> {
+    let purpose = format!("moves/lease/{service}");
+    rendezvous::rank(purpose.as_bytes(), nodes, |node| node.as_str(), CANDIDATES)
+}
+
+/// `CommitAnswer` is the answer to [`Action::Commit`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommitAnswer {
+    /// The edit is in the catalogue.
+    Accepted {
+        /// Revision that it made.
+        revision: Revision,
+    },
+    /// The edit does not apply: the entry changed or the move is final.
+    Refused {
+        /// Why.
+        reason: SmolStr,
+    },
+    /// The write may or may not have taken effect.
+    Unknown,
+}
+
+/// `ReadBackAnswer` is the answer to [`Action::ReadBack`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadBackAnswer {
+    /// The operation is in the change records.
+    Found {
+        /// Revision that it made.
+        revision: Revision,
+    },
+    /// The operation is not in the change records.
+    Missing,
+    /// The store did not answer.
+    Unavailable,
+}
+
+/// `Input` is a message to the owner.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The entry in force on this node changed.
+    Entry(Box<ServiceEntry>),
+    /// Rank of this node among the candidates; `None` when it is none.
+    Rank(Option<usize>),
+    /// Evidence arrived.
+    Evidence(EvidenceMessage),
+    /// Answer to a read of the lease.
+    LeaseRead(LeaseRead),
+    /// Answer to a write of the lease.
+    LeaseWrite(LeaseWrite),
+    /// Answer to a commit.
+    Commit {
+        /// The write.
+        operation_id: OperationId,
+        /// Answer.
+        answer: CommitAnswer,
+    },
+    /// Answer to a look-up of a commit.
+    ReadBack {
+        /// The write.
+        operation_id: OperationId,
+        /// Answer.
+        answer: ReadBackAnswer,
+    },
+    /// Answer to the write of a result; `true` when the object exists now.
+    Result(bool),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Sent { at_unix_ms: u64 },
+    LookedUp { at_unix_ms: u64 },
+    LookUp { from_unix_ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct PendingCommit {
+    operation_id: OperationId,
+    step: Step,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    entry: ServiceEntry,
+    judge: Judge,
+    sources: Sequences,
+    series: Series,
+    commit: Option<PendingCommit>,
+    committed_revision: Revision,
+    last_decision_id: Option<OperationId>,
+    needs_claim: bool,
+    has_been_holder: bool,
+    take_back: Option<SmolStr>,
+    stopped_unix_ms: Option<u64>,
+    ended_unix_ms: Option<u64>,
+    result_next_unix_ms: u64,
+    result_written: bool,
+}
+
+/// `Owner` is the state of one candidate for one service.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    node: NodeName,
+    service: ServiceName,
+    options: Options,
+    random: SmallRng,
+    rank: Option<usize>,
+    lease: LeaseKeeper,
+    tracked: Option<Tracked>,
+    last_tick_unix_ms: Option<u64>,
+    next_decision_unix_ms: u64,
+}
+
+impl Owner {
+    /// `new` makes an owner that tracks no move; `seed` makes its operation ids.
+    #[must_use]
+    pub fn new(node: NodeName, service: ServiceName, options: Options, seed: u64) -> Self {
+        let lease = LeaseKeeper::new(node.clone(), service.clone(), &options);
+        Self {
+            node,
+            service,
+            options,
+            random: SmallRng::seed_from_u64(seed),
+            rank: None,
+            lease,
+            tracked: None,
+            last_tick_unix_ms: None,
+            next_decision_unix_ms: 0,
+        }
+    }
+
+    /// `is_holder` tells whether this node may commit.
+    #[must_use]
+    pub fn is_holder(&self, now_unix_ms: u64) -> bool {
+        self.lease.term(now_unix_ms).is_some()
+    }
+
+    /// `handle` takes one message.
+    pub fn handle(&mut self, input: Input, now_unix_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.notice_pause(now_unix_ms);
+        match input {
+            Input::Entry(entry) => self.on_entry(*entry, now_unix_ms),
+            Input::Rank(rank) => self.on_rank(rank, now_unix_ms),
+            Input::Evidence(message) => self.on_evidence(&message, now_unix_ms),
+            Input::LeaseRead(answer) => self.on_lease_read(answer, now_unix_ms, &mut actions),
+            Input::LeaseWrite(answer) => {
+                let change = self.lease.on_write(answer, now_unix_ms);
+                self.on_lease_change(change);
+            }
+            Input::Commit {
+                operation_id,
+                answer,
+            } => self.on_commit(operation_id, &answer, now_unix_ms, &mut actions),
+            Input::ReadBack {
+                operation_id,
+                answer,
+            } => self.on_read_back(operation_id, answer, now_unix_ms),
+            Input::Result(exists) => {
+                if let Some(tracked) = &mut self.tracked {
+                    tracked.result_written |= exists;
+                }
+            }
+        }
+        actions
+    }
+
+    /// `tick` does what is due; call it at least every 500 ms.
+    pub fn tick(&mut self, now_unix_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.notice_pause(now_unix_ms);
+        let (Some(_), Some(move_id)) = (self.rank, self.move_id()) else {
+            return actions;
+        };
+        if self.is_over() {
+            self.write_result(now_unix_ms, &mut actions);
+            return actions;
+        }
+        actions.extend(self.lease.tick(move_id, now_unix_ms));
+        if now_unix_ms >= self.next_decision_unix_ms {
+            self.next_decision_unix_ms = now_unix_ms + DECIDE_INTERVAL_MS;
+            self.note_point(now_unix_ms);
+            self.decide(now_unix_ms, &mut actions);
+        }
+        self.follow_up(now_unix_ms, &mut actions);
+        actions
+    }
+
+    /// A process that was paused for longer than the lease must not act on what it knew.
+    fn notice_pause(&mut self, now_unix_ms: u64) {
+        let last_unix_ms = self.last_tick_unix_ms.replace(now_unix_ms);
+        let paused =
+            last_unix_ms.is_some_and(|last| now_unix_ms >= last + self.options.lease_duration_ms);
+        if !paused {
+            return;
+        }
+        self.lease.reset(now_unix_ms);
+        if let Some(tracked) = &mut self.tracked {
+            tracked.judge = new_judge(&tracked.entry, &self.options);
+            tracked.commit = None;
+        }
+    }
+
+    fn move_id(&self) -> Option<MoveId> {
+        let state = self.tracked.as_ref()?.entry.move_state.as_ref()?;
+        Some(state.move_id)
+    }
+
+    fn is_over(&self) -> bool {
+        self.tracked
+            .as_ref()
+            .is_some_and(|tracked| tracked.ended_unix_ms.is_some())
+    }
+
+    fn on_entry(&mut self, entry: ServiceEntry, now_unix_ms: u64) {
+        let Some(state) = &entry.move_state else {
+            return;
+        };
+        let is_final = state.status.is_final();
+        let known = self.move_id() == Some(state.move_id);
+        match &mut self.tracked {
+            Some(tracked) if known => {
+                if entry.changed_revision < tracked.entry.changed_revision {
+                    return;
+                }
+                if is_final && tracked.ended_unix_ms.is_none() {
+                    tracked.ended_unix_ms = Some(now_unix_ms);
+                    let delay_ms = if tracked.has_been_holder {
+                        0
+                    } else {
+                        RESULT_DELAY_MS
+                    };
+                    tracked.result_next_unix_ms = now_unix_ms + delay_ms;
+                }
+                tracked.entry = entry;
+            }
+            _ if is_final => {}
+            _ => self.tracked = Some(Tracked::new(entry, &self.options)),
+        }
+    }
+
+    fn on_rank(&mut self, rank: Option<usize>, now_unix_ms: u64) {
+        if rank.is_none() && self.rank.is_some() {
+            self.lease.reset(now_unix_ms);
+        }
+        self.rank = rank;
+    }
+
+    fn on_evidence(&mut self, message: &EvidenceMessage, now_unix_ms: u64) {
+        let matches = self.move_id() == Some(message.move_id) && message.service == self.service;
+        if let Some(tracked) = &mut self.tracked
+            && matches
+            && tracked.sources.is_new(&message.source, message.sequence)
+        {
+            tracked.judge.record(&message.summary, now_unix_ms);
+        }
+    }
+
+    fn on_lease_read(&mut self, answer: LeaseRead, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        let (Some(rank), Some(move_id)) = (self.rank, self.move_id()) else {
+            return;
+        };
+        let (change, action) = self.lease.on_read(answer, move_id, rank, now_unix_ms);
+        self.on_lease_change(change);
+        actions.extend(action);
+    }
+
+    fn on_lease_change(&mut self, change: Change) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        match change {
+            Change::None => {}
+            Change::Acquired { took_over } => {
+                tracked.has_been_holder = true;
+                tracked.needs_claim |= took_over;
+            }
+            Change::Lost => tracked.commit = None,
+        }
+    }
+
+    fn decide(&mut self, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        let term = self.lease.term(now_unix_ms);
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        // A former holder that lost contact with the store keeps sending stops, which only lower
+        // the share, but commits nothing.
+        if term.is_none() && !tracked.has_been_holder {
+            return;
+        }
+        let Some(state) = tracked.entry.move_state.clone() else {
+            return;
+        };
+        let verdict = tracked.verdict(&state, now_unix_ms);
+        if let Verdict::TakeBack(reason) = &verdict {
+            tracked.take_back.get_or_insert(reason.clone());
+            tracked.stopped_unix_ms.get_or_insert(now_unix_ms);
+            actions.push(Action::StopMove {
+                service: self.service.clone(),
+                move_id: state.move_id,
+                reason: reason.clone(),
+            });
+        }
+        if let Some(term) = term {
+            self.commit(&state, &verdict, term, now_unix_ms, actions);
+        }
+    }
+
+    fn commit(
+        &mut self,
+        state: &MoveState,
+        verdict: &Verdict,
+        term: u64,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        // The next decision waits until the entry shows the last one.
+        let entry_is_behind = tracked.entry.changed_revision < tracked.committed_revision;
+        if tracked.commit.is_some() || entry_is_behind {
+            return;
+        }
+        let Some((action, reason)) = edit_for(verdict, state, tracked.needs_claim, term) else {
+            return;
+        };
+        let operation_id = uuid::Builder::from_random_bytes(self.random.random()).into_uuid();
+        let seen_revision = tracked.entry.changed_revision;
+        tracked.commit = Some(PendingCommit {
+            operation_id,
+            step: Step::Sent {
+                at_unix_ms: now_unix_ms,
+            },
+        });
+        actions.push(Action::Log(LogLine {
+            at_unix_ms: now_unix_ms,
+            service: self.service.clone(),
+            move_id: state.move_id,
+            route: None,
+            decision: format_smolstr!("{action:?}"),
+            reason: reason.clone(),
+            decision_id: Some(operation_id),
+        }));
+        actions.push(Action::Commit {
+            operation_id,
+            edit: Edit::Move {
+                service: self.service.clone(),
+                move_id: Some(state.move_id),
+                action,
+                lease_term: term,
+                reason,
+            },
+            seen_revision,
+        });
+    }
+
+    fn on_commit(
+        &mut self,
+        operation_id: OperationId,
+        answer: &CommitAnswer,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        let Some(commit) = &mut tracked.commit else {
+            return;
+        };
+        if commit.operation_id != operation_id {
+            return;
+        }
+        match answer {
+            CommitAnswer::Accepted { revision } => tracked.accepted(*revision),
+            CommitAnswer::Refused { .. } => tracked.commit = None,
+            CommitAnswer::Unknown => {
+                commit.step = Step::LookedUp {
+                    at_unix_ms: now_unix_ms,
+                };
+                actions.push(Action::ReadBack { operation_id });
+            }
+        }
+    }
+
+    fn on_read_back(
+        &mut self,
+        operation_id: OperationId,
+        answer: ReadBackAnswer,
+        now_unix_ms: u64,
+    ) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        let Some(commit) = &mut tracked.commit else {
+            return;
+        };
+        if commit.operation_id != operation_id {
+            return;
+        }
+        match answer {
+            ReadBackAnswer::Found { revision } => tracked.accepted(revision),
+            // A late write that is still under way fails on the entry's revision once a repeated
+            // decision took effect, so repeating it is safe.
+            ReadBackAnswer::Missing => tracked.commit = None,
+            ReadBackAnswer::Unavailable => {
+                commit.step = Step::LookUp {
+                    from_unix_ms: now_unix_ms + RETRY_MS,
+                };
+            }
+        }
+    }
+
+    /// Looks up commits whose answer is missing.
+    fn follow_up(&mut self, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        let Some(commit) = &mut tracked.commit else {
+            return;
+        };
+        let due = match commit.step {
+            Step::Sent { at_unix_ms } | Step::LookedUp { at_unix_ms } => {
+                now_unix_ms >= at_unix_ms + ANSWER_TIMEOUT_MS
+            }
+            Step::LookUp { from_unix_ms } => now_unix_ms >= from_unix_ms,
+        };
+        if due {
+            commit.step = Step::LookedUp {
+                at_unix_ms: now_unix_ms,
+            };
+            actions.push(Action::ReadBack {
+                operation_id: commit.operation_id,
+            });
+        }
+    }
+
+    fn note_point(&mut self, now_unix_ms: u64) {
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        let share_permille = tracked.entry.share_permille(now_unix_ms, None);
+        let counts = tracked.judge.window_total(now_unix_ms);
+        let mean_ms = counts.latency_sum_ms / u64::from(counts.timed().max(1));
+        tracked.series.push(Point {
+            at_unix_ms: now_unix_ms,
+            share_permille,
+            failure_permille: counts.failure_permille(),
+            latency_ms: u32::try_from(mean_ms).unwrap_or(u32::MAX),
+        });
+    }
+
+    fn write_result(&mut self, now_unix_ms: u64, actions: &mut Vec<Action>) {
+        let node = self.node.clone();
+        let Some(tracked) = &mut self.tracked else {
+            return;
+        };
+        if tracked.result_written || now_unix_ms < tracked.result_next_unix_ms {
+            return;
+        }
+        tracked.result_next_unix_ms = now_unix_ms + ANSWER_TIMEOUT_MS;
+        if let Some(result) = tracked.result(node) {
+            actions.push(Action::WriteResult {
+                key: MoveResult::key(result.move_id),
+                result: Box::new(result),
+            });
+        }
+    }
+}
+
+impl Tracked {
+    fn new(entry: ServiceEntry, options: &Options) -> Self {
+        Self {
+            judge: new_judge(&entry, options),
+            entry,
+            sources: Sequences::default(),
+            series: Series::default(),
+            commit: None,
+            committed_revision: 0,
+            last_decision_id: None,
+            needs_claim: false,
+            has_been_holder: false,
+            take_back: None,
+            stopped_unix_ms: None,
+            ended_unix_ms: None,
+            result_next_unix_ms: 0,
+            result_written: false,
+        }
+    }
+
+    fn verdict(&mut self, state: &MoveState, now_unix_ms: u64) -> Verdict {
+        let judged = self.judge.decide(state, now_unix_ms);
+        if let Some(reason) = &self.take_back {
+            return Verdict::TakeBack(reason.clone());
+        }
+        if now_unix_ms >= state.deadline_unix_ms {
+            return match state.status_at_deadline() {
+                MoveStatus::Done => Verdict::Finish("deadline passed at full share".into()),
+                _ => Verdict::TakeBack("deadline passed below half of the traffic".into()),
+            };
+        }
+        let late = now_unix_ms + COMMIT_MARGIN_MS > state.deadline_unix_ms;
+        let agrees = state.status_at_deadline() == MoveStatus::Done;
+        match judged {
+            // Too late to reach every proxy: only what they decide by themselves is safe.
+            Verdict::Finish(_) if late && !agrees => Verdict::Continue,
+            Verdict::Hold(_) | Verdict::Resume if late => Verdict::Continue,
+            other => other,
+        }
+    }
+
+    fn accepted(&mut self, revision: Revision) {
+        self.needs_claim = false;
+        self.committed_revision = revision;
+        let Some(commit) = self.commit.take() else {
+            return;
+        };
+        self.last_decision_id = Some(commit.operation_id);
+    }
+
+    fn result(&self, judge: NodeName) -> Option<MoveResult> {
+        let state = self.entry.move_state.as_ref()?;
+        Some(MoveResult {
+            service: self.entry.service.clone(),
+            move_id: state.move_id,
+            from: state.from.clone(),
+            to: state.to.clone(),
+            status: state.status,
+            reason: state.reason.clone(),
+            judge,
+            started_unix_ms: state.started_unix_ms,
+            deadline_unix_ms: state.deadline_unix_ms,
+            ended_unix_ms: self.ended_unix_ms.unwrap_or(state.deadline_unix_ms),
+            revision: self.entry.changed_revision,
+            decision_id: self.last_decision_id,
+            fault_seen_unix_ms: self.judge.suspect_since_unix_ms(),
+            stopped_unix_ms: self.stopped_unix_ms,
+            evidence: self.judge.records(),
+            series: self.series.clone(),
+        })
+    }
+}
+
+fn new_judge(entry: &ServiceEntry, options: &Options) -> Judge {
+    Judge::new(entry.limits.max_failure_permille, options.clone())
+}
+
+/// Returns the change of the move's state that a verdict or a takeover needs.
+fn edit_for(
+    verdict: &Verdict,
+    state: &MoveState,
+    needs_claim: bool,
+    term: u64,
+) -> Option<(MoveAction, SmolStr)> {
+    let paused = state.status == MoveStatus::Paused;
+    match verdict {
+        Verdict::TakeBack(reason) => Some((MoveAction::TakeBack, reason.clone())),
+        Verdict::Finish(reason) => Some((MoveAction::Finish, reason.clone())),
+        Verdict::Hold(reason) => Some((MoveAction::Pause, reason.clone())),
+        Verdict::Resume => Some((MoveAction::Resume, "resumed by judge".into())),
+        // Repeating the current state writes the new lease term into the entry, which fences the
+        // former holder.
+        Verdict::Continue if needs_claim && paused => {
+            Some((MoveAction::Pause, state.reason.clone()))
+        }
+        Verdict::Continue if needs_claim => Some((
+            MoveAction::Resume,
+            format_smolstr!("judge changed, lease term {term}"),
+        )),
+        Verdict::Continue => None,
+    }
+}
--- /dev/null
+++ b/crates/moves/src/proxy.rs
@@ -0,0 +1,269 @@
+//! All moves on one proxy: shares, guards, stops, and the evidence that leaves the node.
+
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RegionName;
+use hemlockfall_core::ids::ServiceName;
+
+use crate::action::Action;
+use crate::action::Recipient;
+use crate::evidence::EvidenceMessage;
+use crate::evidence::Sequences;
+use crate::evidence::Summary;
+use crate::guard;
+use crate::guard::AttemptResult;
+use crate::guard::Choice;
+use crate::guard::Guard;
+use crate::guard::Side;
+use crate::options::Options;
+
+/// `EVIDENCE_INTERVAL_MS` is the time between evidence messages.
+pub const EVIDENCE_INTERVAL_MS: u64 = 1_000;
+
+/// `Input` is a message to the proxy.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The entries in force changed.
+    Entries(Vec<ServiceEntry>),
+    /// The store became reachable (`None`) or unreachable at a time.
+    StoreDownSince(Option<u64>),
+    /// An attempt ended.
+    Attempt(AttemptResult),
+    /// An advisory stop arrived.
+    Stop {
+        /// Service.
+        service: ServiceName,
+        /// Move to stop.
+        move_id: MoveId,
+    },
+    /// Evidence of a node of the data centre arrived; this node is the aggregator.
+    Evidence(EvidenceMessage),
+}
+
+#[derive(Clone, Debug)]
+struct Moving {
+    entry: ServiceEntry,
+    guard: Guard,
+    own: Summary,
+    aggregated: Summary,
+    sources: Sequences,
+}
+
+/// `Proxy` holds the moves of all services on one node.
+#[derive(Clone, Debug)]
+pub struct Proxy {
+    node: NodeName,
+    region: RegionName,
+    options: Options,
+    store_down_since_unix_ms: Option<u64>,
+    last_sent_unix_ms: u64,
+    last_sequence: u64,
+    moving: Vec<Moving>,
+}
+
+impl Proxy {
+    /// `new` makes the state of a node without moves.
+    #[must_use]
+    pub fn new(node: NodeName, region: RegionName, options: Options) -> Self {
+        Self {
+            node,
+            region,
+            options,
+            store_down_since_unix_ms: None,
+            last_sent_unix_ms: 0,
+            last_sequence: 0,
+            moving: Vec::new(),
+        }
+    }
+
+    /// `choose` picks the version of a request. Services without a move under way and routes
+    /// with a pinned version are not asked here.
+    pub fn choose(
+        &mut self,
+        service: &str,
+        route: &str,
+        hash_permille: u16,
+        now_unix_ms: u64,
+    ) -> Choice {
+        let down_since = self.store_down_since_unix_ms;
+        let Some(moving) = self.find(service) else {
+            return Choice::Old;
+        };
+        let share_permille = moving.entry.share_permille(now_unix_ms, down_since);
+        moving
+            .guard
+            .choose(route, share_permille, hash_permille, now_unix_ms)
+    }
+
+    /// `cap_permille` is the share that the guard permits on a route.
+    #[must_use]
+    pub fn cap_permille(&self, service: &str, route: &str) -> u16 {
+        self.position(service)
+            .ok()
+            .and_then(|index| self.moving.get(index))
+            .map_or(hemlockfall_core::units::FULL_PERMILLE, |moving| {
+                moving.guard.cap_permille(route)
+            })
+    }
+
+    /// `handle` takes one message.
+    pub fn handle(&mut self, input: Input, now_unix_ms: u64) -> Vec<Action> {
+        match input {
+            Input::Entries(entries) => self.on_entries(entries),
+            Input::StoreDownSince(since_unix_ms) => self.store_down_since_unix_ms = since_unix_ms,
+            Input::Attempt(result) => return self.on_attempt(&result, now_unix_ms),
+            Input::Stop { service, move_id } => self.on_stop(&service, move_id),
+            Input::Evidence(message) => self.on_evidence(&message),
+        }
+        Vec::new()
+    }
+
+    /// `tick` sends evidence once a second.
+    pub fn tick(&mut self, now_unix_ms: u64) -> Vec<Action> {
+        if now_unix_ms < self.last_sent_unix_ms + EVIDENCE_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.last_sent_unix_ms = now_unix_ms;
+        let mut actions = Vec::new();
+        for index in 0..self.moving.len() {
+            let own = std::mem::take(&mut self.moving[index].own);
+            self.send(index, own, Recipient::Aggregator, now_unix_ms, &mut actions);
+            let aggregated = std::mem::take(&mut self.moving[index].aggregated);
+            self.send(
+                index,
+                aggregated,
+                Recipient::Judges,
+                now_unix_ms,
+                &mut actions,
+            );
+        }
+        actions
+    }
+
+    fn send(
+        &mut self,
+        index: usize,
+        summary: Summary,
+        to: Recipient,
+        now_unix_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if summary.is_empty() {
+            return;
+        }
+        let moving = &self.moving[index];
+        let message = EvidenceMessage {
+            service: moving.entry.service.clone(),
+            move_id: moving.guard.move_id(),
+            source: self.node.clone(),
+            sequence: 0,
+            summary,
+        };
+        // A part that cannot be encoded cannot be sent either; the counts of one second are lost.
+        for mut part in message.split().unwrap_or_default() {
+            // The clock keeps sequences increasing across a restart of the node.
+            self.last_sequence = now_unix_ms.max(self.last_sequence + 1);
+            part.sequence = self.last_sequence;
+            actions.push(Action::SendEvidence { to, message: part });
+        }
+    }
+
+    fn on_entries(&mut self, entries: Vec<ServiceEntry>) {
+        let mut before = std::mem::take(&mut self.moving);
+        for entry in entries {
+            let under_way = entry
+                .move_state
+                .as_ref()
+                .is_some_and(|state| !state.status.is_final());
+            if !under_way {
+                continue;
+            }
+            let Some(guard) = Guard::new(&entry, &self.options) else {
+                continue;
+            };
+            let kept = before
+                .iter()
+                .position(|moving| moving.guard.move_id() == guard.move_id())
+                .map(|index| before.swap_remove(index));
+            self.moving.push(match kept {
+                Some(moving) => Moving { entry, ..moving },
+                None => Moving {
+                    entry,
+                    guard,
+                    own: Summary::default(),
+                    aggregated: Summary::default(),
+                    sources: Sequences::default(),
+                },
+            });
+        }
+        self.moving
+            .sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
+    }
+
+    fn on_attempt(&mut self, result: &AttemptResult, now_unix_ms: u64) -> Vec<Action> {
+        let region = self.region.clone();
+        let Some(moving) = self.find(&result.service) else {
+            return Vec::new();
+        };
+        let line = moving.guard.on_result(result, now_unix_ms);
+        let tripped = line
+            .as_ref()
+            .is_some_and(|line| line.decision == guard::CUT);
+        if (tripped || result.is_evidence())
+            && let Some(cell) = moving.own.cell(&result.route, &region)
+        {
+            cell.guards_tripped += u32::from(tripped);
+            let counts = match result.side {
+                Side::Old => &mut cell.old,
+                Side::New => &mut cell.new,
+            };
+            if result.is_evidence() {
+                result.count(counts);
+            }
+        }
+        line.into_iter().map(Action::Log).collect()
+    }
+
+    fn on_stop(&mut self, service: &str, move_id: MoveId) {
+        if let Some(moving) = self.find(service)
+            && moving.guard.move_id() == move_id
+        {
+            moving.guard.stop();
+        }
+    }
+
+    fn on_evidence(&mut self, message: &EvidenceMessage) {
+        if let Some(moving) = self.find(&message.service)
+            && moving.guard.move_id() == message.move_id
+            && moving.sources.is_new(&message.source, message.sequence)
+        {
+            moving.aggregated.add(&message.summary);
+        }
+    }
+
+    /// `status` returns the status that this proxy derives for a service's move.
+    #[must_use]
+    pub fn status(&self, service: &str, now_unix_ms: u64) -> Option<MoveStatus> {
+        let moving = self.moving.get(self.position(service).ok()?)?;
+        let state = moving.entry.move_state.as_ref()?;
+        if now_unix_ms < state.deadline_unix_ms {
+            return Some(state.status);
+        }
+        if moving.guard.is_stopped() {
+            return Some(MoveStatus::TakenBack);
+        }
+        Some(state.status_at_deadline())
+    }
+
+    fn position(&self, service: &str) -> Result<usize, usize> {
+        self.moving
+            .binary_search_by(|moving| moving.entry.service.as_str().cmp(service))
+    }
+
+    fn find(&mut self, service: &str) -> Option<&mut Moving> {
+        let index = self.position(service).ok()?;
+        self.moving.get_mut(index)
+    }
+}
