Add bench moves

Drives proxies, guards, judge and owner on simulated time against a baseline of fixed linear steps with one global threshold.

--- a/crates/moves/src/proxy.rs
+++ b/crates/moves/src/proxy.rs
@@ -6,6 +6,7 @@
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::RegionName;
 use hemlockfall_core::ids::ServiceName;
+use hemlockfall_core::ids::VersionName;
 
 use crate::action::Action;
 use crate::action::Recipient;
@@ -38,6 +39,16 @@
         /// Move to stop.
         move_id: MoveId,
     },
+    /// A target reported its own state. Reports lag and mislead, so they never count as evidence
+    /// and change no share.
+    Report {
+        /// Service of the target.
+        service: ServiceName,
+        /// Version of the target.
+        version: VersionName,
+        /// What the target says about itself.
+        healthy: bool,
+    },
     /// Evidence of a node of the data centre arrived; this node is the aggregator.
     Evidence(EvidenceMessage),
 }
@@ -116,6 +127,7 @@
             Input::Attempt(result) => return self.on_attempt(&result, now_unix_ms),
             Input::Stop { service, move_id } => self.on_stop(&service, move_id),
             Input::Evidence(message) => self.on_evidence(&message),
+            Input::Report { .. } => {}
         }
         Vec::new()
     }
--- /dev/null
+++ b/xtask/src/bench/mod.rs
@@ -0,0 +1,31 @@
+//! Benches: each prints its figures as one JSON object on the last line.
+
+mod moves;
+
+use gumdrop::Options;
+
+/// `Arguments` selects a bench.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "many seeded moves, good and bad, on simulated time")]
+    Moves(moves::Arguments),
+}
+
+/// `run` runs the selected bench.
+///
+/// # Errors
+/// A message for the operator.
+pub fn run(arguments: &Arguments) -> Result<(), String> {
+    match &arguments.command {
+        Some(Command::Moves(arguments)) => moves::run(arguments),
+        None => Err(Arguments::usage().to_owned()),
+    }
+}
--- /dev/null
+++ b/xtask/src/bench/moves/figures.rs
@@ -0,0 +1,102 @@
+//! Figures over all moves.
+
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_moves::stats;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use super::scenario::Scenario;
+
+/// `Outcome` is how one move ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Final status.
+    pub status: MoveStatus,
+    /// Whether the status was final at the deadline.
+    pub on_time: bool,
+    /// Reason in the catalogue.
+    pub reason: String,
+    /// When it was decided after the start, in milliseconds.
+    pub decided_ms: u64,
+    /// Requests that met the fault.
+    pub faulty_requests: u64,
+    /// Time from the first faulty answer to the last request that went to the new version within
+    /// the fault's reach, trial requests excluded, in milliseconds.
+    pub fault_to_zero_ms: Option<u64>,
+}
+
+/// `Figures` sums outcomes.
+#[derive(Debug, Default)]
+pub struct Figures {
+    good: u64,
+    good_on_time: u64,
+    good_taken_back: u64,
+    bad: u64,
+    bad_taken_back: u64,
+    faulty_requests: u64,
+    fault_to_zero_ms: Vec<u64>,
+}
+
+impl Figures {
+    /// `add` adds one move.
+    pub fn add(&mut self, scenario: &Scenario, outcome: &Outcome) {
+        let taken_back = u64::from(outcome.status == MoveStatus::TakenBack);
+        if scenario.is_bad() {
+            self.bad += 1;
+            self.bad_taken_back += taken_back;
+            self.faulty_requests += outcome.faulty_requests;
+            self.fault_to_zero_ms.extend(outcome.fault_to_zero_ms);
+        } else {
+            let done = outcome.status == MoveStatus::Done;
+            self.good += 1;
+            self.good_on_time += u64::from(done && outcome.on_time);
+            self.good_taken_back += taken_back;
+        }
+    }
+
+    fn write(&self, prefix: &str, object: &mut Map<String, Value>) {
+        let mut put = |name: &str, value: Value| {
+            object.insert(format!("{prefix}{name}"), value);
+        };
+        put(
+            "good_on_time_share",
+            json!(ratio(self.good_on_time, self.good)),
+        );
+        put(
+            "good_taken_back_share",
+            json!(ratio(self.good_taken_back, self.good)),
+        );
+        put(
+            "bad_taken_back_share",
+            json!(ratio(self.bad_taken_back, self.bad)),
+        );
+        put(
+            "faulty_requests_per_bad_move",
+            json!(ratio(self.faulty_requests, self.bad)),
+        );
+        put("fault_to_zero_ms_p99", json!(p99(&self.fault_to_zero_ms)));
+    }
+}
+
+/// `to_json` renders the figures of the product and the baseline.
+pub fn to_json(moves: u32, product: &Figures, baseline: &Figures) -> Value {
+    let mut object = Map::new();
+    object.insert("moves".to_owned(), json!(moves));
+    product.write("", &mut object);
+    object.insert("baseline_moves".to_owned(), json!(moves));
+    baseline.write("baseline_", &mut object);
+    Value::Object(object)
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    let exact = stats::to_float(part) / stats::to_float(whole.max(1));
+    (exact * 10_000.0).round() / 10_000.0
+}
+
+fn p99(values: &[u64]) -> u64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_unstable();
+    let rank = (sorted.len() * 99).div_ceil(100);
+    sorted.get(rank.saturating_sub(1)).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/xtask/src/bench/moves/traffic.rs
@@ -0,0 +1,188 @@
+//! Traffic: seeded requests and the answers that the versions give to them.
+
+use hemlockfall_moves::guard::Outcome;
+use hemlockfall_moves::guard::Side;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::scenario::Disturbance;
+use super::scenario::Fault;
+use super::scenario::PROXIES_PER_REGION;
+use super::scenario::REGIONS;
+use super::scenario::ROUTES;
+use super::scenario::Scenario;
+
+/// Number of proxies.
+pub const PROXIES: usize = REGIONS.len() * PROXIES_PER_REGION;
+/// Length of a cold start, in milliseconds.
+const COLD_MS: u64 = 10_000;
+/// Factor of latency in a cold start.
+const COLD_FACTOR: f64 = 6.0;
+/// Time between cold starts in the disturbance of that name, in milliseconds.
+const COLD_EVERY_MS: u64 = 40_000;
+/// Timeout of a request, in milliseconds.
+const TIMEOUT_MS: f64 = 2_000.0;
+
+/// `Request` is one request on one proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Index of the proxy.
+    pub proxy: usize,
+    /// Index of the route.
+    pub route: usize,
+    /// Place of the request in 0..1000.
+    pub hash_permille: u16,
+}
+
+/// `Answer` is what came of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Result.
+    pub outcome: Outcome,
+    /// Time to the answer, in milliseconds.
+    pub latency_ms: u32,
+    /// Whether the target was cold.
+    pub cold: bool,
+    /// Whether the fault of the version showed.
+    pub faulty: bool,
+}
+
+/// `Traffic` draws requests and answers.
+pub struct Traffic {
+    random: SmallRng,
+    next_ms: [[f64; ROUTES.len()]; PROXIES],
+    cold_until_ms: [u64; REGIONS.len()],
+}
+
+impl Traffic {
+    /// `new` makes the traffic of a scenario.
+    pub fn new(scenario: &Scenario, seed: u64) -> Self {
+        let mut traffic = Self {
+            random: SmallRng::seed_from_u64(seed ^ 0x7261_6666),
+            next_ms: [[0.0; ROUTES.len()]; PROXIES],
+            cold_until_ms: [0; REGIONS.len()],
+        };
+        for proxy in 0..PROXIES {
+            for route in 0..ROUTES.len() {
+                traffic.schedule(scenario, proxy, route);
+            }
+        }
+        traffic
+    }
+
+    /// `due` returns the requests that arrive before a time.
+    pub fn due(&mut self, scenario: &Scenario, until_ms: u64) -> Vec<Request> {
+        let until_ms = hemlockfall_moves::stats::to_float(until_ms);
+        let mut requests = Vec::new();
+        for proxy in 0..PROXIES {
+            for route in 0..ROUTES.len() {
+                while self.next_ms[proxy][route] < until_ms {
+                    self.schedule(scenario, proxy, route);
+                    requests.push(Request {
+                        proxy,
+                        route,
+                        hash_permille: self.random.random_range(0..1000),
+                    });
+                }
+            }
+        }
+        requests
+    }
+
+    fn schedule(&mut self, scenario: &Scenario, proxy: usize, route: usize) {
+        let gap_s = -(1.0 - self.random.random::<f64>()).ln() / scenario.rates_per_s[route];
+        self.next_ms[proxy][route] += gap_s * 1000.0;
+    }
+
+    /// `answer` draws the answer of a version.
+    pub fn answer(
+        &mut self,
+        scenario: &Scenario,
+        request: Request,
+        side: Side,
+        share_permille: u16,
+        now_ms: u64,
+    ) -> Answer {
+        let region = region_of(request.proxy);
+        let cold = side == Side::New && self.is_cold(scenario, region, now_ms);
+        let spread = 0.5 - (1.0 - self.random.random::<f64>()).ln() * 0.5;
+        let mut latency_ms = scenario.latencies_ms[request.route] * spread;
+        let mut outcome = if self.random.random_bool(scenario.usual_failure_rate) {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded
+        };
+        let mut faulty = false;
+        if side == Side::New {
+            latency_ms *= scenario.healthy_factor;
+            if cold {
+                latency_ms *= COLD_FACTOR;
+            }
+            match self.fault(scenario, request.route, region, share_permille, now_ms) {
+                Some(Fault::SlowsAtOnce { factor }) => {
+                    latency_ms = (latency_ms * factor).max(60.0);
+                    faulty = true;
+                }
+                Some(Fault::Crashes) => {
+                    outcome = Outcome::Lost;
+                    faulty = true;
+                    self.cold_until_ms[region] = now_ms + COLD_MS;
+                }
+                Some(_) => {
+                    outcome = Outcome::Failed;
+                    faulty = true;
+                }
+                None => {}
+            }
+        }
+        Answer {
+            outcome,
+            latency_ms: to_ms(latency_ms),
+            cold,
+            faulty,
+        }
+    }
+
+    fn fault(
+        &mut self,
+        scenario: &Scenario,
+        route: usize,
+        region: usize,
+        share_permille: u16,
+        now_ms: u64,
+    ) -> Option<Fault> {
+        let fault = scenario.fault?;
+        let loaded = match fault {
+            Fault::UnderLoad {
+                share_permille: bound,
+            } => share_permille >= bound,
+            _ => true,
+        };
+        let hit = match fault {
+            Fault::SlowsAtOnce { .. } => true,
+            _ => self.random.random_bool(scenario.fault_rate),
+        };
+        let shows = loaded && hit && now_ms >= scenario.fault_from_ms;
+        (shows && scenario.reaches(route, region)).then_some(fault)
+    }
+
+    fn is_cold(&self, scenario: &Scenario, region: usize, now_ms: u64) -> bool {
+        let repeated = scenario.disturbance == Disturbance::ColdStarts;
+        now_ms < self.cold_until_ms[region] || (repeated && now_ms % COLD_EVERY_MS < COLD_MS)
+    }
+}
+
+/// `region_of` returns the index of a proxy's region.
+pub fn region_of(proxy: usize) -> usize {
+    proxy / PROXIES_PER_REGION
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to 1..=2000"
+)]
+fn to_ms(latency_ms: f64) -> u32 {
+    latency_ms.clamp(1.0, TIMEOUT_MS) as u32
+}
--- /dev/null
+++ b/xtask/src/bench/moves/world.rs
@@ -0,0 +1,560 @@
+//! World: proxies, owners, store and network on simulated time.
+
+use std::collections::BTreeMap;
+
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::catalogue::edit::Author;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_moves::action::Action;
+use hemlockfall_moves::action::Recipient;
+use hemlockfall_moves::guard::AttemptResult;
+use hemlockfall_moves::guard::Choice;
+use hemlockfall_moves::guard::Side;
+use hemlockfall_moves::lease::LeaseRead;
+use hemlockfall_moves::lease::LeaseWrite;
+use hemlockfall_moves::options::Options;
+use hemlockfall_moves::owner;
+use hemlockfall_moves::owner::CommitAnswer;
+use hemlockfall_moves::owner::Owner;
+use hemlockfall_moves::owner::ReadBackAnswer;
+use hemlockfall_moves::proxy;
+use hemlockfall_moves::proxy::Proxy;
+use hemlockfall_moves::record::MoveResult;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::figures::Outcome;
+use super::scenario::Disturbance;
+use super::scenario::PROXIES_PER_REGION;
+use super::scenario::REGIONS;
+use super::scenario::ROUTES;
+use super::scenario::START_UNIX_MS;
+use super::scenario::Scenario;
+use super::store::SERVICE;
+use super::store::Store;
+use super::traffic::PROXIES;
+use super::traffic::Request;
+use super::traffic::Traffic;
+use super::traffic::region_of;
+
+const STEP_MS: u64 = 50;
+const REPORT_EVERY_MS: u64 = 1_000;
+/// Time simulated after the deadline, in milliseconds.
+pub const AFTER_MS: u64 = 15_000;
+/// Region of the store.
+const STORE_REGION: usize = 0;
+const REGION_DELAY_MS: u64 = 2;
+const LINK_DELAY_MS: u64 = 14;
+/// Time until other nodes notice a dead node or a store that is down.
+const NOTICE_MS: u64 = 4_000;
+const LOST_DATAGRAM: f64 = 0.01;
+const LOST_STORE_ANSWER: f64 = 0.05;
+
+/// `Ended` is the state after a move.
+pub struct Ended {
+    /// Figures.
+    pub outcome: Outcome,
+    /// Stored catalogue.
+    pub catalogue: StoredCatalogue,
+    /// Stored decision records.
+    pub results: Vec<MoveResult>,
+    /// End of the simulation, in unix milliseconds.
+    pub now_unix_ms: u64,
+}
+
+enum Event {
+    Proxy(usize, proxy::Input),
+    Owner(usize, owner::Input),
+    Entry(usize, Box<ServiceEntry>),
+    Store(usize, Action),
+    Answered {
+        proxy: usize,
+        result: AttemptResult,
+        faulty: bool,
+    },
+}
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    random: SmallRng,
+    traffic: Traffic,
+    store: Store,
+    nodes: Vec<NodeName>,
+    proxies: Vec<Proxy>,
+    entries: Vec<Option<ServiceEntry>>,
+    owners: Vec<Owner>,
+    candidates: Vec<usize>,
+    dead: Option<usize>,
+    frozen: Option<usize>,
+    queue: BTreeMap<(u64, u64), Event>,
+    queued: u64,
+    now_ms: u64,
+    first_fault_ms: Option<u64>,
+    last_reached_ms: u64,
+    faulty_requests: u64,
+}
+
+/// `run` runs one move to its end.
+///
+/// # Errors
+/// A message when the fake store refuses the move.
+pub fn run(scenario: &Scenario, seed: u64) -> Result<Ended, String> {
+    let mut world = World::new(scenario, seed)?;
+    let end_ms = scenario.duration_ms + AFTER_MS;
+    while world.now_ms < end_ms {
+        world.now_ms += STEP_MS;
+        world.step();
+    }
+    Ok(Ended {
+        outcome: world.outcome(),
+        now_unix_ms: world.now_unix_ms(),
+        catalogue: world.store.catalogue,
+        results: world.store.results,
+    })
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Result<Self, String> {
+        let store = Store::with_move(scenario)?;
+        // The names depend on the seed, so the candidates lie in different regions.
+        let nodes: Vec<NodeName> = (0..PROXIES)
+            .map(|index| format!("node-{index}-{seed:x}").into())
+            .collect();
+        let proxies = (0..PROXIES)
+            .map(|index| {
+                let region = REGIONS[region_of(index)].into();
+                Proxy::new(nodes[index].clone(), region, Options::default())
+            })
+            .collect();
+        let owners = (0..PROXIES)
+            .map(|index| {
+                let seed = seed ^ (index as u64 + 1);
+                Owner::new(
+                    nodes[index].clone(),
+                    SERVICE.into(),
+                    Options::default(),
+                    seed,
+                )
+            })
+            .collect();
+        let mut world = Self {
+            scenario,
+            random: SmallRng::seed_from_u64(seed ^ 0x776f_726c),
+            traffic: Traffic::new(scenario, seed),
+            store,
+            nodes,
+            proxies,
+            entries: vec![None; PROXIES],
+            owners,
+            candidates: Vec::new(),
+            dead: None,
+            frozen: None,
+            queue: BTreeMap::new(),
+            queued: 0,
+            now_ms: 0,
+            first_fault_ms: None,
+            last_reached_ms: 0,
+            faulty_requests: 0,
+        };
+        world.rank();
+        world.disseminate();
+        Ok(world)
+    }
+
+    fn now_unix_ms(&self) -> u64 {
+        START_UNIX_MS + self.now_ms
+    }
+
+    fn step(&mut self) {
+        self.disturb();
+        while let Some(next) = self.queue.first_entry() {
+            if next.key().0 > self.now_ms {
+                break;
+            }
+            let event = next.remove();
+            self.deliver(event);
+        }
+        for request in self.traffic.due(self.scenario, self.now_ms) {
+            self.send_request(request);
+        }
+        for index in 0..PROXIES {
+            self.report_target(index);
+            let actions = self.proxies[index].tick(START_UNIX_MS + self.now_ms);
+            self.perform(index, actions);
+        }
+        for index in self.candidates.clone() {
+            if self.is_running(index) {
+                let actions = self.owners[index].tick(START_UNIX_MS + self.now_ms);
+                self.perform(index, actions);
+            }
+        }
+    }
+
+    /// Passes on what the target of the new version says about itself, right or wrong.
+    fn report_target(&mut self, index: usize) {
+        if !self.now_ms.is_multiple_of(REPORT_EVERY_MS) {
+            return;
+        }
+        let input = proxy::Input::Report {
+            service: SERVICE.into(),
+            version: "v2".into(),
+            healthy: !self.scenario.reports_failing,
+        };
+        let now_unix_ms = self.now_unix_ms();
+        self.proxies[index].handle(input, now_unix_ms);
+    }
+
+    fn disturb(&mut self) {
+        let begins = self.now_ms == self.scenario.disturbed_from_ms / STEP_MS * STEP_MS;
+        let end_ms = self.scenario.disturbed_from_ms + self.scenario.disturbed_for_ms;
+        let ends = self.now_ms == end_ms / STEP_MS * STEP_MS;
+        let noticed_ms = self.scenario.disturbed_from_ms + NOTICE_MS;
+        let notices = self.now_ms == noticed_ms / STEP_MS * STEP_MS;
+        let now_unix_ms = self.now_unix_ms();
+        let holder = (0..PROXIES).find(|index| self.owners[*index].is_holder(now_unix_ms));
+        match self.scenario.disturbance {
+            Disturbance::JudgeKilled if begins => self.dead = holder,
+            Disturbance::JudgeKilled if notices => self.rank(),
+            Disturbance::JudgeFrozen if begins => self.frozen = holder,
+            Disturbance::JudgeFrozen if ends => self.frozen = None,
+            Disturbance::StoreOutage | Disturbance::RegionsCut
+                if notices && now_unix_ms < START_UNIX_MS + end_ms =>
+            {
+                self.note_store(Some(now_unix_ms));
+            }
+            Disturbance::StoreOutage | Disturbance::RegionsCut if ends => {
+                self.note_store(None);
+                self.disseminate();
+            }
+            _ => {}
+        }
+    }
+
+    fn note_store(&mut self, since_unix_ms: Option<u64>) {
+        let cut = self.scenario.disturbance == Disturbance::RegionsCut;
+        for index in 0..PROXIES {
+            if !cut || region_of(index) != STORE_REGION {
+                let input = proxy::Input::StoreDownSince(since_unix_ms);
+                self.push(REGION_DELAY_MS, Event::Proxy(index, input));
+            }
+        }
+    }
+
+    fn rank(&mut self) {
+        let alive: Vec<&NodeName> = (0..PROXIES)
+            .filter(|index| Some(*index) != self.dead)
+            .map(|index| &self.nodes[index])
+            .collect();
+        let ranked = owner::candidates(SERVICE, alive);
+        self.candidates = ranked
+            .iter()
+            .filter_map(|name| self.nodes.iter().position(|node| node == *name))
+            .collect();
+        for index in 0..PROXIES {
+            let rank = self.candidates.iter().position(|known| *known == index);
+            self.push(
+                REGION_DELAY_MS,
+                Event::Owner(index, owner::Input::Rank(rank)),
+            );
+        }
+    }
+
+    /// Sends the current entry to all nodes, as the distribution does.
+    fn disseminate(&mut self) {
+        let Some(entry) = self.store.entry().cloned() else {
+            return;
+        };
+        for index in 0..PROXIES {
+            if self.connected(STORE_REGION, region_of(index)) {
+                let delay_ms = self.random.random_range(20..1_500);
+                self.push(delay_ms, Event::Entry(index, Box::new(entry.clone())));
+            }
+        }
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        a == b
+            || !self
+                .scenario
+                .is_disturbed(Disturbance::RegionsCut, self.now_ms)
+    }
+
+    fn is_running(&self, node: usize) -> bool {
+        self.dead != Some(node) && self.frozen != Some(node)
+    }
+
+    fn push(&mut self, delay_ms: u64, event: Event) {
+        self.queued += 1;
+        self.queue
+            .insert((self.now_ms + delay_ms, self.queued), event);
+    }
+
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        if !self.connected(region_of(from), region_of(to)) || self.random.random_bool(LOST_DATAGRAM)
+        {
+            return;
+        }
+        self.push(delay_ms(region_of(from), region_of(to)), event);
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let now_unix_ms = self.now_unix_ms();
+        match event {
+            Event::Proxy(index, input) => {
+                let actions = self.proxies[index].handle(input, now_unix_ms);
+                self.perform(index, actions);
+            }
+            Event::Owner(index, _) if self.dead == Some(index) => {}
+            // A frozen process finds its messages when it wakes up.
+            Event::Owner(index, input) if self.frozen == Some(index) => {
+                self.push(STEP_MS * 2, Event::Owner(index, input));
+            }
+            Event::Owner(index, input) => {
+                let actions = self.owners[index].handle(input, now_unix_ms);
+                self.perform(index, actions);
+            }
+            Event::Entry(index, entry) => self.on_entry(index, *entry),
+            Event::Store(index, action) => self.on_store(index, action),
+            Event::Answered {
+                proxy,
+                result,
+                faulty,
+            } => {
+                if faulty {
+                    self.faulty_requests += 1;
+                    self.first_fault_ms.get_or_insert(self.now_ms);
+                }
+                let input = proxy::Input::Attempt(result);
+                let actions = self.proxies[proxy].handle(input, now_unix_ms);
+                self.perform(proxy, actions);
+            }
+        }
+    }
+
+    fn on_entry(&mut self, index: usize, entry: ServiceEntry) {
+        let known = self.entries[index]
+            .as_ref()
+            .map_or(0, |known| known.changed_revision);
+        if entry.changed_revision <= known {
+            return;
+        }
+        let now_unix_ms = self.now_unix_ms();
+        self.proxies[index].handle(proxy::Input::Entries(vec![entry.clone()]), now_unix_ms);
+        self.entries[index] = Some(entry.clone());
+        self.push(0, Event::Owner(index, owner::Input::Entry(Box::new(entry))));
+    }
+
+    fn send_request(&mut self, request: Request) {
+        let now_unix_ms = self.now_unix_ms();
+        let Some(entry) = &self.entries[request.proxy] else {
+            return;
+        };
+        let share_permille = entry.share_permille(now_unix_ms, None);
+        let is_final = entry
+            .move_state
+            .as_ref()
+            .is_some_and(|state| state.status.is_final());
+        let choice = match (is_final, share_permille) {
+            (true, 0) => Choice::Old,
+            (true, _) => Choice::New,
+            _ => self.proxies[request.proxy].choose(
+                SERVICE,
+                ROUTES[request.route],
+                request.hash_permille,
+                now_unix_ms,
+            ),
+        };
+        let side = match choice {
+            Choice::Old => Side::Old,
+            Choice::New | Choice::Trial => Side::New,
+        };
+        let reached = self
+            .scenario
+            .reaches(request.route, region_of(request.proxy));
+        if choice == Choice::New && reached {
+            self.last_reached_ms = self.now_ms;
+        }
+        let answer = self
+            .traffic
+            .answer(self.scenario, request, side, share_permille, self.now_ms);
+        let result = AttemptResult {
+            service: SERVICE.into(),
+            route: ROUTES[request.route].into(),
+            side,
+            outcome: answer.outcome,
+            latency_ms: answer.latency_ms,
+            cold: answer.cold,
+        };
+        let event = Event::Answered {
+            proxy: request.proxy,
+            result,
+            faulty: answer.faulty,
+        };
+        self.push(u64::from(answer.latency_ms), event);
+    }
+
+    fn perform(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::SendEvidence { to, message } => match to {
+                    Recipient::Aggregator => {
+                        let aggregator = region_of(from) * PROXIES_PER_REGION;
+                        let input = proxy::Input::Evidence(message);
+                        self.send(from, aggregator, Event::Proxy(aggregator, input));
+                    }
+                    Recipient::Judges => {
+                        for judge in self.candidates.clone() {
+                            let input = owner::Input::Evidence(message.clone());
+                            self.send(from, judge, Event::Owner(judge, input));
+                        }
+                    }
+                },
+                Action::StopMove {
+                    service, move_id, ..
+                } => {
+                    for index in 0..PROXIES {
+                        let service = service.clone();
+                        let input = proxy::Input::Stop { service, move_id };
+                        self.send(from, index, Event::Proxy(index, input));
+                    }
+                }
+                Action::Log(_) => {}
+                call => {
+                    let delay_ms = delay_ms(region_of(from), STORE_REGION);
+                    self.push(delay_ms, Event::Store(from, call));
+                }
+            }
+        }
+    }
+
+    fn on_store(&mut self, node: usize, call: Action) {
+        let down = self
+            .scenario
+            .is_disturbed(Disturbance::StoreOutage, self.now_ms);
+        let reachable = !down && self.connected(region_of(node), STORE_REGION);
+        let lost = self.random.random_bool(LOST_STORE_ANSWER);
+        let before = self.store.catalogue.configuration.revision;
+        let answer = self.store_answer(node, call, reachable, lost);
+        if self.store.catalogue.configuration.revision != before {
+            self.disseminate();
+        }
+        if let Some(input) = answer {
+            let delay_ms = if reachable && !lost { 4 } else { 1_000 };
+            self.push(delay_ms, Event::Owner(node, input));
+        }
+    }
+
+    fn store_answer(
+        &mut self,
+        node: usize,
+        call: Action,
+        reachable: bool,
+        lost: bool,
+    ) -> Option<owner::Input> {
+        let missing = !reachable || lost;
+        match call {
+            Action::ReadLease { .. } if missing => {
+                Some(owner::Input::LeaseRead(LeaseRead::Unavailable))
+            }
+            Action::ReadLease { .. } => Some(owner::Input::LeaseRead(self.store.read_lease())),
+            Action::AcquireLease {
+                lease, if_version, ..
+            }
+            | Action::RenewLease {
+                lease, if_version, ..
+            } => {
+                let mut answer = LeaseWrite::Unknown;
+                if reachable {
+                    answer = self.store.write_lease(lease, if_version);
+                }
+                Some(owner::Input::LeaseWrite(if lost {
+                    LeaseWrite::Unknown
+                } else {
+                    answer
+                }))
+            }
+            Action::Commit {
+                operation_id,
+                edit,
+                seen_revision,
+            } => {
+                let author = Author {
+                    operation_id,
+                    who: self.nodes[node].clone(),
+                    at_unix_ms: self.now_unix_ms(),
+                };
+                let mut answer = CommitAnswer::Unknown;
+                if reachable {
+                    answer = self.store.commit(&edit, &author, seen_revision);
+                }
+                if lost {
+                    answer = CommitAnswer::Unknown;
+                }
+                Some(owner::Input::Commit {
+                    operation_id,
+                    answer,
+                })
+            }
+            Action::ReadBack { operation_id } => {
+                let answer = if missing {
+                    ReadBackAnswer::Unavailable
+                } else {
+                    self.store.read_back(operation_id)
+                };
+                Some(owner::Input::ReadBack {
+                    operation_id,
+                    answer,
+                })
+            }
+            Action::WriteResult { result, .. } => {
+                let known = &mut self.store.results;
+                if reachable && known.iter().all(|old| old.move_id != result.move_id) {
+                    known.push(*result);
+                }
+                Some(owner::Input::Result(!missing))
+            }
+            Action::SendEvidence { .. } | Action::StopMove { .. } | Action::Log(_) => None,
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        let deadline_unix_ms = START_UNIX_MS + self.scenario.duration_ms;
+        let state = self
+            .store
+            .entry()
+            .and_then(|entry| entry.move_state.as_ref());
+        let decided = self.store.catalogue.changes.last();
+        let decided_unix_ms = decided.map_or(START_UNIX_MS, |change| change.at_unix_ms);
+        let status = state.map_or(MoveStatus::Running, |state| state.status);
+        // At the deadline every proxy decides by the committed entry, so a record of the same
+        // decision may be later; a different one may not.
+        let by_clock = state.is_some_and(|state| state.reason.starts_with("deadline passed"));
+        let end_ms = self.scenario.duration_ms + AFTER_MS;
+        let last_ms = if status == MoveStatus::TakenBack {
+            self.last_reached_ms
+        } else {
+            end_ms
+        };
+        Outcome {
+            status,
+            on_time: decided_unix_ms <= deadline_unix_ms || by_clock,
+            reason: state.map_or_else(String::new, |state| state.reason.to_string()),
+            decided_ms: decided_unix_ms - START_UNIX_MS,
+            faulty_requests: self.faulty_requests,
+            fault_to_zero_ms: self
+                .first_fault_ms
+                .map(|first| last_ms.saturating_sub(first)),
+        }
+    }
+}
+
+fn delay_ms(a: usize, b: usize) -> u64 {
+    if a == b {
+        REGION_DELAY_MS
+    } else {
+        LINK_DELAY_MS
+    }
+}
