Add the stand-ins and the process harness to xtask

Cause: nothing could yet play the platform's store, a target or a caller, or run nodes as real processes.

Targets append a run to a file before it starts, so a killed target cannot hide a run from the audit.

--- /dev/null
+++ b/xtask/src/audit.rs
@@ -0,0 +1,138 @@
+//! Comparison of what callers were told with what targets ran.
+
+use std::path::Path;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::caller::CallerReport;
+use crate::caller::Outcome;
+use crate::caller::SendRecord;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::target::state::Run;
+
+/// `Audit` counts kept and broken guarantees.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Audit {
+    /// Requests, counted by their first send.
+    pub requests: usize,
+    /// Requests with a complete answer of their own.
+    pub answered_whole: usize,
+    /// Sends whose answer was incomplete or another request's.
+    pub wrong_answers: usize,
+    /// Requests that must run at most once and ran more often.
+    pub double_runs: usize,
+    /// Requests that ran although the caller was told that they did not.
+    pub told_not_run_but_ran: usize,
+    /// Requests whose last outcome was unknown.
+    pub unknown: usize,
+    /// Requests whose last outcome was not-run.
+    pub not_run: usize,
+    /// Messages about the first broken guarantees.
+    pub findings: Vec<String>,
+}
+
+const MAX_FINDINGS: usize = 10;
+
+impl Audit {
+    /// `of` compares the reports of callers with the runs of all targets.
+    #[must_use]
+    pub fn of(reports: &[CallerReport], runs: &[Run]) -> Self {
+        let mut run_ids: Vec<&str> = runs.iter().map(|run| run.request_id.as_str()).collect();
+        run_ids.sort_unstable();
+        let mut audit = Self::default();
+        for report in reports {
+            for sends in report.sends.chunk_by(|a, b| base(a) == base(b)) {
+                audit.add(sends, &run_ids);
+            }
+        }
+        audit
+    }
+
+    /// `is_clean` tells whether no guarantee was broken.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.wrong_answers == 0 && self.double_runs == 0 && self.told_not_run_but_ran == 0
+    }
+
+    fn add(&mut self, sends: &[SendRecord], run_ids: &[&str]) {
+        let mut runs_so_far = 0;
+        let mut false_not_run = false;
+        for send in sends {
+            runs_so_far += count(run_ids, &send.request_id);
+            false_not_run |= send.outcome == Outcome::NotRun && runs_so_far > 0;
+            if send.wrong {
+                self.wrong_answers += 1;
+                self.find(format!("wrong answer to {}", send.request_id));
+            }
+        }
+        self.requests += 1;
+        self.answered_whole += usize::from(sends.iter().any(|send| send.whole));
+        let Some(last) = sends.last() else {
+            return;
+        };
+        if false_not_run {
+            self.told_not_run_but_ran += 1;
+            self.find(format!("told not-run, but ran: {}", base(last)));
+        }
+        // Without a key a repeated send is a new request, so only its own runs count.
+        let most = if last.key.is_some() {
+            runs_so_far
+        } else {
+            sends
+                .iter()
+                .map(|send| count(run_ids, &send.request_id))
+                .max()
+                .unwrap_or(0)
+        };
+        if last.once && most > 1 {
+            self.double_runs += 1;
+            self.find(format!("{most} runs of {}", base(last)));
+        }
+        match last.outcome {
+            Outcome::Ran => {}
+            Outcome::NotRun => self.not_run += 1,
+            Outcome::Unknown => self.unknown += 1,
+        }
+    }
+
+    fn find(&mut self, finding: String) {
+        if self.findings.len() < MAX_FINDINGS {
+            self.findings.push(finding);
+        }
+    }
+}
+
+/// `read_runs` reads the file of runs of one target; a last line that was cut off by a kill
+/// is ignored, because its run had not started.
+///
+/// # Errors
+/// [`Error::Resource`] when the file cannot be read or another line is damaged.
+pub fn read_runs(path: &Path) -> Result<Vec<Run>> {
+    let name = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(error) => return Err(Error::resource(name, error)),
+    };
+    let complete = text.rfind('\n').map_or("", |end| &text[..end]);
+    complete
+        .lines()
+        .map(|line| serde_json::from_str(line).map_err(|error| Error::resource(&name, error)))
+        .collect()
+}
+
+fn base(send: &SendRecord) -> &str {
+    send.request_id
+        .rsplit_once('.')
+        .map_or(send.request_id.as_str(), |(base, _)| base)
+}
+
+fn count(sorted: &[&str], id: &str) -> usize {
+    let first = sorted.partition_point(|known| *known < id);
+    sorted[first..]
+        .iter()
+        .take_while(|known| **known == id)
+        .count()
+}
--- /dev/null
+++ b/xtask/src/harness/node.rs
@@ -0,0 +1,105 @@
+//! Settings and observation of one node.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlockfall_core::ids::Revision;
+
+use crate::errors::Result;
+use crate::harness::ports;
+use crate::http;
+
+/// `REVISION_METRIC` is the gauge on the node's metrics page with the revision in force.
+pub const REVISION_METRIC: &str = "hemlockfall_revision";
+
+const OBSERVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// `NodeSpec` is where a node runs and listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSpec {
+    /// Name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// Address for the target.
+    pub local_address: SocketAddr,
+}
+
+impl NodeSpec {
+    /// `new` chooses free addresses for a node.
+    ///
+    /// # Errors
+    /// [`crate::errors::Error::Resource`] when there is no free port.
+    pub fn new(name: &str, region: &str, data_centre: &str) -> Result<Self> {
+        Ok(Self {
+            name: name.to_owned(),
+            region: region.to_owned(),
+            data_centre: data_centre.to_owned(),
+            caller_address: ports::free_address()?,
+            peer_address: ports::free_address()?,
+            operator_address: ports::free_address()?,
+            local_address: ports::free_address()?,
+        })
+    }
+
+    /// `settings` returns the text of the settings file; `extra` is appended as it is.
+    #[must_use]
+    pub fn settings(&self, store: SocketAddr, extra: &str) -> String {
+        let mut text = String::from("[node]\n");
+        let keys = [
+            ("name", self.name.clone()),
+            ("region", self.region.clone()),
+            ("data_centre", self.data_centre.clone()),
+            ("caller_address", self.caller_address.to_string()),
+            ("peer_address", self.peer_address.to_string()),
+            ("operator_address", self.operator_address.to_string()),
+            ("local_address", self.local_address.to_string()),
+        ];
+        for (key, value) in keys {
+            let _ = writeln!(text, "{key} = \"{value}\"");
+        }
+        let _ = write!(text, "\n[store]\naddress = \"{store}\"\n\n{extra}");
+        text
+    }
+
+    /// `answers` tells whether the node answers on its local address.
+    #[must_use]
+    pub fn answers(&self) -> bool {
+        let url = format!("http://{}/healthz", self.local_address);
+        http::exchange(&http::agent(OBSERVE_TIMEOUT), "GET", &url, &[], b"").is_ok()
+    }
+
+    /// `metric` reads one unlabelled metric; `None` when the node or the metric is missing.
+    #[must_use]
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.local_address);
+        let agent = http::agent(OBSERVE_TIMEOUT);
+        let reply = http::exchange(&agent, "GET", &url, &[], b"").ok()?;
+        find_metric(&reply.text(), name)
+    }
+
+    /// `revision` reads the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Option<Revision> {
+        let value = self.metric(REVISION_METRIC)?;
+        format!("{value:.0}").parse().ok()
+    }
+}
+
+/// `find_metric` finds an unlabelled metric on a metrics page in the text format.
+#[must_use]
+pub fn find_metric(page: &str, name: &str) -> Option<f64> {
+    page.lines()
+        .filter_map(|line| line.split_once(' '))
+        .find(|(known, _)| *known == name)
+        .and_then(|(_, value)| value.trim().parse().ok())
+}
--- /dev/null
+++ b/xtask/src/harness/process.rs
@@ -0,0 +1,204 @@
+//! A started process that ends with its owner.
+
+use std::ffi::OsString;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::harness::wait;
+
+/// `Signal` is a signal that the harness sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Planned stop.
+    Term,
+    /// Immediate end.
+    Kill,
+    /// Freeze.
+    Stop,
+    /// End of a freeze.
+    Continue,
+}
+
+impl Signal {
+    fn argument(self) -> &'static str {
+        match self {
+            Self::Term => "-TERM",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// `Process` is one started process; dropping it kills the process.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    program: PathBuf,
+    arguments: Vec<OsString>,
+    directory: PathBuf,
+    child: Arc<Mutex<Child>>,
+}
+
+impl Process {
+    /// `start` starts a program; its outputs go to `NAME.out` and `NAME.err` in `directory`.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the program cannot be started.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: Vec<OsString>,
+        directory: &Path,
+    ) -> Result<Self> {
+        let child = spawn(name, program, &arguments, directory)?;
+        Ok(Self {
+            name: name.to_owned(),
+            program: program.to_owned(),
+            arguments,
+            directory: directory.to_owned(),
+            child: Arc::new(Mutex::new(child)),
+        })
+    }
+
+    /// `name` returns the name of the process.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// `output` returns what the process has written to its standard output.
+    #[must_use]
+    pub fn output(&self) -> String {
+        let path = self.directory.join(format!("{}.out", self.name));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// `log_tail` returns the last lines of the standard error output.
+    #[must_use]
+    pub fn log_tail(&self, lines: usize) -> String {
+        let path = self.directory.join(format!("{}.err", self.name));
+        let bytes = std::fs::read(path).unwrap_or_default();
+        let text = String::from_utf8_lossy(&bytes);
+        let all: Vec<&str> = text.lines().collect();
+        all[all.len().saturating_sub(lines)..].join("\n")
+    }
+
+    /// `exited` returns the exit status once the process has ended.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        lock(&self.child).try_wait().ok().flatten()
+    }
+
+    /// `signal` sends a signal by process id, unless the process has ended.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the signal cannot be sent.
+    pub fn signal(&mut self, signal: Signal) -> Result<()> {
+        send(&self.name, &mut lock(&self.child), signal)
+    }
+
+    /// `freeze_for` freezes the process now and continues it after a time, in the background.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the signal cannot be sent.
+    pub fn freeze_for(&mut self, time: Duration) -> Result<()> {
+        self.signal(Signal::Stop)?;
+        let child = Arc::clone(&self.child);
+        let name = self.name.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(time);
+            let _ = send(&name, &mut lock(&child), Signal::Continue);
+        });
+        Ok(())
+    }
+
+    /// `wait_exit` waits for the end of the process.
+    ///
+    /// # Errors
+    /// [`Error::NotReached`] when it still runs after the bound.
+    pub fn wait_exit(&mut self, bound: Duration) -> Result<ExitStatus> {
+        let what = format!("end of process {}", self.name);
+        wait::until(&what, bound, || {
+            self.exited().ok_or_else(|| "still running".to_owned())
+        })
+    }
+
+    /// `restart` starts the program again with the same arguments; a running one is killed.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the program cannot be started.
+    pub fn restart(&mut self) -> Result<()> {
+        self.end();
+        let child = spawn(&self.name, &self.program, &self.arguments, &self.directory)?;
+        self.child = Arc::new(Mutex::new(child));
+        Ok(())
+    }
+
+    fn end(&mut self) {
+        let mut child = lock(&self.child);
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn lock(child: &Mutex<Child>) -> MutexGuard<'_, Child> {
+    child.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The id cannot belong to another process: it is only released by a wait on `child`, which
+/// needs the same lock.
+fn send(name: &str, child: &mut Child, signal: Signal) -> Result<()> {
+    if child.try_wait().ok().flatten().is_some() {
+        return Ok(());
+    }
+    let status = Command::new("kill")
+        .arg(signal.argument())
+        .arg(child.id().to_string())
+        .status()
+        .map_err(|error| Error::process(name, error))?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(Error::process(
+        name,
+        format!("kill {}: {status}", signal.argument()),
+    ))
+}
+
+fn spawn(name: &str, program: &Path, arguments: &[OsString], directory: &Path) -> Result<Child> {
+    Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(log_file(directory, name, "out")?)
+        .stderr(log_file(directory, name, "err")?)
+        .spawn()
+        .map_err(|error| Error::process(name, format!("{}: {error}", program.display())))
+}
+
+fn log_file(directory: &Path, name: &str, suffix: &str) -> Result<File> {
+    let path = directory.join(format!("{name}.{suffix}"));
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&path)
+        .map_err(|error| Error::resource(path.display().to_string(), error))
+}
--- /dev/null
+++ b/xtask/src/harness/target.rs
@@ -0,0 +1,75 @@
+//! What the harness knows of one target.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// `TargetSpec` is how a target stand-in is started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetSpec {
+    /// Name.
+    pub name: String,
+    /// Node on the same VM; without one the target does not announce itself.
+    pub node: Option<String>,
+    /// Service.
+    pub service: String,
+    /// Version.
+    pub version: String,
+    /// Requests run at once.
+    pub slots: u16,
+    /// Time that a request takes, in milliseconds.
+    pub service_time_ms: u64,
+    /// Length of the cold start, in milliseconds.
+    pub cold_ms: u64,
+    /// Text in a body that ends the process.
+    pub crash_marker: Option<String>,
+    /// Address; chosen at the start.
+    pub address: Option<SocketAddr>,
+}
+
+impl TargetSpec {
+    /// `new` makes a target with the defaults of the stand-in.
+    #[must_use]
+    pub fn new(name: &str, node: Option<&str>, service: &str, version: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            node: node.map(str::to_owned),
+            service: service.to_owned(),
+            version: version.to_owned(),
+            slots: 12,
+            service_time_ms: 5,
+            cold_ms: 0,
+            crash_marker: None,
+            address: None,
+        }
+    }
+
+    /// `runs_file` returns the file of the target's runs.
+    #[must_use]
+    pub fn runs_file(&self, directory: &Path) -> PathBuf {
+        directory.join(format!("{}.runs", self.name))
+    }
+
+    /// `arguments` returns the arguments of the `xtask` binary.
+    #[must_use]
+    pub fn arguments(&self, node: Option<SocketAddr>, directory: &Path) -> Vec<OsString> {
+        let mut texts = vec![
+            "target".to_owned(),
+            format!("--name={}", self.name),
+            format!("--service={}", self.service),
+            format!("--version={}", self.version),
+            format!("--slots={}", self.slots),
+            format!("--service-time-ms={}", self.service_time_ms),
+            format!("--cold-ms={}", self.cold_ms),
+        ];
+        texts.extend(self.address.map(|address| format!("--listen={address}")));
+        texts.extend(node.map(|node| format!("--node={node}")));
+        let marker = self.crash_marker.as_ref();
+        texts.extend(marker.map(|marker| format!("--crash-marker={marker}")));
+        let mut arguments: Vec<OsString> = texts.into_iter().map(OsString::from).collect();
+        arguments.push("--runs-file".into());
+        arguments.push(self.runs_file(directory).into());
+        arguments
+    }
+}
--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,10 @@
+//! Development tasks: stand-ins for the systems around a node, a harness that runs real
+//! processes on loopback, the demo and the scenario runner.
+
+pub mod audit;
+pub mod caller;
+pub mod errors;
+pub mod harness;
+pub mod http;
+pub mod store;
+pub mod target;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,52 @@
-//! Development tasks: stand-ins, demo, benches and scenarios.
+//! Development tasks: `cargo xtask store|target|caller`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use xtask::caller;
+use xtask::caller::CallerOptions;
+use xtask::store;
+use xtask::store::StoreOptions;
+use xtask::target;
+use xtask::target::TargetOptions;
+
+/// `Arguments` are the arguments of `cargo xtask`.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(command)]
+    task: Option<Task>,
+}
+
+/// `Task` is one development task.
+#[derive(Debug, Options)]
+enum Task {
+    #[options(help = "serve the store stand-in")]
+    Store(StoreOptions),
+    #[options(help = "serve the target stand-in")]
+    Target(TargetOptions),
+    #[options(help = "send requests and print their outcomes")]
+    Caller(CallerOptions),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let result = match arguments.task {
+        Some(Task::Store(options)) => store::run(&options),
+        Some(Task::Target(options)) => target::run(options),
+        Some(Task::Caller(options)) => caller::run(options),
+        None => {
+            eprintln!("{}", Arguments::usage());
+            eprintln!("{}", Arguments::command_list().unwrap_or_default());
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/store/fault.rs
@@ -0,0 +1,83 @@
+//! Faults of the store stand-in.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `Down` tells how the store fails while it is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Down {
+    /// Answers 503.
+    Refuse,
+    /// Breaks the connection.
+    Close,
+}
+
+/// `FaultChange` is the body of `/control/fault`; absent fields stay as they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultChange {
+    /// Takes the store down; waiting watches are cut.
+    pub down: Option<Down>,
+    /// Brings the store up again.
+    pub up: bool,
+    /// Delays every answer, in milliseconds; 0 ends the delay.
+    pub slow_ms: Option<u64>,
+    /// Ends `down` and `slow_ms` of this change after this time, in milliseconds.
+    pub for_ms: Option<u64>,
+    /// Loses the answers of the next writes that take effect.
+    pub lose_write_answers: Option<u32>,
+    /// Cuts the watches that wait now.
+    pub cut_watches: bool,
+}
+
+/// `Faults` are the faults in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// How the store fails, when it is down.
+    pub down: Option<Down>,
+    /// Delay of every answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Writes whose answer is still to be lost.
+    pub lose_write_answers: u32,
+    ends: Option<Instant>,
+}
+
+impl Faults {
+    /// `at` returns the faults in force at a time.
+    #[must_use]
+    pub fn at(mut self, now: Instant) -> Self {
+        if self.ends.is_some_and(|ends| ends <= now) {
+            self.down = None;
+            self.slow_ms = 0;
+            self.ends = None;
+        }
+        self
+    }
+
+    /// `change` applies a change.
+    #[must_use]
+    pub fn change(self, change: &FaultChange, now: Instant) -> Self {
+        let mut faults = self.at(now);
+        if change.up {
+            faults.down = None;
+            faults.ends = None;
+        }
+        if change.down.is_some() {
+            faults.down = change.down;
+        }
+        faults.slow_ms = change.slow_ms.unwrap_or(faults.slow_ms);
+        if change.down.is_some() || change.slow_ms.is_some() {
+            faults.ends = change
+                .for_ms
+                .map(|for_ms| now + Duration::from_millis(for_ms));
+        }
+        faults.lose_write_answers = change
+            .lose_write_answers
+            .unwrap_or(faults.lose_write_answers);
+        faults
+    }
+}
--- /dev/null
+++ b/xtask/src/store/state.rs
@@ -0,0 +1,292 @@
+//! Objects, limits and counters of the store stand-in.
+
+use std::collections::BTreeMap;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::units::MIB;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::store::fault::FaultChange;
+use crate::store::fault::Faults;
+
+/// `MAX_OBJECT_BYTES` is the size of the largest object.
+pub const MAX_OBJECT_BYTES: usize = MIB;
+
+/// `Kind` tells which limit a call counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Read, list or watch.
+    Read,
+    /// Conditional put or delete.
+    Write,
+}
+
+/// `Counters` count calls since the start of the stand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Reads, lists and watches admitted.
+    pub reads: u64,
+    /// Writes admitted, including refused conditions.
+    pub writes: u64,
+    /// Watches begun; each also counts as a read.
+    pub watches: u64,
+    /// Watches that wait now.
+    pub waiting_watches: u64,
+    /// Calls refused by a rate limit.
+    pub refused: u64,
+    /// Writes refused because of their condition.
+    pub conflicts: u64,
+    /// Writes that took effect and whose answer was lost.
+    pub lost_answers: u64,
+    /// Bytes of object bodies returned.
+    pub body_bytes: u64,
+}
+
+/// `Listed` is one object in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Key.
+    pub key: String,
+    /// Version.
+    pub version: u64,
+}
+
+/// `Written` is a write that took effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// New version; for a delete, the version that marks the deletion.
+    pub version: u64,
+    /// Whether the answer must be lost.
+    pub lost: bool,
+}
+
+/// `Refusal` is a write whose condition did not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Current version, 0 when the object does not exist.
+    pub current_version: u64,
+}
+
+/// `Watched` is the end of a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// A newer version and its body.
+    Newer(u64, Vec<u8>),
+    /// The time is up.
+    Unchanged,
+    /// The watch was cut by a fault.
+    Cut,
+}
+
+/// Versions continue after a deletion, so a re-created object never repeats an old version.
+#[derive(Debug, Default)]
+struct Object {
+    version: u64,
+    body: Option<Vec<u8>>,
+}
+
+impl Object {
+    fn current_version(&self) -> u64 {
+        self.body.as_ref().map_or(0, |_| self.version)
+    }
+}
+
+#[derive(Debug)]
+struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(per_s: u32, now: Instant) -> Self {
+        Self {
+            per_s: f64::from(per_s),
+            tokens: f64::from(per_s),
+            filled: now,
+        }
+    }
+
+    fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled);
+        self.filled = now;
+        self.tokens = (self.tokens + elapsed.as_secs_f64() * self.per_s).min(self.per_s);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    objects: BTreeMap<String, Object>,
+    counters: Counters,
+    faults: Faults,
+    reads: Bucket,
+    writes: Bucket,
+    watch_cuts: u64,
+}
+
+/// `State` is the shared state of the stand-in.
+#[derive(Debug)]
+pub struct State {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+}
+
+impl State {
+    /// `new` makes an empty store with rate limits.
+    #[must_use]
+    pub fn new(writes_per_s: u32, reads_per_s: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            inner: Mutex::new(Inner {
+                objects: BTreeMap::new(),
+                counters: Counters::default(),
+                faults: Faults::default(),
+                reads: Bucket::new(reads_per_s, now),
+                writes: Bucket::new(writes_per_s, now),
+                watch_cuts: 0,
+            }),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// `admit` counts a call and tells whether its rate limit admits it.
+    pub fn admit(&self, kind: Kind, now: Instant) -> bool {
+        let mut inner = self.lock();
+        let admitted = match kind {
+            Kind::Read => inner.reads.take(now),
+            Kind::Write => inner.writes.take(now),
+        };
+        match (admitted, kind) {
+            (false, _) => inner.counters.refused += 1,
+            (true, Kind::Read) => inner.counters.reads += 1,
+            (true, Kind::Write) => inner.counters.writes += 1,
+        }
+        admitted
+    }
+
+    /// `faults` returns the faults in force.
+    pub fn faults(&self, now: Instant) -> Faults {
+        self.lock().faults.at(now)
+    }
+
+    /// `change_faults` switches faults.
+    pub fn change_faults(&self, change: &FaultChange, now: Instant) {
+        let mut inner = self.lock();
+        inner.faults = inner.faults.change(change, now);
+        if change.down.is_some() || change.cut_watches {
+            inner.watch_cuts += 1;
+            self.changed.notify_all();
+        }
+    }
+
+    /// `counters` returns the counters.
+    pub fn counters(&self) -> Counters {
+        self.lock().counters
+    }
+
+    /// `list` lists the objects whose key has a prefix, sorted by key.
+    pub fn list(&self, prefix: &str) -> Vec<Listed> {
+        self.lock()
+            .objects
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, object)| object.body.is_some())
+            .map(|(key, object)| Listed {
+                key: key.clone(),
+                version: object.version,
+            })
+            .collect()
+    }
+
+    /// `read` returns version and body of an object.
+    pub fn read(&self, key: &str) -> Option<(u64, Vec<u8>)> {
+        let mut inner = self.lock();
+        let (version, body) = newer(&inner, key, 0)?;
+        inner.counters.body_bytes += body.len() as u64;
+        Some((version, body))
+    }
+
+    /// `watch` waits until the version of an object exceeds `after`.
+    pub fn watch(&self, key: &str, after: u64, wait: Duration) -> Watched {
+        let ends = Instant::now() + wait;
+        let mut inner = self.lock();
+        inner.counters.watches += 1;
+        inner.counters.waiting_watches += 1;
+        let cuts = inner.watch_cuts;
+        let result = loop {
+            if inner.watch_cuts != cuts {
+                break Watched::Cut;
+            }
+            if let Some((version, body)) = newer(&inner, key, after) {
+                inner.counters.body_bytes += body.len() as u64;
+                break Watched::Newer(version, body);
+            }
+            let left = ends.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break Watched::Unchanged;
+            }
+            let waited = self.changed.wait_timeout(inner, left);
+            inner = waited.unwrap_or_else(PoisonError::into_inner).0;
+        };
+        inner.counters.waiting_watches -= 1;
+        result
+    }
+
+    /// `put` writes an object when its version is `expected` (0: it does not exist).
+    ///
+    /// # Errors
+    /// [`Refusal`] with the current version when the condition does not hold.
+    pub fn put(&self, key: &str, expected: u64, body: Vec<u8>) -> Result<Written, Refusal> {
+        self.write(key, expected, Some(body))
+    }
+
+    /// `delete` removes an object when its version is `expected`.
+    ///
+    /// # Errors
+    /// [`Refusal`] with the current version when the condition does not hold.
+    pub fn delete(&self, key: &str, expected: u64) -> Result<Written, Refusal> {
+        self.write(key, expected, None)
+    }
+
+    fn write(&self, key: &str, expected: u64, body: Option<Vec<u8>>) -> Result<Written, Refusal> {
+        let mut inner = self.lock();
+        let current_version = inner.objects.get(key).map_or(0, Object::current_version);
+        let deletes_nothing = body.is_none() && current_version == 0;
+        if current_version != expected || deletes_nothing {
+            inner.counters.conflicts += 1;
+            return Err(Refusal { current_version });
+        }
+        let object = inner.objects.entry(key.to_owned()).or_default();
+        object.version += 1;
+        object.body = body;
+        let version = object.version;
+        let lost = inner.faults.lose_write_answers > 0;
+        if lost {
+            inner.faults.lose_write_answers -= 1;
+            inner.counters.lost_answers += 1;
+        }
+        self.changed.notify_all();
+        Ok(Written { version, lost })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn newer(inner: &Inner, key: &str, after: u64) -> Option<(u64, Vec<u8>)> {
+    let object = inner.objects.get(key)?;
+    let body = object.body.as_ref()?;
+    (object.version > after).then(|| (object.version, body.clone()))
+}
--- /dev/null
+++ b/xtask/src/target/state.rs
@@ -0,0 +1,317 @@
+//! Slots, runs and faults of the target stand-in.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::units::duration_ms;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::target::TargetOptions;
+use crate::target::fault::FaultChange;
+
+/// The share of failing requests is drawn from this seed, so that two runs draw alike.
+const FAULT_SEED: u64 = 1;
+
+/// `Run` documents one request that was taken into a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Name of the target.
+    pub target: String,
+    /// Version of the target.
+    pub version: String,
+    /// Header `x-request-id`.
+    pub request_id: String,
+    /// Header `idempotency-key`.
+    pub idempotency_key: Option<String>,
+    /// Header `hemlockfall-attempt`.
+    pub attempt: Option<String>,
+    /// Path.
+    pub path: String,
+    /// When the run began, in unix milliseconds.
+    pub at_unix_ms: u64,
+}
+
+/// `Summary` is the answer of `/control/state`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Whether the node accepted the announcement.
+    pub accepted: bool,
+    /// Whether the target is draining.
+    pub draining: bool,
+    /// Requests that run now.
+    pub running: usize,
+    /// Runs begun since the start.
+    pub runs: usize,
+    /// Requests shed before they ran.
+    pub shed: u64,
+    /// Runs that ended early because of a cancellation.
+    pub cancelled: u64,
+}
+
+/// `RunPlan` is how a run will go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunPlan {
+    /// Time that the run takes.
+    pub duration: Duration,
+    /// Whether it ends with a failure.
+    pub fails: bool,
+}
+
+/// `Admitted` tells whether a request got a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// The request runs.
+    Runs {
+        /// Identifies the run in this process.
+        slot: u64,
+        /// How the run will go.
+        plan: RunPlan,
+    },
+    /// The request was shed before it ran.
+    Shed,
+}
+
+/// `Ended` tells how a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// After its whole time.
+    Finished,
+    /// After a cancellation.
+    Cancelled,
+    /// When its deadline passed.
+    DeadlinePassed,
+}
+
+#[derive(Debug)]
+struct Running {
+    slot: u64,
+    attempt: Option<String>,
+    cancelled: bool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    running: Vec<Running>,
+    runs: Vec<Run>,
+    runs_file: Option<File>,
+    next_slot: u64,
+    summary: Summary,
+    fault: FaultChange,
+    fault_since: Instant,
+    random: StdRng,
+}
+
+/// `State` is the shared state of the stand-in.
+#[derive(Debug)]
+pub struct State {
+    options: TargetOptions,
+    started: Instant,
+    inner: Mutex<Inner>,
+    changed: Condvar,
+}
+
+impl State {
+    /// `new` makes an idle target.
+    ///
+    /// # Errors
+    /// [`Error::Resource`] when the file of runs cannot be opened.
+    pub fn new(options: TargetOptions) -> Result<Self> {
+        let runs_file = options
+            .runs_file
+            .as_ref()
+            .map(|path| {
+                OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(path)
+                    .map_err(|error| Error::resource(path.display().to_string(), error))
+            })
+            .transpose()?;
+        let now = Instant::now();
+        Ok(Self {
+            options,
+            started: now,
+            inner: Mutex::new(Inner {
+                running: Vec::new(),
+                runs: Vec::new(),
+                runs_file,
+                next_slot: 0,
+                summary: Summary {
+                    accepted: false,
+                    draining: false,
+                    running: 0,
+                    runs: 0,
+                    shed: 0,
+                    cancelled: 0,
+                },
+                fault: FaultChange::default(),
+                fault_since: now,
+                random: StdRng::seed_from_u64(FAULT_SEED),
+            }),
+            changed: Condvar::new(),
+        })
+    }
+
+    /// `options` returns the options of the target.
+    #[must_use]
+    pub fn options(&self) -> &TargetOptions {
+        &self.options
+    }
+
+    /// `admit` takes a request into a slot, or sheds it. The run is on record, and in the
+    /// file of runs, before it starts; a killed target cannot hide it.
+    pub fn admit(&self, run: &Run) -> Admitted {
+        let mut inner = self.lock();
+        if inner.summary.draining || inner.running.len() >= usize::from(self.options.slots) {
+            inner.summary.shed += 1;
+            return Admitted::Shed;
+        }
+        if !append(inner.runs_file.as_mut(), run) {
+            inner.summary.shed += 1;
+            return Admitted::Shed;
+        }
+        inner.runs.push(run.clone());
+        inner.next_slot += 1;
+        let slot = inner.next_slot;
+        inner.running.push(Running {
+            slot,
+            attempt: run.attempt.clone(),
+            cancelled: false,
+        });
+        let plan = self.plan(&mut inner, &run.path);
+        Admitted::Runs { slot, plan }
+    }
+
+    /// `wait` lets a run take its time, unless it is cancelled or its deadline passes.
+    pub fn wait(&self, slot: u64, duration: Duration, deadline: Option<Instant>) -> Ended {
+        let whole = Instant::now() + duration;
+        let ends = deadline.map_or(whole, |deadline| deadline.min(whole));
+        let mut inner = self.lock();
+        loop {
+            let cancelled = inner
+                .running
+                .iter()
+                .any(|running| running.slot == slot && running.cancelled);
+            if cancelled {
+                inner.summary.cancelled += 1;
+                return Ended::Cancelled;
+            }
+            let left = ends.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let waited = self.changed.wait_timeout(inner, left);
+            inner = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        if ends < whole {
+            Ended::DeadlinePassed
+        } else {
+            Ended::Finished
+        }
+    }
+
+    /// `finish` frees a slot after the answer was sent.
+    pub fn finish(&self, slot: u64) {
+        let mut inner = self.lock();
+        inner.running.retain(|running| running.slot != slot);
+        self.changed.notify_all();
+    }
+
+    /// `cancel` marks a running attempt as cancelled and tells whether it ran.
+    pub fn cancel(&self, attempt: &str) -> bool {
+        let mut inner = self.lock();
+        let found = inner
+            .running
+            .iter_mut()
+            .find(|running| running.attempt.as_deref() == Some(attempt));
+        let Some(running) = found else {
+            return false;
+        };
+        running.cancelled = true;
+        self.changed.notify_all();
+        true
+    }
+
+    /// `change_fault` replaces the fault in force.
+    pub fn change_fault(&self, change: FaultChange) {
+        let mut inner = self.lock();
+        inner.fault = change;
+        inner.fault_since = Instant::now();
+    }
+
+    /// `set_accepted` records whether the node accepted the announcement.
+    pub fn set_accepted(&self, accepted: bool) {
+        self.lock().summary.accepted = accepted;
+    }
+
+    /// `drain` stops taking requests and waits, at most `bound`, for those that run.
+    pub fn drain(&self, bound: Duration) {
+        let ends = Instant::now() + bound;
+        let mut inner = self.lock();
+        inner.summary.draining = true;
+        while !inner.running.is_empty() {
+            let left = ends.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            let waited = self.changed.wait_timeout(inner, left);
+            inner = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// `runs` returns the record of every run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// `summary` returns the state in numbers.
+    pub fn summary(&self) -> Summary {
+        let inner = self.lock();
+        Summary {
+            running: inner.running.len(),
+            runs: inner.runs.len(),
+            ..inner.summary
+        }
+    }
+
+    fn plan(&self, inner: &mut Inner, path: &str) -> RunPlan {
+        let age_ms = duration_ms(inner.fault_since.elapsed());
+        let faulty = inner.fault.applies(path, inner.running.len(), age_ms);
+        let cold = duration_ms(self.started.elapsed()) < self.options.cold_ms;
+        let factor = if cold { self.options.cold_factor } else { 1 };
+        let slow_ms = if faulty { inner.fault.slow_ms } else { 0 };
+        let drawn: u16 = inner.random.random_range(0..1000);
+        RunPlan {
+            duration: Duration::from_millis(self.options.service_time_ms * factor + slow_ms),
+            fails: faulty && drawn < inner.fault.fail_permille,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn append(file: Option<&mut File>, run: &Run) -> bool {
+    let Some(file) = file else {
+        return true;
+    };
+    let Ok(mut line) = serde_json::to_vec(run) else {
+        return false;
+    };
+    line.push(b'\n');
+    file.write_all(&line).is_ok()
+}
