--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod errors;
 pub mod harness;
 pub mod http;
+pub mod scenario;
 pub mod store;
 pub mod target;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,12 @@
-//! Development tasks: `cargo xtask store|target|caller`.
+//! Development tasks: `cargo xtask store|target|caller|scenarios`.
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 use xtask::caller;
 use xtask::caller::CallerOptions;
+use xtask::scenario::command;
+use xtask::scenario::command::ScenariosOptions;
 use xtask::store;
 use xtask::store::StoreOptions;
 use xtask::target;
@@ -28,6 +30,8 @@
     Target(TargetOptions),
     #[options(help = "send requests and print their outcomes")]
     Caller(CallerOptions),
+    #[options(help = "run scenario files against real processes")]
+    Scenarios(ScenariosOptions),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +40,7 @@
         Some(Task::Store(options)) => store::run(&options),
         Some(Task::Target(options)) => target::run(options),
         Some(Task::Caller(options)) => caller::run(options),
+        Some(Task::Scenarios(options)) => command::run(&options),
         None => {
             eprintln!("{}", Arguments::usage());
             eprintln!("{}", Arguments::command_list().unwrap_or_default());
--- /dev/null
+++ b/xtask/src/scenario/mod.rs
@@ -0,0 +1,34 @@
+//! Scenario language: small text files, one story each, run against real processes.
+//!
+//! One step per line; `#` begins a comment. Durations are written `3 s` or `250 ms`.
+//!
+//! ```text
+//! seed N
+//! long
+//! start store [writes N per s] [reads N per s]
+//! start node NODE region REGION data-centre DC
+//! start target TARGET at NODE service SERVICE version VERSION
+//!     [slots N] [service-time T] [cold T] [crash-marker "TEXT"]      (on one line)
+//! apply catalogue "FILE" [through NODE] [expect refused]
+//! race catalogue "FILE" through NODE with "FILE" through NODE
+//! send N requests to SERVICE path PATH through NODE[,NODE...] key unique|once|none
+//!     [body "TEXT"] [rate N per s] [concurrency N] [timeout T] [resend N] [in background]
+//! wait for N runs within T
+//! wait for sends within T
+//! wait for answers from SERVICE path PATH through NODE within T
+//! kill NAME | kill vm NODE | stop NAME | restart NAME | restart all nodes
+//! freeze NAME for T
+//! store down for T | store closed for T | store slow T for T
+//! store loses answer of next N writes | store cuts watches
+//! target TARGET fails N permille [path PATH] [above N] [after T]
+//! target TARGET slow T [path PATH] [above N] [after T]
+//! expect revision N on all|NODE within T
+//! expect no double runs | no wrong answers | no false not-run
+//! expect at least N answered
+//! expect at most N unknown|not-run|store-writes
+//! ```
+
+pub mod command;
+pub mod model;
+pub mod parser;
+pub mod runner;
--- /dev/null
+++ b/xtask/tests/scenarios.rs
@@ -0,0 +1,48 @@
+//! Runs every scenario file that is not marked `long` against real processes.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use xtask::harness::programs::Programs;
+use xtask::scenario::command;
+use xtask::scenario::model::Scenario;
+use xtask::scenario::parser;
+use xtask::scenario::runner;
+
+/// Few at once, so that the bounds of the scenarios are not missed for lack of processors.
+const AT_ONCE: usize = 2;
+
+fn short_scenarios() -> Vec<Scenario> {
+    let files = command::all_files().expect("the directory exists");
+    let mut scenarios = Vec::new();
+    for file in files {
+        scenarios.push(parser::read(&file).expect("the file follows the language"));
+    }
+    scenarios.retain(|scenario| !scenario.long);
+    scenarios
+}
+
+/// Guards against failures that only show between real processes; see each file's first line.
+#[test]
+fn scenarios_hold() {
+    let scenarios = short_scenarios();
+    let programs = Programs::locate().expect("the programs can be built");
+    let next = AtomicUsize::new(0);
+    let failures = Mutex::new(Vec::new());
+
+    std::thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| {
+                while let Some(scenario) = scenarios.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    if let Err(error) = runner::run(scenario, &programs, |_| {}) {
+                        failures.lock().expect("no panic").push(error.to_string());
+                    }
+                }
+            });
+        }
+    });
+
+    let failures = failures.into_inner().expect("no panic");
+    assert!(failures.is_empty(), "{}", failures.join("\n\n"));
+}
