Add the demo of a small installation

Cause: the guarantees need one short run that measures them together: 12 nodes in two regions, 2,400 requests of both kinds, a killed VM and a new version on two more VMs.

Every figure in the last line is computed from the callers' reports, the targets' records of runs and the nodes' metrics; the exit status is non-zero when a guarantee was broken or a step failed.

Measured: without a node it stops at the first node, prints the JSON line with the error and exits with a non-zero status. It has not been run with a node.

--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,325 @@
+//! `cargo xtask demo`: a small installation for less than a minute, with a killed VM and a new
+//! version; measures and checks the guarantees.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use gumdrop::Options;
+use hemlockfall_core::units::duration_ms;
+use serde::Serialize;
+
+use crate::audit::Audit;
+use crate::caller;
+use crate::caller::CallerReport;
+use crate::caller::KeyMode;
+use crate::caller::RequestKind;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::harness::Cluster;
+use crate::harness::StoreLimits;
+use crate::harness::calls;
+use crate::harness::programs::Programs;
+use crate::harness::target::TargetSpec;
+use crate::harness::wait;
+
+/// The demo ends by itself within 60 s; the rest is left for ending its processes.
+const TIME_LIMIT: Duration = Duration::from_secs(55);
+/// Bound of convergence from the design page (invariant I10).
+const CONVERGENCE_BOUND: Duration = Duration::from_secs(7);
+const ANSWER_BOUND: Duration = Duration::from_secs(10);
+const REQUESTS_PER_CALLER: usize = 1_200;
+const RATE_PER_CALLER_PER_S: u64 = 80;
+const RESENDS: usize = 2;
+const KILLED_VM: &str = "vm-2";
+const LOG_LINES: usize = 3;
+
+/// Node, region, data centre, service and slots: both deployments of the design page, with
+/// fewer VMs, in one mesh of two regions.
+const VMS: [(&str, &str, &str, &str, u16); 12] = [
+    ("vm-1", "west", "west-1", "order-desk", 12),
+    ("vm-2", "west", "west-1", "order-desk", 12),
+    ("vm-3", "west", "west-1", "jobdesk", 6),
+    ("vm-4", "west", "west-2", "order-desk", 12),
+    ("vm-5", "west", "west-2", "catalogue-feed", 12),
+    ("vm-6", "west", "west-2", "filmstore", 6),
+    ("vm-7", "east", "east-1", "order-desk", 12),
+    ("vm-8", "east", "east-1", "jobdesk", 6),
+    ("vm-9", "east", "east-1", "catalogue-feed", 12),
+    ("vm-10", "east", "east-2", "jobdesk", 6),
+    ("vm-11", "east", "east-2", "filmstore", 6),
+    ("vm-12", "east", "east-2", "catalogue-feed", 12),
+];
+const NEW_VMS: [(&str, &str, &str, &str, u16); 2] = [
+    ("vm-13", "west", "west-2", "order-desk", 12),
+    ("vm-14", "east", "east-2", "order-desk", 12),
+];
+/// Service, path, whether a request may run more than once, services it calls.
+const ROUTES: [(&str, &str, bool, &str); 4] = [
+    ("catalogue-feed", "/prices", true, ""),
+    ("order-desk", "/orders", false, "\"catalogue-feed\""),
+    ("filmstore", "/film", true, ""),
+    ("jobdesk", "/cuts", false, "\"filmstore\""),
+];
+/// Time for the move to the new version, so that it ends within the demo.
+const MOVE_FINISH_IN_S: u32 = 15;
+
+/// `DemoOptions` are the options of the demo.
+#[derive(Clone, Debug, Options)]
+pub struct DemoOptions {
+    /// Print help.
+    #[options(help = "print help")]
+    pub help: bool,
+    /// Seed of the callers' keys.
+    #[options(default = "1", meta = "N", help = "seed of the callers' keys")]
+    pub seed: u64,
+}
+
+/// `DemoReport` is the last line of the demo's output.
+#[derive(Clone, Debug, Default, Serialize)]
+struct DemoReport {
+    #[serde(flatten)]
+    audit: Audit,
+    nodes: usize,
+    converged_ms: Option<u64>,
+    answers_by_new_version: usize,
+    runs: usize,
+    store_reads: u64,
+    store_writes: u64,
+    duration_ms: u64,
+    error: Option<String>,
+}
+
+struct Demo {
+    cluster: Cluster,
+    begun: Instant,
+    report: DemoReport,
+}
+
+/// `run` runs the demo and prints the report as its last line.
+///
+/// # Errors
+/// [`Error::Unmet`] when a guarantee was broken, any other error when a step failed.
+pub fn run(options: &DemoOptions) -> Result<()> {
+    let begun = Instant::now();
+    let mut demo = Demo {
+        cluster: Cluster::new(Programs::locate()?, "")?,
+        begun,
+        report: DemoReport::default(),
+    };
+    let result = demo.play(options.seed).and_then(|()| demo.verdict());
+    if let Err(error) = &result {
+        eprintln!("{}", demo.cluster.log_tails(LOG_LINES));
+        demo.report.error = Some(error.to_string());
+    }
+    demo.report.duration_ms = duration_ms(begun.elapsed());
+    let line = serde_json::to_string(&demo.report)
+        .map_err(|error| Error::resource("demo report", error))?;
+    println!("{line}");
+    result
+}
+
+impl Demo {
+    fn play(&mut self, seed: u64) -> Result<()> {
+        self.say("starting the store, 12 nodes and their targets");
+        self.cluster.start_store(StoreLimits::default())?;
+        self.start_vms(&VMS, "v1")?;
+        self.apply("v1")?;
+        self.wait_answers()?;
+        let callers = self.start_callers(seed)?;
+        self.wait_runs(REQUESTS_PER_CALLER / 2)?;
+        self.say(&format!("killing {KILLED_VM}, node and target"));
+        self.cluster.kill_vm(KILLED_VM)?;
+        self.wait_runs(REQUESTS_PER_CALLER)?;
+        self.say("starting version v2 of order-desk on two new VMs");
+        self.start_vms(&NEW_VMS, "v2")?;
+        self.apply("v2")?;
+        self.say("waiting for the callers");
+        let mut reports = Vec::new();
+        for name in &callers {
+            let left = TIME_LIMIT.saturating_sub(self.begun.elapsed());
+            reports.push(self.cluster.finish_caller(name, left)?);
+        }
+        self.measure(&reports)
+    }
+
+    fn start_vms(&mut self, vms: &[(&str, &str, &str, &str, u16)], version: &str) -> Result<()> {
+        for (node, region, data_centre, service, slots) in vms {
+            self.cluster.start_node(node, region, data_centre)?;
+            let name = format!("{node}-target");
+            let mut target = TargetSpec::new(&name, Some(node), service, version);
+            target.slots = *slots;
+            self.cluster.start_target(target)?;
+            self.report.nodes += 1;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, order_desk_version: &str) -> Result<()> {
+        self.say(&format!(
+            "applying the catalogue with order-desk {order_desk_version}"
+        ));
+        let file = self.write_catalogue(order_desk_version)?;
+        let before = self.cluster.node("vm-1")?.revision().unwrap_or(0);
+        let applied = self.cluster.apply_catalogue(&file, "vm-1")?;
+        if !applied.accepted {
+            return Err(Error::process("catalogue apply", applied.output));
+        }
+        let accepted = Instant::now();
+        let nodes: Vec<_> = self
+            .cluster
+            .nodes()
+            .iter()
+            .filter(|node| order_desk_version == "v1" || node.name != KILLED_VM)
+            .cloned()
+            .collect();
+        // Every changed entry makes one revision.
+        let changed = entries(order_desk_version).count() as u64;
+        let revision = before + changed;
+        wait::until("revision on all nodes", CONVERGENCE_BOUND, || {
+            let behind = nodes.iter().filter(|node| node.revision() < Some(revision));
+            let behind: Vec<&str> = behind.map(|node| node.name.as_str()).collect();
+            behind.is_empty().then_some(()).ok_or(behind.join(", "))
+        })?;
+        let converged_ms = duration_ms(accepted.elapsed());
+        self.say(&format!(
+            "revision {revision} in force after {converged_ms} ms"
+        ));
+        self.report.converged_ms = self.report.converged_ms.max(Some(converged_ms));
+        Ok(())
+    }
+
+    fn write_catalogue(&self, order_desk_version: &str) -> Result<PathBuf> {
+        let file = self
+            .cluster
+            .directory()
+            .join(format!("catalogue-{order_desk_version}.toml"));
+        std::fs::write(&file, catalogue(order_desk_version))
+            .map_err(|error| Error::resource(file.display().to_string(), error))?;
+        Ok(file)
+    }
+
+    fn wait_answers(&self) -> Result<()> {
+        let through = vec![self.cluster.node("vm-1")?.caller_address];
+        for (service, path, _, _) in ROUTES {
+            let mut options = calls::options(through.clone(), vec![kind(service, path, true)], 1);
+            options.timeout_ms = 1_000;
+            "probe".clone_into(&mut options.prefix);
+            wait::until(&format!("answers from {service}"), ANSWER_BOUND, || {
+                let report =
+                    caller::send_all(options.clone()).map_err(|error| error.to_string())?;
+                let whole = report.sends.iter().any(|send| send.whole);
+                whole.then_some(()).ok_or_else(|| format!("{report:?}"))
+            })?;
+        }
+        Ok(())
+    }
+
+    fn start_callers(&mut self, seed: u64) -> Result<[String; 2]> {
+        let through: Vec<_> = self
+            .cluster
+            .nodes()
+            .iter()
+            .map(|node| node.caller_address)
+            .collect();
+        let names = ["importers".to_owned(), "installers".to_owned()];
+        for (index, name) in names.iter().enumerate() {
+            let kinds = ROUTES[2 * index..2 * index + 2]
+                .iter()
+                .map(|(service, path, repeatable, _)| kind(service, path, *repeatable))
+                .collect();
+            let mut options = calls::options(through.clone(), kinds, REQUESTS_PER_CALLER);
+            options.prefix.clone_from(name);
+            options.rate_per_s = RATE_PER_CALLER_PER_S;
+            options.resends = RESENDS;
+            options.seed = seed.wrapping_add(index as u64);
+            self.cluster.start_caller(name, &options)?;
+        }
+        self.say(&format!(
+            "two callers send {} requests",
+            2 * REQUESTS_PER_CALLER
+        ));
+        Ok(names)
+    }
+
+    fn wait_runs(&self, count: usize) -> Result<()> {
+        let left = TIME_LIMIT.saturating_sub(self.begun.elapsed());
+        wait::until(&format!("{count} runs"), left, || {
+            let runs = self.cluster.runs().map_err(|error| error.to_string())?;
+            (runs.len() >= count)
+                .then_some(())
+                .ok_or_else(|| format!("{} runs", runs.len()))
+        })
+    }
+
+    fn measure(&mut self, reports: &[CallerReport]) -> Result<()> {
+        let runs = self.cluster.runs()?;
+        let counters = self.cluster.counters()?;
+        self.report.audit = Audit::of(reports, &runs);
+        self.report.runs = runs.len();
+        self.report.store_reads = counters.reads;
+        self.report.store_writes = counters.writes;
+        self.report.answers_by_new_version = reports
+            .iter()
+            .flat_map(|report| &report.sends)
+            .filter(|send| send.version.as_deref() == Some("v2"))
+            .count();
+        Ok(())
+    }
+
+    fn verdict(&self) -> Result<()> {
+        let audit = &self.report.audit;
+        if !audit.is_clean() {
+            return Err(Error::unmet(format!("a guarantee was broken: {audit:?}")));
+        }
+        if audit.answered_whole == 0 {
+            return Err(Error::unmet("no request was answered"));
+        }
+        let bound_ms = duration_ms(CONVERGENCE_BOUND);
+        if self
+            .report
+            .converged_ms
+            .is_none_or(|converged_ms| converged_ms > bound_ms)
+        {
+            return Err(Error::unmet(format!("convergence within {bound_ms} ms")));
+        }
+        Ok(())
+    }
+
+    fn say(&self, text: &str) {
+        println!("{:5.1} s  {text}", self.begun.elapsed().as_secs_f32());
+    }
+}
+
+fn kind(service: &str, path: &str, repeatable: bool) -> RequestKind {
+    RequestKind {
+        service: service.to_owned(),
+        path: path.to_owned(),
+        key: if repeatable {
+            KeyMode::None
+        } else {
+            KeyMode::Unique
+        },
+    }
+}
+
+/// The first file holds all entries, a later one only the entry that gets a new version.
+fn entries(
+    version: &str,
+) -> impl Iterator<Item = (&'static str, &'static str, bool, &'static str)> {
+    ROUTES
+        .into_iter()
+        .filter(move |(service, ..)| version == "v1" || *service == "order-desk")
+}
+
+fn catalogue(version: &str) -> String {
+    let entries = entries(version).map(|(service, path, repeatable, depends_on)| {
+        format!(
+            "[[service]]\nname = \"{service}\"\nowner = \"demo\"\nversion = \"{version}\"\n\
+             [service.move]\nfinish_in_s = {MOVE_FINISH_IN_S}\n\
+             [[service.route]]\nname = \"main\"\npath_prefix = \"{path}\"\n\
+             repeatable = {repeatable}\ndepends_on = [{depends_on}]\n"
+        )
+    });
+    entries.collect()
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod audit;
 pub mod caller;
+pub mod demo;
 pub mod errors;
 pub mod harness;
 pub mod http;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,12 @@
-//! Development tasks: `cargo xtask store|target|caller|scenarios`.
+//! Development tasks: `cargo xtask store|target|caller|demo|scenarios`.
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 use xtask::caller;
 use xtask::caller::CallerOptions;
+use xtask::demo;
+use xtask::demo::DemoOptions;
 use xtask::scenario::command;
 use xtask::scenario::command::ScenariosOptions;
 use xtask::store;
@@ -30,6 +32,8 @@
     Target(TargetOptions),
     #[options(help = "send requests and print their outcomes")]
     Caller(CallerOptions),
+    #[options(help = "run a small installation for a minute and check its guarantees")]
+    Demo(DemoOptions),
     #[options(help = "run scenario files against real processes")]
     Scenarios(ScenariosOptions),
 }
@@ -40,6 +44,7 @@
         Some(Task::Store(options)) => store::run(&options),
         Some(Task::Target(options)) => target::run(options),
         Some(Task::Caller(options)) => caller::run(options),
+        Some(Task::Demo(options)) => demo::run(&options),
         Some(Task::Scenarios(options)) => command::run(&options),
         None => {
             eprintln!("{}", Arguments::usage());
