--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,13 @@
+//! Development tasks: stand-ins for the systems around a node, a harness that runs real
+//! processes on loopback, the demo and the scenario runner.
+
+pub mod audit;
+pub mod bench;
+pub mod caller;
+pub mod demo;
+pub mod errors;
+pub mod harness;
+pub mod http;
+pub mod scenario;
+pub mod store;
+pub mod target;
