Add the store client with catalogue commits and leases

Nodes and operators need conditional updates whose lost answers do not turn into lost or doubled changes. The client keeps three effects of a failed write apart: none, conflict, unknown.

Lost answers are settled by reading back. While the object still has the version that the write was conditional on, the write may yet arrive, so it is repeated with the same condition; only one of the two can succeed. Deleting a released lease was ruled out because a new object would restart the terms.

--- /dev/null
+++ b/crates/store/src/catalogue.rs
@@ -0,0 +1,210 @@
+//! The catalogue object: reading it, changing it, and settling changes with a lost answer.
+
+use std::thread;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::ChangeRecord;
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::catalogue::edit::Author;
+use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::catalogue::validate;
+use hemlockfall_core::codec;
+use hemlockfall_core::ids::Revision;
+use hemlockfall_core::units::MIB;
+
+use crate::backoff::Backoff;
+use crate::client::Client;
+use crate::client::Object;
+use crate::client::Written;
+use crate::errors::Error;
+use crate::errors::PendingCommit;
+use crate::errors::Result;
+use crate::history;
+
+/// `KEY` names the object that holds the catalogue.
+pub const KEY: &str = "catalogue/current";
+/// Limit of the decompressed catalogue; the compressed one is limited by the store.
+const CATALOGUE_LIMIT_BYTES: usize = 16 * MIB;
+
+/// `Versioned` is the catalogue with the version of its object (0: there is none yet).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Versioned {
+    /// Version of the object.
+    pub version: u64,
+    /// The catalogue.
+    pub stored: StoredCatalogue,
+}
+
+/// `Committed` is an accepted change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Committed {
+    /// Revision that the change made.
+    pub revision: Revision,
+    /// The catalogue now; it may hold later changes as well.
+    pub catalogue: Versioned,
+}
+
+/// `Settled` is what reading back told about a change with a lost answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The change took effect.
+    Accepted(Box<Committed>),
+    /// The change did not take effect and never will.
+    NotApplied,
+    /// The object has not changed since, so the write may still arrive.
+    Undecided,
+}
+
+/// `decode` reads the value of the catalogue object and validates it.
+///
+/// # Errors
+/// [`Error::Malformed`] when it is no catalogue or an invalid one.
+pub fn decode(body: &[u8]) -> Result<StoredCatalogue> {
+    let malformed = |error: hemlockfall_core::errors::Error| {
+        Error::malformed(format!("`{KEY}` is no valid catalogue: {error}"))
+    };
+    let stored: StoredCatalogue = codec::decode(body, CATALOGUE_LIMIT_BYTES).map_err(malformed)?;
+    validate::check(&stored.configuration).map_err(malformed)?;
+    Ok(stored)
+}
+
+/// `read` reads the catalogue; an absent object is the empty catalogue.
+///
+/// # Errors
+/// Failures of [`Client::get`], and [`Error::Malformed`].
+pub fn read(client: &Client) -> Result<Versioned> {
+    let mut backoff = client.backoff();
+    read_within(client, &mut backoff)
+}
+
+fn read_within(client: &Client, backoff: &mut Backoff) -> Result<Versioned> {
+    client
+        .get_within(KEY, backoff)?
+        .map_or_else(|| Ok(Versioned::default()), |object| versioned(&object))
+}
+
+fn versioned(object: &Object) -> Result<Versioned> {
+    Ok(Versioned {
+        version: object.version,
+        stored: decode(&object.body)?,
+    })
+}
+
+/// `commit` applies an edit to the catalogue in the store.
+///
+/// A conflict caused by another entry is repeated on the new catalogue. A lost answer is
+/// settled by reading back the operation id. An operation id that is already in the catalogue
+/// is not applied again, so a caller may repeat a commit with the same author.
+///
+/// # Errors
+/// [`Error::Refused`] when the catalogue does not take the edit, [`Error::CommitUnknown`]
+/// when a lost answer could not be settled in time, and failures without an effect.
+pub fn commit(client: &Client, edit: &Edit, author: &Author) -> Result<Committed> {
+    let mut backoff = client.backoff();
+    let mut before = read_within(client, &mut backoff)?;
+    loop {
+        if let Some(committed) = committed(&before, author) {
+            return Ok(committed);
+        }
+        let after = edit.apply(&before.stored, author)?;
+        history::archive(client, &before.stored, &mut backoff).map_err(without_effect)?;
+        match write(client, &before, &after, author, &mut backoff)? {
+            Written::Done(version) => return Ok(accepted(version, after)),
+            Written::Found(object) => {
+                // The write was conditional on `before`, so its revision is that of `after`.
+                return Ok(Committed {
+                    revision: after.configuration.revision,
+                    catalogue: versioned(&object)?,
+                });
+            }
+            Written::Superseded(object) => before = reread(object.as_ref())?,
+        }
+        let Some(wait) = backoff.next_wait(Instant::now(), None) else {
+            return Err(Error::Conflict {
+                key: KEY.to_owned(),
+                current_version: Some(before.version),
+            });
+        };
+        thread::sleep(wait);
+    }
+}
+
+fn reread(object: Option<&Object>) -> Result<Versioned> {
+    object.map_or_else(|| Ok(Versioned::default()), versioned)
+}
+
+/// The archive holds no change of the catalogue, so a lost answer to it is not one to the edit.
+fn without_effect(error: Error) -> Error {
+    match error {
+        Error::OutcomeUnknown { reason } => Error::unreachable(reason),
+        other => other,
+    }
+}
+
+fn write(
+    client: &Client,
+    before: &Versioned,
+    after: &StoredCatalogue,
+    author: &Author,
+    backoff: &mut Backoff,
+) -> Result<Written> {
+    let body = codec::encode(after)?;
+    let pending = PendingCommit {
+        operation_id: author.operation_id,
+        base_version: before.version,
+        base_revision: before.stored.configuration.revision,
+    };
+    let is_own = |object: &Object| {
+        let catalogue = decode(&object.body)?;
+        let id = pending.operation_id;
+        let change = history::find_operation(client, &catalogue, id, pending.base_revision)?;
+        Ok(change.is_some())
+    };
+    client
+        .put_settled(KEY, before.version, &body, is_own, backoff)
+        .map_err(|error| match error {
+            Error::OutcomeUnknown { reason } => Error::CommitUnknown { pending, reason },
+            other => other,
+        })
+}
+
+fn accepted(version: u64, after: StoredCatalogue) -> Committed {
+    Committed {
+        revision: after.configuration.revision,
+        catalogue: Versioned {
+            version,
+            stored: after,
+        },
+    }
+}
+
+fn committed(catalogue: &Versioned, author: &Author) -> Option<Committed> {
+    let is_own = |change: &&ChangeRecord| change.operation_id == author.operation_id;
+    let change = catalogue.stored.changes.iter().rev().find(is_own)?;
+    Some(Committed {
+        revision: change.revision,
+        catalogue: catalogue.clone(),
+    })
+}
+
+/// `settle` reads back whether a change with a lost answer took effect.
+///
+/// # Errors
+/// Failures of reading; the change stays unknown.
+pub fn settle(client: &Client, pending: &PendingCommit) -> Result<Settled> {
+    let catalogue = read(client)?;
+    let found = history::find_operation(
+        client,
+        &catalogue.stored,
+        pending.operation_id,
+        pending.base_revision,
+    )?;
+    Ok(match found {
+        Some(change) => Settled::Accepted(Box::new(Committed {
+            revision: change.revision,
+            catalogue,
+        })),
+        None if catalogue.version > pending.base_version => Settled::NotApplied,
+        None => Settled::Undecided,
+    })
+}
--- /dev/null
+++ b/crates/store/src/lease.rs
@@ -0,0 +1,205 @@
+//! Leases: exclusive ownership for a limited time, fenced by a term.
+//!
+//! The term rises with each new holder and never falls: a released lease keeps its object,
+//! with an expiry in the past, because a deleted object would restart the terms at 1.
+
+use std::time::Duration;
+
+use hemlockfall_core::units;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::client::Client;
+use crate::client::Object;
+use crate::client::Written;
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// `LeaseRecord` is the value of a lease object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Who holds the lease.
+    pub holder: SmolStr,
+    /// Rises with each acquisition.
+    pub term: u64,
+    /// When the lease ends, in unix milliseconds; 0 when it was released.
+    pub expires_unix_ms: u64,
+    /// Identifies the write, so that a lost answer can be settled.
+    pub operation_id: Uuid,
+}
+
+/// `Lease` is a lease that this process acquired.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lease {
+    key: String,
+    version: u64,
+    record: LeaseRecord,
+}
+
+impl Lease {
+    /// `term` returns the fencing term.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.record.term
+    }
+
+    /// `expires_unix_ms` returns when the lease ends, in unix milliseconds.
+    #[must_use]
+    pub fn expires_unix_ms(&self) -> u64 {
+        self.record.expires_unix_ms
+    }
+
+    /// `is_valid` tells whether the holder may still act on the lease.
+    #[must_use]
+    pub fn is_valid(&self, now_unix_ms: u64) -> bool {
+        now_unix_ms < self.record.expires_unix_ms
+    }
+
+    /// `acquire` takes a lease that nobody holds, that has expired, or that the same holder
+    /// left behind in an earlier life.
+    ///
+    /// # Errors
+    /// [`Error::LeaseHeld`], [`Error::OutcomeUnknown`], and failures without an effect.
+    pub fn acquire(
+        client: &Client,
+        key: &str,
+        holder: &str,
+        duration: Duration,
+        now_unix_ms: u64,
+    ) -> Result<Self> {
+        let object = client.get(key)?;
+        let (version, term) = match &object {
+            None => (0, 0),
+            Some(object) => {
+                let record = decode(key, object)?;
+                let skew_ms = client.options().lease_clock_skew_ms;
+                check_free(&record, holder, skew_ms, now_unix_ms)?;
+                (object.version, record.term)
+            }
+        };
+        let record = LeaseRecord {
+            holder: holder.into(),
+            term: term + 1,
+            expires_unix_ms: now_unix_ms.saturating_add(units::duration_ms(duration)),
+            operation_id: Uuid::new_v4(),
+        };
+        match write(client, key, version, &record)? {
+            Written::Done(version) | Written::Found(Object { version, .. }) => Ok(Self {
+                key: key.to_owned(),
+                version,
+                record,
+            }),
+            Written::Superseded(object) => Err(held_by_other(key, object.as_ref())),
+        }
+    }
+
+    /// `renew` extends the lease. After an error the lease is as before; when the outcome is
+    /// unknown, [`Self::is_valid`] still holds for the old expiry only.
+    ///
+    /// # Errors
+    /// [`Error::LeaseLost`] when somebody else has written the lease since.
+    pub fn renew(&mut self, client: &Client, duration: Duration, now_unix_ms: u64) -> Result<()> {
+        let expires_unix_ms = now_unix_ms.saturating_add(units::duration_ms(duration));
+        self.rewrite(client, expires_unix_ms)
+    }
+
+    /// `release` ends the lease so that another holder need not wait for its expiry.
+    ///
+    /// # Errors
+    /// [`Error::LeaseLost`] when somebody else has written the lease since.
+    pub fn release(mut self, client: &Client) -> Result<()> {
+        self.rewrite(client, 0)
+    }
+
+    fn rewrite(&mut self, client: &Client, expires_unix_ms: u64) -> Result<()> {
+        let record = LeaseRecord {
+            expires_unix_ms,
+            operation_id: Uuid::new_v4(),
+            ..self.record.clone()
+        };
+        match write(client, &self.key, self.version, &record)? {
+            Written::Done(version) | Written::Found(Object { version, .. }) => {
+                self.version = version;
+                self.record = record;
+                Ok(())
+            }
+            Written::Superseded(object) => {
+                self.adopt(object.as_ref())?;
+                self.rewrite_once_more(client, record)
+            }
+        }
+    }
+
+    /// An earlier renewal with an unknown outcome may have taken effect after all; then the
+    /// object still names this holder and term, only with another version.
+    fn adopt(&mut self, object: Option<&Object>) -> Result<()> {
+        let lost = || Error::LeaseLost {
+            key: self.key.clone(),
+        };
+        let object = object.ok_or_else(lost)?;
+        let record = decode(&self.key, object)?;
+        if record.holder != self.record.holder || record.term != self.record.term {
+            return Err(lost());
+        }
+        self.version = object.version;
+        self.record = record;
+        Ok(())
+    }
+
+    fn rewrite_once_more(&mut self, client: &Client, record: LeaseRecord) -> Result<()> {
+        match write(client, &self.key, self.version, &record)? {
+            Written::Done(version) | Written::Found(Object { version, .. }) => {
+                self.version = version;
+                self.record = record;
+                Ok(())
+            }
+            Written::Superseded(_) => Err(Error::LeaseLost {
+                key: self.key.clone(),
+            }),
+        }
+    }
+}
+
+fn write(client: &Client, key: &str, if_version: u64, record: &LeaseRecord) -> Result<Written> {
+    let body = serde_json::to_vec(record).map_err(|error| Error::malformed(error.to_string()))?;
+    let is_own = |object: &Object| {
+        decode(key, object).map(|found| found.operation_id == record.operation_id)
+    };
+    let mut backoff = client.backoff();
+    client.put_settled(key, if_version, &body, is_own, &mut backoff)
+}
+
+fn check_free(record: &LeaseRecord, holder: &str, skew_ms: u64, now_unix_ms: u64) -> Result<()> {
+    let is_released = record.expires_unix_ms == 0;
+    let is_expired = now_unix_ms > record.expires_unix_ms.saturating_add(skew_ms);
+    if is_released || is_expired || record.holder == holder {
+        return Ok(());
+    }
+    Err(held(record))
+}
+
+fn held(record: &LeaseRecord) -> Error {
+    Error::LeaseHeld {
+        holder: record.holder.to_string(),
+        expires_unix_ms: record.expires_unix_ms,
+    }
+}
+
+fn held_by_other(key: &str, object: Option<&Object>) -> Error {
+    let record = object.map(|object| decode(key, object));
+    match record {
+        Some(Ok(record)) => held(&record),
+        Some(Err(error)) => error,
+        None => Error::Conflict {
+            key: key.to_owned(),
+            current_version: None,
+        },
+    }
+}
+
+fn decode(key: &str, object: &Object) -> Result<LeaseRecord> {
+    serde_json::from_slice(&object.body)
+        .map_err(|error| Error::malformed(format!("lease `{key}`: {error}")))
+}
