Add the operator interface, the command line and the operators' pages

Operators had no way to change the catalogue or to look at a node. The command line speaks JSON-RPC to a node; the node's worker carries out changes through the store client and keeps settling changes whose answer was lost. Status and report bypass the thread that waits for the store, so they work in an outage.

The command line makes the operation ids, so a lost answer between it and the node is also an unknown outcome with an id. Telling a refused connection from a lost answer by the HTTP client's error was ruled out, because it does not tell them apart; a connection is opened first.

docs/errors.md and the tables of docs/operations.md are generated from the plug-in registry and compared with it by a test.

--- /dev/null
+++ b/crates/hemlockfall/src/cli/check.rs
@@ -0,0 +1,184 @@
+//! The command `check`, and the checks of catalogue files before they are sent.
+
+use std::path::Path;
+use std::time::SystemTime;
+
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::catalogue::edit::Author;
+use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::catalogue::file::CatalogueFile;
+use hemlockfall_core::catalogue::file::RouteFile;
+use hemlockfall_core::catalogue::file::ServiceFile;
+use hemlockfall_core::errors::Error;
+use hemlockfall_core::settings::Settings;
+use hemlockfall_core::units;
+use smol_str::SmolStr;
+use toml::Table;
+use uuid::Uuid;
+
+use crate::cli::arguments::CheckOptions;
+use crate::cli::failure::Result;
+use crate::cli::output;
+
+type Checked<T> = hemlockfall_core::errors::Result<T>;
+
+pub(crate) fn run(options: &CheckOptions) -> Result<()> {
+    let path = &options.file;
+    if is_catalogue(path) {
+        let services = load_catalogue(path)?;
+        return output::print(&format!("{}: {}\n", path.display(), summary(&services)));
+    }
+    Settings::load(path)?;
+    output::print(&format!("{}: the settings are valid\n", path.display()))
+}
+
+fn summary(services: &[ServiceFile]) -> String {
+    let outside = outside_dependencies(services);
+    let mut text = format!("{} catalogue entries are valid", services.len());
+    if !outside.is_empty() {
+        text.push_str("; not in this file and checked on apply: ");
+        text.push_str(&outside.join(", "));
+    }
+    text
+}
+
+/// A catalogue file has services; everything else is checked as settings.
+fn is_catalogue(path: &Path) -> bool {
+    let Ok(text) = std::fs::read_to_string(path) else {
+        return false;
+    };
+    match text.parse::<Table>() {
+        Ok(table) => table.contains_key("service"),
+        Err(_) => text.contains("[[service]]"),
+    }
+}
+
+/// `load_catalogue` reads and checks a catalogue file and returns its entries, dependencies
+/// first, so that each can be applied after the ones before it.
+pub(crate) fn load_catalogue(path: &Path) -> Checked<Vec<ServiceFile>> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| Error::CatalogueUnreadable {
+        file: name.clone(),
+        reason: error.to_string(),
+    })?;
+    let services = order(CatalogueFile::parse(&name, &text)?.service)?;
+    check(&services)?;
+    Ok(services)
+}
+
+fn order(mut waiting: Vec<ServiceFile>) -> Checked<Vec<ServiceFile>> {
+    let mut ordered: Vec<ServiceFile> = Vec::new();
+    while !waiting.is_empty() {
+        let is_free = |service: &ServiceFile| {
+            !dependencies(service).any(|name| {
+                waiting
+                    .iter()
+                    .any(|other| other.name == *name && other.name != service.name)
+            })
+        };
+        let Some(index) = waiting.iter().position(is_free) else {
+            let names: Vec<&str> = waiting
+                .iter()
+                .map(|service| service.name.as_str())
+                .collect();
+            return Err(Error::invalid(format!(
+                "services depend on each other in a circle: {}; create one without the dependency first",
+                names.join(", ")
+            )));
+        };
+        ordered.push(waiting.remove(index));
+    }
+    Ok(ordered)
+}
+
+fn dependencies(service: &ServiceFile) -> impl Iterator<Item = &SmolStr> {
+    service.routes.iter().flat_map(|route| &route.depends_on)
+}
+
+fn outside_dependencies(services: &[ServiceFile]) -> Vec<String> {
+    let mut outside: Vec<String> = services
+        .iter()
+        .flat_map(dependencies)
+        .filter(|name| !services.iter().any(|service| service.name == **name))
+        .map(ToString::to_string)
+        .collect();
+    outside.sort();
+    outside.dedup();
+    outside
+}
+
+/// Applies the entries to an empty catalogue with placeholders for the services outside.
+fn check(services: &[ServiceFile]) -> Checked<()> {
+    let now_unix_ms = units::unix_ms(SystemTime::now());
+    let author = Author {
+        operation_id: Uuid::nil(),
+        who: "check".into(),
+        at_unix_ms: now_unix_ms,
+    };
+    let mut violations = repeated_names(services);
+    let mut catalogue = StoredCatalogue::default();
+    for name in outside_dependencies(services) {
+        catalogue = Edit::Apply(Box::new(placeholder(&name))).apply(&catalogue, &author)?;
+    }
+    for service in services {
+        if service
+            .move_terms
+            .deadline_unix_ms
+            .is_some_and(|deadline| deadline <= now_unix_ms)
+        {
+            violations.push(format!(
+                "service `{}`: the deadline is in the past",
+                service.name
+            ));
+        }
+        match Edit::Apply(Box::new(without_context(service))).apply(&catalogue, &author) {
+            Ok(next) => catalogue = next,
+            Err(Error::CatalogueInvalid { violations: found }) => violations.extend(found),
+            Err(error) => return Err(error),
+        }
+    }
+    if violations.is_empty() {
+        Ok(())
+    } else {
+        Err(Error::CatalogueInvalid { violations })
+    }
+}
+
+fn repeated_names(services: &[ServiceFile]) -> Vec<String> {
+    let mut names: Vec<&SmolStr> = services.iter().map(|service| &service.name).collect();
+    names.sort();
+    let repeated = names.windows(2).filter(|pair| pair[0] == pair[1]);
+    repeated
+        .map(|pair| format!("service `{}` is in the file more than once", pair[0]))
+        .collect()
+}
+
+/// Pinned versions and the last change are only known in the catalogue itself.
+fn without_context(service: &ServiceFile) -> ServiceFile {
+    let mut service = service.clone();
+    service.seen_revision = None;
+    for route in &mut service.routes {
+        route.version = None;
+    }
+    service
+}
+
+fn placeholder(name: &str) -> ServiceFile {
+    ServiceFile {
+        name: name.into(),
+        owner: "unknown".into(),
+        class: hemlockfall_core::catalogue::Class::default(),
+        version: "unknown".into(),
+        seen_revision: None,
+        limits: hemlockfall_core::catalogue::Limits::default(),
+        move_terms: hemlockfall_core::catalogue::file::MoveTerms::default(),
+        routes: vec![RouteFile {
+            name: "all".into(),
+            path_prefix: "/".into(),
+            repeatable: false,
+            timeout_ms: 1,
+            version: None,
+            depends_on: Vec::new(),
+        }],
+    }
+}
--- a/crates/hemlockfall/src/main.rs
+++ b/crates/hemlockfall/src/main.rs
@@ -1,3 +1,7 @@
 //! The hemlockfall binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hemlockfall::cli::run()
+}
--- /dev/null
+++ b/crates/hemlockfall/src/operator/request.rs
@@ -0,0 +1,296 @@
+//! Typed requests and answers of the operator interface.
+
+use std::str::FromStr;
+
+use hemlockfall_core::catalogue::ChangeRecord;
+use hemlockfall_core::catalogue::Class;
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_core::catalogue::edit::Author;
+use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::catalogue::edit::MoveAction;
+use hemlockfall_core::catalogue::file::ServiceFile;
+use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::OperationId;
+use hemlockfall_core::ids::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// `OperatorRequest` is one call of an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorRequest {
+    /// Create or change an entry.
+    Apply {
+        /// Desired state.
+        service: Box<ServiceFile>,
+        /// Who, when, and the id of the write.
+        author: Author,
+    },
+    /// Remove an entry.
+    Remove {
+        /// Name of the entry.
+        service: SmolStr,
+        /// Last change that the operator saw.
+        seen_revision: Option<Revision>,
+        /// Who, when, and the id of the write.
+        author: Author,
+    },
+    /// Read an entry.
+    Get {
+        /// Name of the entry.
+        service: SmolStr,
+    },
+    /// List all entries.
+    List,
+    /// List the changes of an entry.
+    History {
+        /// Name of the entry.
+        service: SmolStr,
+        /// Number of changes, newest first.
+        limit: usize,
+    },
+    /// Change the move of a service.
+    Move {
+        /// Name of the service.
+        service: SmolStr,
+        /// Move that the operator means; `None` for the current one.
+        move_id: Option<MoveId>,
+        /// What to do.
+        action: MoveCommand,
+        /// Why.
+        reason: SmolStr,
+        /// Who, when, and the id of the write.
+        author: Author,
+    },
+    /// State of the node.
+    Status,
+    /// Report on the moves.
+    Report {
+        /// Form of the report.
+        format: ReportFormat,
+    },
+}
+
+impl OperatorRequest {
+    /// `operation_id` identifies the write of a request that changes the catalogue.
+    #[must_use]
+    pub fn operation_id(&self) -> Option<OperationId> {
+        match self {
+            Self::Apply { author, .. }
+            | Self::Remove { author, .. }
+            | Self::Move { author, .. } => Some(author.operation_id),
+            Self::Get { .. }
+            | Self::List
+            | Self::History { .. }
+            | Self::Status
+            | Self::Report { .. } => None,
+        }
+    }
+
+    /// `edit` returns the change of the catalogue that the request asks for.
+    #[must_use]
+    pub fn edit(&self) -> Option<(Edit, &Author)> {
+        match self {
+            Self::Apply { service, author } => Some((Edit::Apply(service.clone()), author)),
+            Self::Remove {
+                service,
+                seen_revision,
+                author,
+            } => {
+                let edit = Edit::Remove {
+                    service: service.clone(),
+                    seen_revision: *seen_revision,
+                };
+                Some((edit, author))
+            }
+            Self::Move {
+                service,
+                move_id,
+                action,
+                reason,
+                author,
+            } => {
+                let edit = Edit::Move {
+                    service: service.clone(),
+                    move_id: *move_id,
+                    action: action.to_action(),
+                    lease_term: 0,
+                    reason: reason.clone(),
+                };
+                Some((edit, author))
+            }
+            Self::Get { .. }
+            | Self::List
+            | Self::History { .. }
+            | Self::Status
+            | Self::Report { .. } => None,
+        }
+    }
+}
+
+/// `MoveCommand` is what an operator may do with a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MoveCommand {
+    /// Give all traffic back to the old version, for good.
+    Abort,
+    /// Hold the share.
+    Pause,
+    /// Follow the plan again.
+    Resume,
+}
+
+impl MoveCommand {
+    fn to_action(self) -> MoveAction {
+        match self {
+            Self::Abort => MoveAction::TakeBack,
+            Self::Pause => MoveAction::Pause,
+            Self::Resume => MoveAction::Resume,
+        }
+    }
+}
+
+/// `ReportFormat` is the form of a report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReportFormat {
+    /// Text in columns.
+    #[default]
+    Table,
+    /// JSON.
+    Json,
+    /// HTML with plots.
+    Html,
+}
+
+impl FromStr for ReportFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            "html" => Ok(Self::Html),
+            other => Err(format!("`{other}` is not one of table, json, html")),
+        }
+    }
+}
+
+/// `OperatorReply` is the answer to a call that succeeded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OperatorReply {
+    /// The change was accepted.
+    Accepted(Acceptance),
+    /// An entry.
+    Entry(Box<ServiceEntry>),
+    /// All entries.
+    Entries(EntryList),
+    /// Changes of an entry, newest first.
+    History(Vec<ChangeRecord>),
+    /// State of the node.
+    Status(NodeStatus),
+    /// The report in the format asked for.
+    Report(String),
+}
+
+/// `Acceptance` describes an accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acceptance {
+    /// Entry that changed.
+    pub service: SmolStr,
+    /// Revision that the change made.
+    pub revision: Revision,
+    /// Id of the write.
+    pub operation_id: OperationId,
+    /// Other VMs that acknowledged a copy within 1 s.
+    pub copies: usize,
+}
+
+/// `EntryList` lists the entries of one revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryList {
+    /// Revision of the catalogue.
+    pub revision: Revision,
+    /// Entries, sorted by service.
+    pub entries: Vec<EntryLine>,
+}
+
+/// `EntryLine` summarises one entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryLine {
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Who answers for it.
+    pub owner: SmolStr,
+    /// Precedence under overload.
+    pub class: Class,
+    /// Version that serves.
+    pub active_version: SmolStr,
+    /// Version that takes over and state of the last move.
+    pub last_move: Option<(SmolStr, MoveStatus)>,
+    /// Revision of the last change.
+    pub changed_revision: Revision,
+}
+
+impl From<&ServiceEntry> for EntryLine {
+    fn from(entry: &ServiceEntry) -> Self {
+        let last_move = entry.move_state.as_ref();
+        Self {
+            service: entry.service.clone(),
+            owner: entry.owner.clone(),
+            class: entry.class,
+            active_version: entry.active_version.clone(),
+            last_move: last_move.map(|state| (state.to.clone(), state.status)),
+            changed_revision: entry.changed_revision,
+        }
+    }
+}
+
+/// `NodeStatus` is the state of a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Region of the node.
+    pub region: SmolStr,
+    /// Data centre of the node.
+    pub data_centre: SmolStr,
+    /// State of the node and its target, in words.
+    pub state: SmolStr,
+    /// Revision in force.
+    pub revision: Revision,
+    /// Digest of the configuration in force, in hexadecimal digits.
+    pub digest: String,
+    /// Nodes that this node knows and that are not gone.
+    pub members: usize,
+    /// Since when the store has not answered, in unix milliseconds.
+    pub store_down_since_unix_ms: Option<u64>,
+    /// Changes with a lost answer and what became of them, oldest first; filled by the worker.
+    #[serde(default)]
+    pub operations: Vec<OperationNote>,
+}
+
+/// `OperationNote` tells what became of a change whose outcome was unknown.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationNote {
+    /// Id of the write.
+    pub operation_id: OperationId,
+    /// Entry that it changes.
+    pub service: SmolStr,
+    /// What is known.
+    pub state: OperationState,
+}
+
+/// `OperationState` is what is known about a change with a lost answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OperationState {
+    /// Not known yet.
+    Unknown,
+    /// It took effect as this revision.
+    Accepted(Revision),
+    /// It did not take effect and never will.
+    NotApplied,
+}
--- /dev/null
+++ b/crates/hemlockfall/src/operator/worker.rs
@@ -0,0 +1,325 @@
+//! Worker of a node that carries out operator requests.
+//!
+//! Status and report are answered at once, so that they work while the store is down; all
+//! other requests go one by one through a thread that makes the store's blocking calls and,
+//! in between, settles changes whose answer was lost.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::TrySendError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::catalogue::StoredCatalogue;
+use hemlockfall_core::catalogue::edit::Author;
+use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::ids::OperationId;
+use hemlockfall_store::Client;
+use hemlockfall_store::Error as StoreError;
+use hemlockfall_store::catalogue;
+use hemlockfall_store::catalogue::Settled;
+use hemlockfall_store::errors::PendingCommit;
+use hemlockfall_store::history;
+use smol_str::SmolStr;
+
+use crate::operator::Envelope;
+use crate::operator::Options;
+use crate::operator::errors;
+use crate::operator::errors::OperatorError;
+use crate::operator::errors::Outcome;
+use crate::operator::errors::Result;
+use crate::operator::request::Acceptance;
+use crate::operator::request::EntryLine;
+use crate::operator::request::EntryList;
+use crate::operator::request::NodeStatus;
+use crate::operator::request::OperationNote;
+use crate::operator::request::OperationState;
+use crate::operator::request::OperatorReply;
+use crate::operator::request::OperatorRequest;
+use crate::operator::request::ReportFormat;
+
+/// Time between two attempts to settle a change with a lost answer.
+const SETTLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for one attempt to settle, short so that it does not hold up requests.
+const SETTLE_TIMEOUT_MS: u64 = 500;
+/// Changes with a lost answer that are remembered; the oldest settled ones go first.
+const MAX_NOTES: usize = 64;
+
+/// `OnAccepted` puts an accepted catalogue in force on the node and returns the number of
+/// other VMs that acknowledged a copy within 1 s.
+pub type OnAccepted = Box<dyn Fn(&StoredCatalogue) -> usize + Send + Sync>;
+
+/// `Hooks` connect the worker to its node.
+pub struct Hooks {
+    /// Called after each accepted change, from the worker's store thread.
+    pub on_accepted: OnAccepted,
+    /// Returns the state of the node; the worker fills in the operations.
+    pub status: Box<dyn Fn() -> NodeStatus + Send + Sync>,
+    /// Renders the report on the moves.
+    pub report: Box<dyn Fn(ReportFormat) -> Result<String> + Send + Sync>,
+}
+
+impl fmt::Debug for Hooks {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Hooks").finish_non_exhaustive()
+    }
+}
+
+/// `run` carries out requests until their channel closes.
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the worker owns its channel and hooks"
+)]
+pub fn run(requests: Receiver<Envelope>, client: Client, hooks: Hooks, options: &Options) {
+    let notes = Notes::default();
+    let (jobs, waiting) = mpsc::sync_channel(options.queue_length);
+    thread::scope(|scope| {
+        let store = StoreWorker::new(client, &hooks, &notes);
+        scope.spawn(move || store.run(&waiting));
+        for envelope in &requests {
+            match envelope.request {
+                OperatorRequest::Status => {
+                    let mut status = (hooks.status)();
+                    status.operations = notes.list();
+                    respond(&envelope, Ok(OperatorReply::Status(status)));
+                }
+                OperatorRequest::Report { format } => {
+                    let report = (hooks.report)(format).map(OperatorReply::Report);
+                    respond(&envelope, report);
+                }
+                _ => {
+                    if let Err(TrySendError::Full(envelope)) = jobs.try_send(envelope) {
+                        let message = "too many operator calls wait for the store";
+                        let busy = OperatorError::failed(errors::NODE_BUSY, message);
+                        respond(&envelope, Err(busy));
+                    }
+                }
+            }
+        }
+        drop(jobs);
+    });
+}
+
+/// Returns whether somebody still waits for the answer.
+fn respond(envelope: &Envelope, result: Result<OperatorReply>) -> bool {
+    envelope.reply.try_send(result).is_ok()
+}
+
+#[derive(Clone, Debug)]
+struct Note {
+    operation_id: OperationId,
+    service: SmolStr,
+    pending: Option<PendingCommit>,
+    state: OperationState,
+}
+
+/// Changes with a lost answer, oldest first.
+#[derive(Debug, Default)]
+struct Notes(Mutex<VecDeque<Note>>);
+
+impl Notes {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Note>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn add(&self, note: Note) {
+        let mut notes = self.lock();
+        if notes.len() >= MAX_NOTES {
+            let is_settled = |note: &Note| note.state != OperationState::Unknown;
+            let oldest = notes.iter().position(is_settled).unwrap_or(0);
+            notes.remove(oldest);
+        }
+        notes.push_back(note);
+    }
+
+    /// Takes the next open change and moves it to the end, so that all get their turn.
+    fn next_open(&self) -> Option<PendingCommit> {
+        let mut notes = self.lock();
+        let is_open = |note: &Note| note.state == OperationState::Unknown && note.pending.is_some();
+        let index = notes.iter().position(is_open)?;
+        let note = notes.remove(index)?;
+        let pending = note.pending;
+        notes.push_back(note);
+        pending
+    }
+
+    fn settle(&self, pending: &PendingCommit, state: OperationState) {
+        let mut notes = self.lock();
+        let same = |note: &&mut Note| note.operation_id == pending.operation_id;
+        if let Some(note) = notes.iter_mut().find(same) {
+            note.state = state;
+        }
+    }
+
+    fn list(&self) -> Vec<OperationNote> {
+        let to_public = |note: &Note| OperationNote {
+            operation_id: note.operation_id,
+            service: note.service.clone(),
+            state: note.state,
+        };
+        self.lock().iter().map(to_public).collect()
+    }
+}
+
+struct StoreWorker<'a> {
+    client: Client,
+    settle_client: Client,
+    hooks: &'a Hooks,
+    notes: &'a Notes,
+}
+
+impl<'a> StoreWorker<'a> {
+    fn new(client: Client, hooks: &'a Hooks, notes: &'a Notes) -> Self {
+        let settle_options = hemlockfall_store::Options {
+            total_timeout_ms: SETTLE_TIMEOUT_MS,
+            ..client.options().clone()
+        };
+        Self {
+            client,
+            settle_client: Client::new(settle_options, rand::random()),
+            hooks,
+            notes,
+        }
+    }
+
+    fn run(&self, jobs: &Receiver<Envelope>) {
+        let mut next_settle = Instant::now() + SETTLE_INTERVAL;
+        loop {
+            let wait = next_settle.saturating_duration_since(Instant::now());
+            match jobs.recv_timeout(wait) {
+                Ok(envelope) => self.handle(&envelope),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if Instant::now() >= next_settle {
+                self.settle_one();
+                next_settle = Instant::now() + SETTLE_INTERVAL;
+            }
+        }
+    }
+
+    fn handle(&self, envelope: &Envelope) {
+        // The operator was told that there was no answer; a change that starts after that
+        // would surprise them.
+        if Instant::now() >= envelope.deadline {
+            let message = "the call waited too long for the store";
+            let busy = OperatorError::failed(errors::NODE_BUSY, message);
+            if !respond(envelope, Err(busy)) {
+                self.note_late(&envelope.request, OperationState::NotApplied);
+            }
+            return;
+        }
+        let result = self.carry_out(&envelope.request);
+        let late_state = match &result {
+            Ok(OperatorReply::Accepted(acceptance)) => {
+                OperationState::Accepted(acceptance.revision)
+            }
+            _ => OperationState::NotApplied,
+        };
+        let is_unknown = matches!(&result, Err(error) if error.outcome == Outcome::Unknown);
+        if !respond(envelope, result) && !is_unknown {
+            self.note_late(&envelope.request, late_state);
+        }
+    }
+
+    /// Records the outcome of a change whose operator was told that it is unknown.
+    fn note_late(&self, request: &OperatorRequest, state: OperationState) {
+        if let Some((edit, author)) = request.edit() {
+            self.notes.add(Note {
+                operation_id: author.operation_id,
+                service: edit.service().clone(),
+                pending: None,
+                state,
+            });
+        }
+    }
+
+    fn carry_out(&self, request: &OperatorRequest) -> Result<OperatorReply> {
+        if let Some((edit, author)) = request.edit() {
+            return self.change(&edit, author);
+        }
+        match request {
+            OperatorRequest::Get { service } => self.get(service),
+            OperatorRequest::History { service, limit } => self.history(service, *limit),
+            _ => self.list(),
+        }
+    }
+
+    fn change(&self, edit: &Edit, author: &Author) -> Result<OperatorReply> {
+        let committed = match catalogue::commit(&self.client, edit, author) {
+            Ok(committed) => committed,
+            Err(error) => {
+                if let StoreError::CommitUnknown { pending, .. } = &error {
+                    self.notes.add(Note {
+                        operation_id: pending.operation_id,
+                        service: edit.service().clone(),
+                        pending: Some(*pending),
+                        state: OperationState::Unknown,
+                    });
+                }
+                return Err(error.into());
+            }
+        };
+        let copies = (self.hooks.on_accepted)(&committed.catalogue.stored);
+        Ok(OperatorReply::Accepted(Acceptance {
+            service: edit.service().clone(),
+            revision: committed.revision,
+            operation_id: author.operation_id,
+            copies,
+        }))
+    }
+
+    fn get(&self, service: &SmolStr) -> Result<OperatorReply> {
+        let catalogue = catalogue::read(&self.client)?;
+        let entry = catalogue.stored.configuration.entry(service);
+        let not_found = || hemlockfall_core::errors::Error::EntryNotFound {
+            service: service.to_string(),
+        };
+        let entry = entry.cloned().ok_or_else(not_found)?;
+        Ok(OperatorReply::Entry(Box::new(entry)))
+    }
+
+    fn list(&self) -> Result<OperatorReply> {
+        let configuration = catalogue::read(&self.client)?.stored.configuration;
+        Ok(OperatorReply::Entries(EntryList {
+            revision: configuration.revision,
+            entries: configuration.entries.iter().map(EntryLine::from).collect(),
+        }))
+    }
+
+    /// Removed entries have a history too, so the entry need not exist.
+    fn history(&self, service: &SmolStr, limit: usize) -> Result<OperatorReply> {
+        let catalogue = catalogue::read(&self.client)?;
+        let changes = history::of_service(&self.client, &catalogue.stored, service, limit)?;
+        if changes.is_empty() && catalogue.stored.configuration.entry(service).is_none() {
+            return Err(hemlockfall_core::errors::Error::EntryNotFound {
+                service: service.to_string(),
+            }
+            .into());
+        }
+        Ok(OperatorReply::History(changes))
+    }
+
+    fn settle_one(&self) {
+        let Some(pending) = self.notes.next_open() else {
+            return;
+        };
+        match catalogue::settle(&self.settle_client, &pending) {
+            Ok(Settled::Accepted(committed)) => {
+                let state = OperationState::Accepted(committed.revision);
+                self.notes.settle(&pending, state);
+                (self.hooks.on_accepted)(&committed.catalogue.stored);
+            }
+            Ok(Settled::NotApplied) => self.notes.settle(&pending, OperationState::NotApplied),
+            // The next interval tries again.
+            Ok(Settled::Undecided) | Err(_) => {}
+        }
+    }
+}
