--- a/crates/hemlockfall/src/edge/caller_server.rs
+++ b/crates/hemlockfall/src/edge/caller_server.rs
@@ -64,7 +64,8 @@
 /// `CallerServer` is the actor that owns the listener and the callers' connections.
 pub struct CallerServer {
     options: CallerOptions,
-    listener: MioSource<TcpListener>,
+    /// `None` once the node stops.
+    listener: Option<MioSource<TcpListener>>,
     /// Sorted by id.
     open: Vec<Connection>,
     next_connection: u64,
@@ -82,7 +83,7 @@
                 let open = Vec::new();
                 Some(Self {
                     options,
-                    listener,
+                    listener: Some(listener),
                     open,
                     next_connection,
                     next_caller,
@@ -107,8 +108,8 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
-        loop {
-            match self.listener.accept() {
+        while let Some(listener) = &self.listener {
+            match listener.accept() {
                 Ok((stream, _)) => self.accepted(cx, stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
@@ -119,6 +120,15 @@
         }
     }
 
+    /// `stop_accepting` closes the listener and ends each connection after its next answer.
+    pub fn stop_accepting(&mut self, _: CX![]) {
+        self.listener = None;
+        self.open.retain(|connection| !connection.is_idle());
+        for connection in &mut self.open {
+            connection.end_after_answer();
+        }
+    }
+
     fn accepted(&mut self, cx: CX![], stream: TcpStream) {
         if self.open.len() >= self.options.max_connections {
             spdlog::warn!("caller refused: too many connections", kv: {
--- a/crates/hemlockfall/src/edge/caller_server/connection.rs
+++ b/crates/hemlockfall/src/edge/caller_server/connection.rs
@@ -47,6 +47,8 @@
     waiting: Option<Waiting>,
     /// The connection ends once the output is written.
     closing: bool,
+    /// The next answer is the last one.
+    is_last: bool,
     last_progress: Instant,
 }
 
@@ -67,6 +69,7 @@
             reader,
             waiting: None,
             closing: false,
+            is_last: false,
             last_progress: now,
         }
     }
@@ -75,6 +78,19 @@
         self.waiting.as_ref().map(|waiting| waiting.caller)
     }
 
+    /// Tells whether no request has been begun and none is in progress.
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_none()
+            && self.reader.is_idle()
+            && self.buffer.rd == self.buffer.wr
+            && self.buffer.out.is_empty()
+    }
+
+    /// Makes the answer to the request in progress the last one.
+    pub(super) fn end_after_answer(&mut self) {
+        self.is_last = true;
+    }
+
     /// Writes pending output; false when the connection must be closed.
     pub(super) fn flush(&mut self, now: Instant) -> bool {
         let before = self.buffer.out.len();
@@ -159,9 +175,10 @@
         let Some(waiting) = self.waiting.take() else {
             return true;
         };
+        let keep_alive = waiting.keep_alive && !self.is_last;
         let out = &mut self.buffer.out;
-        response::write_response(out, answer, waiting.is_head, waiting.keep_alive);
-        self.closing = !waiting.keep_alive;
+        response::write_response(out, answer, waiting.is_head, keep_alive);
+        self.closing = !keep_alive;
         self.last_progress = now;
         self.flush(now)
     }
--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -222,6 +222,11 @@
         self.pump(cx, link);
     }
 
+    /// `close` ends a link whose peer sent something that cannot be understood.
+    pub fn close(&mut self, cx: CX![], link: LinkId) {
+        self.lose(cx, link, LossReason::Malformed);
+    }
+
     /// `settle` tells that the fate of a tagged message is known.
     pub fn settle(&mut self, _: CX![], tag: Tag) {
         for link in &mut self.open {
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -100,7 +100,10 @@
 
 /// `now_of` reads both clocks of the actor system.
 fn now_of(core: &mut Core) -> Now {
-    Now { at: core.now(), unix_ms: units::unix_ms(std::time::SystemTime::now()) }
+    Now {
+        at: core.now(),
+        unix_ms: units::unix_ms(std::time::SystemTime::now()),
+    }
 }
 
 impl Calls {
@@ -166,7 +169,8 @@
     }
 
     fn put_in_force(&mut self, snapshot: &Arc<Snapshot>) {
-        self.router.set_configuration(Arc::new(snapshot.configuration().clone()));
+        self.router
+            .set_configuration(Arc::new(snapshot.configuration().clone()));
         self.is_serving = true;
     }
 
@@ -185,7 +189,8 @@
     }
 
     fn address_position(&self, node: &str) -> Result<usize, usize> {
-        self.addresses.binary_search_by(|known| known.node.as_str().cmp(node))
+        self.addresses
+            .binary_search_by(|known| known.node.as_str().cmp(node))
     }
 
     fn item(&mut self, item: &GossipItem, lifetime_ms: u32, now: Now) {
@@ -197,7 +202,7 @@
     /// `caller_event` takes in a request of a caller, or its end.
     pub fn caller_event(&mut self, cx: CX![], event: CallerEvent) {
         match event {
-            CallerEvent::Request { id, request } => self.caller_request(cx, id, request),
+            CallerEvent::Request { id, request } => self.caller_request(cx, id, *request),
             CallerEvent::Gone { id } => self.caller_gone(cx, id),
         }
     }
@@ -207,7 +212,9 @@
         match event {
             LinkEvent::Message { .. } => {}
             LinkEvent::Refused { tag, .. } => self.attempt_not_sent(cx, tag),
-            LinkEvent::Lost { unsent, unsettled, .. } => {
+            LinkEvent::Lost {
+                unsent, unsettled, ..
+            } => {
                 for tag in unsent {
                     self.attempt_not_sent(cx, tag);
                 }
@@ -225,7 +232,10 @@
             LinkMessage::Call(frame) => self.call_arrived(cx, local::Origin::Link(link), *frame),
             LinkMessage::Answer(frame) => self.attempt_answered(cx, *frame),
             LinkMessage::Cancel { attempt_id } => self.cancel_arrived(cx, attempt_id),
-            LinkMessage::Fence { attempt_id, incarnation } => {
+            LinkMessage::Fence {
+                attempt_id,
+                incarnation,
+            } => {
                 self.fence_arrived(cx, link, attempt_id, incarnation);
             }
             LinkMessage::FenceAnswer { attempt_id, answer } => {
@@ -245,7 +255,8 @@
             LocalEvent::Leave => self.leave(cx),
             LocalEvent::Report(report) => {
                 let load_percent = u8::try_from(report.load_percent).unwrap_or(u8::MAX);
-                self.router.report(&self.own.clone(), report.healthy, load_percent);
+                self.router
+                    .report(&self.own.clone(), report.healthy, load_percent);
             }
         }
     }
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -79,7 +79,9 @@
     }
 
     fn position(&self, caller: CallerId) -> Option<usize> {
-        self.calls.binary_search_by_key(&caller, |call| call.caller).ok()
+        self.calls
+            .binary_search_by_key(&caller, |call| call.caller)
+            .ok()
     }
 
     fn get_mut(&mut self, caller: CallerId) -> Option<&mut EntryCall> {
@@ -88,23 +90,32 @@
     }
 
     fn caller_of(&self, attempt_id: AttemptId) -> Option<CallerId> {
-        let found = self.attempts.binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
+        let found = self
+            .attempts
+            .binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
         found.ok().map(|index| self.attempts[index].caller)
     }
 
     fn by_tag(&self, tag: Tag) -> Option<&EntryCall> {
-        self.calls.iter().find(|call| call.attempt.as_ref().is_some_and(|a| a.tag == tag))
+        self.calls
+            .iter()
+            .find(|call| call.attempt.as_ref().is_some_and(|a| a.tag == tag))
     }
 
     fn add_attempt(&mut self, attempt_id: AttemptId, caller: CallerId) {
-        let found = self.attempts.binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
+        let found = self
+            .attempts
+            .binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
         if let Err(index) = found {
-            self.attempts.insert(index, AttemptOf { attempt_id, caller });
+            self.attempts
+                .insert(index, AttemptOf { attempt_id, caller });
         }
     }
 
     fn remove_attempt(&mut self, attempt_id: AttemptId) {
-        let found = self.attempts.binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
+        let found = self
+            .attempts
+            .binary_search_by_key(&attempt_id, |entry| entry.attempt_id);
         if let Ok(index) = found {
             self.attempts.remove(index);
         }
@@ -119,19 +130,26 @@
 }
 
 impl Calls {
-    pub(super) fn caller_request(&mut self, cx: CX![], caller: CallerId, request: Box<HttpRequest>) {
+    pub(super) fn caller_request(&mut self, cx: CX![], caller: CallerId, request: HttpRequest) {
         let now = now_of(cx);
         metrics::counter!("hemlockfall_requests_total").increment(1);
         if !self.is_serving {
             self.refuse_caller(caller, Reason::NoTarget);
             return;
         }
-        let request = Rc::new(*request);
+        let request = Rc::new(request);
         match self.start_call(&request, now) {
             Ok((call, actions)) => {
                 let max_body_bytes = self.max_body_bytes(&call);
                 let (attempt, answer) = (None, None);
-                let entry = EntryCall { caller, call, request, max_body_bytes, attempt, answer };
+                let entry = EntryCall {
+                    caller,
+                    call,
+                    request,
+                    max_body_bytes,
+                    attempt,
+                    answer,
+                };
                 self.entry.calls.push(entry);
                 self.perform_call(cx, caller, actions);
             }
@@ -150,7 +168,9 @@
         if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
             return Err(Reason::KeyCannotKnow);
         }
-        let timeout_ms = request.header(http::DEADLINE_HEADER).and_then(|text| text.parse().ok());
+        let timeout_ms = request
+            .header(http::DEADLINE_HEADER)
+            .and_then(|text| text.parse().ok());
         let counts_none = self.router.fingerprints().is_empty();
         let fingerprint = (!counts_none).then(|| {
             let service = request.service().unwrap_or_default();
@@ -171,12 +191,13 @@
 
     fn max_body_bytes(&self, call: &Call) -> u32 {
         let configuration = self.router.routes().configuration();
-        configuration.entry(call.service()).map_or(0, |entry| entry.limits.max_body_bytes)
+        configuration
+            .entry(call.service())
+            .map_or(0, |entry| entry.limits.max_body_bytes)
     }
 
     fn refuse_caller(&mut self, caller: CallerId, reason: Reason) {
-        let generated =
-            answer::generated(reason.outcome(), reason, reason.retry_after_ms());
+        let generated = answer::generated(reason.outcome(), reason, reason.retry_after_ms());
         metrics::counter!("hemlockfall_answers_generated_total").increment(1);
         call!([self.callers], answer(caller, generated));
     }
@@ -201,7 +222,7 @@
     fn perform_call(&mut self, cx: CX![], caller: CallerId, actions: Vec<CallAction>) {
         for action in actions {
             match action {
-                CallAction::SendAttempt(attempt) => self.send_attempt(cx, caller, *attempt),
+                CallAction::SendAttempt(attempt) => self.send_attempt(cx, caller, &attempt),
                 CallAction::Fence { to, attempt_id } => self.send_fence(&to, attempt_id),
                 CallAction::Cancel { to, attempt_id } => self.send_cancel(cx, &to, attempt_id),
                 CallAction::AnswerCaller(answer) => self.answer_caller(caller, answer),
@@ -238,7 +259,7 @@
         self.perform_call(cx, caller, actions);
     }
 
-    fn send_attempt(&mut self, cx: CX![], caller: CallerId, attempt: Attempt) {
+    fn send_attempt(&mut self, cx: CX![], caller: CallerId, attempt: &Attempt) {
         self.entry.next_tag += 1;
         let tag = self.entry.next_tag;
         let attempt_id = attempt.attempt_id;
@@ -246,8 +267,12 @@
             return;
         };
         let earlier = entry.attempt.take();
-        entry.attempt = Some(Current { attempt_id, node: attempt.to.node.clone(), tag });
-        let frame = call_frame(entry, &attempt);
+        entry.attempt = Some(Current {
+            attempt_id,
+            node: attempt.to.node.clone(),
+            tag,
+        });
+        let frame = call_frame(entry, attempt);
         if let Some(earlier) = earlier {
             self.entry.remove_attempt(earlier.attempt_id);
             call!([self.links], settle(earlier.tag));
@@ -262,7 +287,10 @@
     }
 
     fn send_fence(&mut self, to: &Target, attempt_id: AttemptId) {
-        let message = LinkMessage::Fence { attempt_id, incarnation: to.incarnation };
+        let message = LinkMessage::Fence {
+            attempt_id,
+            incarnation: to.incarnation,
+        };
         self.send_link(to.address, 0, &message);
     }
 
@@ -277,7 +305,10 @@
     fn answer_caller(&mut self, caller: CallerId, answer: call::Answer) {
         match answer {
             call::Answer::PassOn { .. } => {
-                let held = self.entry.get_mut(caller).and_then(|entry| entry.answer.take());
+                let held = self
+                    .entry
+                    .get_mut(caller)
+                    .and_then(|entry| entry.answer.take());
                 let Some(mut whole) = held else {
                     self.refuse_caller(caller, Reason::IncompleteAnswer);
                     return;
@@ -285,7 +316,11 @@
                 whole.set_header(http::OUTCOME_HEADER, Outcome::Ran.header());
                 call!([self.callers], answer(caller, whole));
             }
-            call::Answer::Generated { outcome, reason, retry_after_ms } => {
+            call::Answer::Generated {
+                outcome,
+                reason,
+                retry_after_ms,
+            } => {
                 spdlog::info!("answer generated", kv: {
                     outcome = outcome.header(), reason = reason.to_string(),
                 });
@@ -315,10 +350,13 @@
                 entry.answer = Some(answer);
                 AttemptResult::Answered { is_failure }
             }
-            AttemptEnd::Answered(_) => AttemptResult::Unknown { reason: Reason::IncompleteAnswer },
-            AttemptEnd::Refused { reason, retry_after_ms } => {
-                AttemptResult::refused(reason, retry_after_ms)
-            }
+            AttemptEnd::Answered(_) => AttemptResult::Unknown {
+                reason: Reason::IncompleteAnswer,
+            },
+            AttemptEnd::Refused {
+                reason,
+                retry_after_ms,
+            } => AttemptResult::refused(reason, retry_after_ms),
         };
         self.end_attempt(cx, caller, frame.attempt_id, result);
     }
@@ -378,7 +416,9 @@
 
 /// A caller's own request id keeps the version stable when the caller sends the request again.
 fn request_id(request: &HttpRequest) -> Option<Uuid> {
-    request.header("x-request-id").and_then(|text| Uuid::try_parse(text).ok())
+    request
+        .header("x-request-id")
+        .and_then(|text| Uuid::try_parse(text).ok())
 }
 
 fn call_frame(entry: &EntryCall, attempt: &Attempt) -> CallFrame {
--- a/crates/hemlockfall/src/node/calls/fingerprints.rs
+++ b/crates/hemlockfall/src/node/calls/fingerprints.rs
@@ -30,7 +30,13 @@
 
 /// `report_of` reads a gossip item; `None` for items of other families.
 pub fn report_of(item: &GossipItem, lifetime_ms: u32) -> Option<FingerprintReport> {
-    let GossipItem::Fingerprint { fingerprint, node, ready_unix_ms, .. } = item else {
+    let GossipItem::Fingerprint {
+        fingerprint,
+        node,
+        ready_unix_ms,
+        ..
+    } = item
+    else {
         return None;
     };
     let vanished = Vanished {
@@ -38,7 +44,10 @@
         ready_unix_ms: *ready_unix_ms,
         age_ms: LIFETIME_MS.saturating_sub(lifetime_ms),
     };
-    Some(FingerprintReport { fingerprint: *fingerprint, vanished: vec![vanished] })
+    Some(FingerprintReport {
+        fingerprint: *fingerprint,
+        vanished: vec![vanished],
+    })
 }
 
 /// `Completed` remembers the fingerprints of requests that the local target completed lately.
--- a/crates/hemlockfall/src/node/calls/keys.rs
+++ b/crates/hemlockfall/src/node/calls/keys.rs
@@ -22,11 +22,16 @@
                     // A keeper without an address has been forgotten; the majority of the
                     // others decides.
                     if let Ok(index) = self.address_position(&to) {
-                        let message = LinkMessage::Key { from: self.own.clone(), message };
+                        let message = LinkMessage::Key {
+                            from: self.own.clone(),
+                            message,
+                        };
                         self.send_link(self.addresses[index].address, 0, &message);
                     }
                 }
-                KeyAction::Decide { claimant, decision } => self.key_decided(cx, claimant, decision),
+                KeyAction::Decide { claimant, decision } => {
+                    self.key_decided(cx, claimant, decision);
+                }
             }
         }
     }
@@ -48,12 +53,18 @@
 
 /// `refused` makes the end of an attempt that got no answer.
 pub(super) fn refused(reason: Reason) -> AttemptEnd {
-    AttemptEnd::Refused { reason, retry_after_ms: reason.retry_after_ms() }
+    AttemptEnd::Refused {
+        reason,
+        retry_after_ms: reason.retry_after_ms(),
+    }
 }
 
 /// `record` makes the record of an answer.
 pub(super) fn record(answer: &HttpAnswer) -> RecordedAnswer {
-    RecordedAnswer { status: answer.status, content: codec::encode(answer).ok() }
+    RecordedAnswer {
+        status: answer.status,
+        content: codec::encode(answer).ok(),
+    }
 }
 
 fn decode(recorded: &RecordedAnswer) -> Option<HttpAnswer> {
--- a/crates/hemlockfall/src/node/calls/local.rs
+++ b/crates/hemlockfall/src/node/calls/local.rs
@@ -14,10 +14,12 @@
 use hemlockfall_request::admission::AdmissionAction;
 use hemlockfall_request::admission::Admitted;
 use hemlockfall_request::admission::Cancelled;
+use hemlockfall_request::admission::FenceAnswer;
 use hemlockfall_request::admission::Offer;
 use hemlockfall_request::clock;
 use hemlockfall_request::fingerprint;
 use hemlockfall_request::idempotency::ClaimRequest;
+use hemlockfall_request::outcome::Outcome;
 use hemlockfall_request::outcome::Reason;
 use hemlockfall_request::placement::Key;
 use hemlockfall_request::seen::AttemptId;
@@ -104,11 +106,15 @@
     }
 
     pub(super) fn address(&self) -> Option<SocketAddr> {
-        self.announcement.as_ref().map(|announcement| announcement.address)
+        self.announcement
+            .as_ref()
+            .map(|announcement| announcement.address)
     }
 
     pub(super) fn service(&self) -> Option<&ServiceName> {
-        self.announcement.as_ref().map(|announcement| &announcement.service)
+        self.announcement
+            .as_ref()
+            .map(|announcement| &announcement.service)
     }
 
     fn serves(&self, service: &ServiceName, version: &VersionName) -> bool {
@@ -118,7 +124,8 @@
     }
 
     pub(super) fn position(&self, attempt_id: AttemptId) -> Result<usize, usize> {
-        self.attempts.binary_search_by_key(&attempt_id, |attempt| attempt.attempt_id)
+        self.attempts
+            .binary_search_by_key(&attempt_id, |attempt| attempt.attempt_id)
     }
 }
 
@@ -137,8 +144,14 @@
         let now = now_of(cx);
         let attempt_id = frame.attempt_id;
         match self.admission.screen(attempt_id, frame.incarnation) {
-            Some(Admitted::Refused { reason, retry_after_ms }) => {
-                let end = AttemptEnd::Refused { reason, retry_after_ms };
+            Some(Admitted::Refused {
+                reason,
+                retry_after_ms,
+            }) => {
+                let end = AttemptEnd::Refused {
+                    reason,
+                    retry_after_ms,
+                };
                 self.send_end(cx, origin, attempt_id, end);
                 return;
             }
@@ -154,8 +167,12 @@
             return;
         }
         let request = &frame.request;
-        let fingerprint =
-            fingerprint::fingerprint(&frame.service, &request.method, request.path(), &request.body);
+        let fingerprint = fingerprint::fingerprint(
+            &frame.service,
+            &request.method,
+            request.path(),
+            &request.body,
+        );
         let deadline = now.at + clock::millis(frame.time_left_ms);
         self.local.attempts.insert(
             index,
@@ -201,8 +218,12 @@
             return None;
         }
         let request = &frame.request;
-        let fingerprint =
-            fingerprint::fingerprint(&frame.service, &request.method, request.path(), &request.body);
+        let fingerprint = fingerprint::fingerprint(
+            &frame.service,
+            &request.method,
+            request.path(),
+            &request.body,
+        );
         let refused = fingerprints.refused_for(&fingerprint, now.at).is_some();
         refused.then_some(Reason::FingerprintRefused)
     }
@@ -215,8 +236,12 @@
         };
         let attempt = &self.local.attempts[index];
         let deadline = attempt.deadline;
-        let offer =
-            Offer { attempt_id, incarnation: attempt.incarnation, class: attempt.class, deadline };
+        let offer = Offer {
+            attempt_id,
+            incarnation: attempt.incarnation,
+            class: attempt.class,
+            deadline,
+        };
         match self.admission.offer(&offer, now) {
             Admitted::Start => self.start_run(cx, attempt_id),
             Admitted::Queued { displaced } => {
@@ -225,9 +250,19 @@
                     self.end_local(cx, displaced, keys::refused(Reason::QueueFull));
                 }
             }
-            Admitted::Refused { reason, retry_after_ms } => {
+            Admitted::Refused {
+                reason,
+                retry_after_ms,
+            } => {
                 metrics::counter!("hemlockfall_refusals_total").increment(1);
-                self.end_local(cx, attempt_id, AttemptEnd::Refused { reason, retry_after_ms });
+                self.end_local(
+                    cx,
+                    attempt_id,
+                    AttemptEnd::Refused {
+                        reason,
+                        retry_after_ms,
+                    },
+                );
             }
             Admitted::Duplicate => {}
         }
@@ -269,7 +304,7 @@
         incarnation: Incarnation,
     ) {
         let answer = self.admission.fence(attempt_id, incarnation, now_of(cx));
-        if answer == hemlockfall_request::admission::FenceAnswer::NotStarted {
+        if answer == FenceAnswer::NotStarted {
             self.end_local(cx, attempt_id, keys::refused(Reason::Fenced));
         }
         let message = LinkMessage::FenceAnswer { attempt_id, answer };
@@ -294,13 +329,13 @@
             AttemptEnd::Answered(answer) => {
                 self.keys.finished(attempt_id, keys::record(answer), now)
             }
-            AttemptEnd::Refused { reason, .. } => match reason.outcome() {
-                hemlockfall_request::outcome::Outcome::NotRun => self.keys.released(attempt_id),
-                _ => {
-                    self.keys.lost(attempt_id);
-                    Vec::new()
-                }
-            },
+            AttemptEnd::Refused { reason, .. } if reason.outcome() == Outcome::NotRun => {
+                self.keys.released(attempt_id)
+            }
+            AttemptEnd::Refused { .. } => {
+                self.keys.lost(attempt_id);
+                Vec::new()
+            }
         };
         self.perform_keys(cx, actions);
     }
--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -65,7 +65,10 @@
         let max_body_bytes = usize::try_from(attempt.max_body_bytes).unwrap_or(usize::MAX);
         set_attempt_headers(&mut request, attempt_id, time_left, attempt.is_retry);
         let run = self.new_run(attempt_id, Purpose::Attempt, address, request, time_left);
-        let run = Box::new(TargetRun { max_body_bytes, ..run });
+        let run = Box::new(TargetRun {
+            max_body_bytes,
+            ..run
+        });
         call!([self.target_client], run(run));
     }
 
@@ -79,9 +82,19 @@
     ) -> TargetRun {
         self.local.next_run += 1;
         let id = self.local.next_run;
-        self.local.runs.push(Run { id, attempt_id, purpose });
+        self.local.runs.push(Run {
+            id,
+            attempt_id,
+            purpose,
+        });
         let request = Box::new(request);
-        TargetRun { id, address, request, time_left, max_body_bytes: CANCEL_ANSWER_BYTES }
+        TargetRun {
+            id,
+            address,
+            request,
+            time_left,
+            max_body_bytes: CANCEL_ANSWER_BYTES,
+        }
     }
 
     /// Asks the target to give up an attempt that runs.
@@ -106,7 +119,11 @@
 
     /// `target_event` takes in the end of a run.
     pub fn target_event(&mut self, cx: CX![], event: TargetEvent) {
-        let Ok(index) = self.local.runs.binary_search_by_key(&event.id, |run| run.id) else {
+        let Ok(index) = self
+            .local
+            .runs
+            .binary_search_by_key(&event.id, |run| run.id)
+        else {
             return;
         };
         let run = self.local.runs.remove(index);
@@ -146,7 +163,9 @@
             keys::refused(Reason::TargetShed)
         } else {
             if let Ok(index) = self.local.position(attempt_id) {
-                self.local.completed.add(self.local.attempts[index].fingerprint);
+                self.local
+                    .completed
+                    .add(self.local.attempts[index].fingerprint);
             }
             AttemptEnd::Answered(answer)
         };
@@ -217,11 +236,22 @@
     time_left: Duration,
     is_retry: bool,
 ) {
-    let own = [http::DEADLINE_HEADER, http::ATTEMPT_HEADER, http::RETRY_HEADER];
-    request.headers.retain(|header| !own.iter().any(|name| header.name.eq_ignore_ascii_case(name)));
+    let own = [
+        http::DEADLINE_HEADER,
+        http::ATTEMPT_HEADER,
+        http::RETRY_HEADER,
+    ];
+    request.headers.retain(|header| {
+        !own.iter()
+            .any(|name| header.name.eq_ignore_ascii_case(name))
+    });
     let left_ms = time_left.as_millis().to_string();
-    request.headers.push(Header::new(http::DEADLINE_HEADER, left_ms));
-    request.headers.push(Header::new(http::ATTEMPT_HEADER, attempt_id.to_string()));
+    request
+        .headers
+        .push(Header::new(http::DEADLINE_HEADER, left_ms));
+    request
+        .headers
+        .push(Header::new(http::ATTEMPT_HEADER, attempt_id.to_string()));
     if is_retry {
         request.headers.push(Header::new(http::RETRY_HEADER, "1"));
     }
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -5,18 +5,20 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use hemlockfall_core::catalogue::StoredCatalogue;
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::endpoint::TargetInfo;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::units;
 use hemlockfall_distribution::action::Action as DistributionAction;
 use hemlockfall_distribution::action::Level as DistributionLevel;
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_distribution::peers::Peers;
-use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_distribution::reader::StoreResult;
+use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_membership::action::Action as MembershipAction;
 use hemlockfall_membership::action::Level as MembershipLevel;
 use hemlockfall_membership::items::GossipItem;
@@ -33,6 +35,8 @@
 use crate::edge::datagrams::Datagrams;
 use crate::edge::links::Links;
 use crate::node::health::Health;
+use crate::node::status;
+use crate::node::status::StatusBoard;
 use crate::node::store_io::StoreEvent;
 use crate::node::store_io::StoreIo;
 use crate::wire::ControlMessage;
@@ -41,6 +45,9 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Copies on other VMs after which an accepted change survives the loss of the store.
 const ENOUGH_COPIES: usize = 2;
+/// Relays look for contacts of other data centres this often, so that groups that started
+/// apart find each other.
+const CONTACTS_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest wait for the copies of an accepted change.
 const COPIES_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -95,6 +102,8 @@
     pub store: StoreIo,
     /// Health page.
     pub health: Arc<Health>,
+    /// State as operators see it.
+    pub board: StatusBoard,
     /// Receives the outputs.
     pub outputs: Fwd<ControlOutput>,
 }
@@ -104,7 +113,8 @@
     parts: ControlParts,
     awaited: Vec<AwaitedCopies>,
     has_peers: bool,
-    control_bytes_sent: metrics::Counter,
+    next_contacts: Instant,
+    sent_bytes: metrics::Counter,
 }
 
 impl Control {
@@ -113,8 +123,14 @@
         after!(TICK, [cx], tick());
         let own = parts.membership.own().clone();
         fwd!([parts.outputs], ControlOutput::Endpoint(own));
-        let control_bytes_sent = metrics::counter!("hemlockfall_control_sent_bytes_total");
-        Some(Self { parts, awaited: Vec::new(), has_peers: false, control_bytes_sent })
+        let sent_bytes = metrics::counter!("hemlockfall_control_sent_bytes_total");
+        Some(Self {
+            parts,
+            awaited: Vec::new(),
+            has_peers: false,
+            next_contacts: cx.now() + CONTACTS_INTERVAL,
+            sent_bytes,
+        })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -128,9 +144,27 @@
         let actions = self.parts.distribution.tick(now);
         self.perform_distribution(actions);
         self.answer_copies(now);
+        self.update_board();
+        if now >= self.next_contacts {
+            self.next_contacts = now + CONTACTS_INTERVAL;
+            if self.parts.membership.roles().is_relay {
+                self.parts.store.read_all_contacts();
+            }
+        }
+    }
+
+    fn update_board(&self) {
+        let membership = &self.parts.membership;
+        let members = membership.table().live_records().count() + 1;
+        let state = format!("{:?}", membership.own().state).to_lowercase();
+        self.parts.board.update(|status| {
+            status.members = members;
+            status.state = state.into();
+        });
     }
 
     /// `receive` takes in a control message of a peer.
+    #[expect(clippy::boxed_local, reason = "stakker's queue copies arguments")]
     pub fn receive(&mut self, cx: CX![], from: SocketAddr, message: Box<ControlMessage>) {
         let now = cx.now();
         match *message {
@@ -152,13 +186,29 @@
             StoreEvent::Contacts(contacts) => self.parts.membership.handle_contacts(&contacts),
             StoreEvent::Catalogue(result) => {
                 let is_reachable = result != StoreResult::Unreachable;
-                fwd!([self.parts.outputs], ControlOutput::StoreReachable(is_reachable));
+                self.note_store(is_reachable);
                 let actions = self.parts.distribution.handle_store(result, cx.now());
                 self.perform_distribution(actions);
             }
         }
     }
 
+    fn note_store(&mut self, is_reachable: bool) {
+        let now_unix_ms = units::unix_ms(SystemTime::now());
+        self.parts.board.update(|status| {
+            status.store_down_since_unix_ms = match (is_reachable, status.store_down_since_unix_ms)
+            {
+                (true, _) => None,
+                (false, None) => Some(now_unix_ms),
+                (false, since) => since,
+            };
+        });
+        fwd!(
+            [self.parts.outputs],
+            ControlOutput::StoreReachable(is_reachable)
+        );
+    }
+
     /// `accepted` spreads a change that an operator's call just made, and answers with the
     /// number of copies on other VMs.
     pub fn accepted(&mut self, cx: CX![], accepted: Accepted) {
@@ -168,7 +218,11 @@
         let actions = self.parts.distribution.handle_store(result, now);
         self.perform_distribution(actions);
         let until = now + COPIES_TIMEOUT;
-        self.awaited.push(AwaitedCopies { revision, copies: accepted.copies, until });
+        self.awaited.push(AwaitedCopies {
+            revision,
+            copies: accepted.copies,
+            until,
+        });
         self.answer_copies(now);
     }
 
@@ -216,7 +270,9 @@
 
     /// `spread` sends a notice to all nodes.
     pub fn spread(&mut self, cx: CX![], item: GossipItem, lifetime_ms: u32) {
-        self.parts.membership.spread_item(item, lifetime_ms, cx.now());
+        self.parts
+            .membership
+            .spread_item(item, lifetime_ms, cx.now());
     }
 
     fn output_own(&self) {
@@ -240,7 +296,10 @@
                     fwd!([self.parts.outputs], ControlOutput::Forgotten(node));
                 }
                 Action::Item { item, lifetime_ms } => {
-                    fwd!([self.parts.outputs], ControlOutput::Item { item, lifetime_ms });
+                    fwd!(
+                        [self.parts.outputs],
+                        ControlOutput::Item { item, lifetime_ms }
+                    );
                 }
                 Action::RolesChanged(roles) => {
                     if self.parts.membership.is_joined() {
@@ -289,6 +348,13 @@
         spdlog::info!("configuration in force", kv: { revision = revision });
         self.parts.membership.set_revision(revision);
         self.parts.health.set_revision(revision);
+        let digest = status::hexadecimal(&snapshot.digest());
+        self.parts.board.update(|status| {
+            status.revision = revision;
+            status.digest = digest;
+        });
+        let revision_gauge = u32::try_from(revision).unwrap_or(u32::MAX);
+        metrics::gauge!("hemlockfall_revision").set(f64::from(revision_gauge));
         fwd!([self.parts.outputs], ControlOutput::InForce(snapshot));
     }
 
@@ -313,21 +379,25 @@
     fn send(&mut self, to: SocketAddr, message: ControlMessage) {
         match message.encode() {
             Ok(content) if content.len() <= DATAGRAM_LIMIT_BYTES => {
-                self.control_bytes_sent.increment(content.len() as u64);
+                self.sent_bytes.increment(content.len() as u64);
                 call!([self.parts.datagrams], send(to, content));
             }
             Ok(_) => self.send_bulk(to, message),
-            Err(error) => spdlog::error!("control message not sent", kv: { error = error.to_string() }),
+            Err(error) => {
+                spdlog::error!("control message not sent", kv: { error = error.to_string() });
+            }
         }
     }
 
     fn send_bulk(&mut self, to: SocketAddr, message: ControlMessage) {
         match LinkMessage::Control(Box::new(message)).encode() {
             Ok(content) => {
-                self.control_bytes_sent.increment(content.len() as u64);
+                self.sent_bytes.increment(content.len() as u64);
                 call!([self.parts.links], send(to, 0, content));
             }
-            Err(error) => spdlog::error!("control message not sent", kv: { error = error.to_string() }),
+            Err(error) => {
+                spdlog::error!("control message not sent", kv: { error = error.to_string() });
+            }
         }
     }
 }
--- a/crates/hemlockfall/src/node/decisions.rs
+++ b/crates/hemlockfall/src/node/decisions.rs
@@ -20,7 +20,11 @@
     /// `new` makes a log with a limit of lines per second; 0 for none.
     #[must_use]
     pub fn new(limit_per_s: u32, now: Instant) -> Self {
-        Self { limit_per_s, window_start: now, written: 0 }
+        Self {
+            limit_per_s,
+            window_start: now,
+            written: 0,
+        }
     }
 
     /// `write` writes a decision, unless the limit of the current second is reached.
--- /dev/null
+++ b/crates/hemlockfall/src/node/run.rs
@@ -0,0 +1,392 @@
+//! Builds the actors of a node and runs their loop.
+
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::EndpointState;
+use hemlockfall_core::kernel;
+use hemlockfall_core::kernel::MetricKind;
+use hemlockfall_core::settings::Settings;
+use hemlockfall_core::units;
+use hemlockfall_core::units::KIB;
+use hemlockfall_core::units::MIB;
+use hemlockfall_distribution::node::Distribution;
+use hemlockfall_membership::node::Membership;
+use hemlockfall_request::balance::Place;
+use hemlockfall_store::Client;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use stakker::ActorOwn;
+use stakker::Stakker;
+use stakker::actor;
+use stakker::actor_new;
+use stakker::call;
+use stakker::fwd_to;
+use stakker::ret_shutdown;
+use stakker::sync::Channel;
+use stakker_mio::MioPoll;
+use stakker_mio::mio::Events;
+use stakker_mio::mio::Poll;
+
+use crate::edge::caller_server::CallerOptions;
+use crate::edge::caller_server::CallerServer;
+use crate::edge::datagrams::Datagrams;
+use crate::edge::http1::HttpLimits;
+use crate::edge::links::LinkOptions;
+use crate::edge::links::Links;
+use crate::edge::local;
+use crate::edge::target_client::TargetClient;
+use crate::log;
+use crate::log::LogOptions;
+use crate::node::calls::Calls;
+use crate::node::calls::CallsParts;
+use crate::node::control::Accepted;
+use crate::node::control::Control;
+use crate::node::control::ControlParts;
+use crate::node::decisions::DecisionLog;
+use crate::node::dispatch::Dispatch;
+use crate::node::dispatch::Receivers;
+use crate::node::health::Health;
+use crate::node::options::NodeOptions;
+use crate::node::signals;
+use crate::node::status::StatusBoard;
+use crate::node::stopping::Stopping;
+use crate::node::stopping::StoppingParts;
+use crate::node::store_io::StoreIo;
+use crate::operator;
+use crate::operator::OperatorError;
+use crate::operator::request::NodeStatus;
+use crate::operator::server::Server;
+use crate::operator::worker;
+use crate::operator::worker::Hooks;
+
+const EVENTS: usize = 1024;
+const MAX_WAIT: Duration = Duration::from_secs(1);
+const MAX_HEAD_BYTES: usize = 32 * KIB;
+const MAX_BODY_BYTES: usize = 8 * MIB;
+const TARGET_CONNECTIONS: usize = 130;
+const COPIES_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// `run` runs a node until it is told to stop.
+///
+/// # Errors
+/// The reason why the node cannot start, or why it ended.
+pub fn run(settings: &Settings) -> Result<(), String> {
+    let options = Sections::read(settings).map_err(|error| error.to_string())?;
+    log::init(&options.log)?;
+    let metrics = install_metrics()?;
+    let poll = Poll::new().map_err(|error| error.to_string())?;
+    let mut stakker = Stakker::new(Instant::now());
+    let poll = MioPoll::new(&mut stakker, poll, Events::with_capacity(EVENTS), 0)
+        .map_err(|error| error.to_string())?;
+    let _node = start(&mut stakker, &options, &metrics)?;
+    spdlog::info!("node started", kv: {
+        node = options.node.name.as_str(),
+        region = options.node.region.as_str(),
+        data_centre = options.node.data_centre.as_str(),
+    });
+    serve(&mut stakker, &poll)
+}
+
+fn serve(stakker: &mut Stakker, poll: &MioPoll) -> Result<(), String> {
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    let mut activity;
+    while stakker.not_shutdown() {
+        let has_work = idle_pending || io_pending;
+        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, has_work);
+        (activity, io_pending) = poll.poll(wait).map_err(|error| error.to_string())?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    spdlog::default_logger().flush();
+    match stakker.shutdown_reason() {
+        None | Some(stakker::StopCause::Stopped | stakker::StopCause::Dropped) => Ok(()),
+        Some(cause) => Err(cause.to_string()),
+    }
+}
+
+/// The settings sections that a node uses.
+struct Sections {
+    node: NodeOptions,
+    log: LogOptions,
+    store: hemlockfall_store::Options,
+    distribution: hemlockfall_distribution::options::Options,
+    membership: hemlockfall_membership::options::Options,
+    request: hemlockfall_request::options::Options,
+    operator: operator::Options,
+}
+
+impl Sections {
+    fn read(settings: &Settings) -> hemlockfall_core::errors::Result<Self> {
+        let store: hemlockfall_store::Options = settings.section("store")?;
+        let membership: hemlockfall_membership::options::Options =
+            settings.section("membership")?;
+        let store_region = store.region.clone();
+        Ok(Self {
+            node: settings.section("node")?,
+            log: settings.section("log")?,
+            store,
+            distribution: settings.section("distribution")?,
+            membership: hemlockfall_membership::options::Options {
+                store_region,
+                ..membership
+            },
+            request: settings.section("request")?,
+            operator: settings.section("operator")?,
+        })
+    }
+}
+
+/// Everything that must live as long as the node.
+struct Node {
+    _control: ActorOwn<Control>,
+    _calls: ActorOwn<Calls>,
+    _links: ActorOwn<Links>,
+    _datagrams: ActorOwn<Datagrams>,
+    _callers: ActorOwn<CallerServer>,
+    _target_client: ActorOwn<TargetClient>,
+    _dispatch: ActorOwn<Dispatch>,
+    _stopping: ActorOwn<Stopping>,
+    _guards: Vec<stakker::sync::ChannelGuard>,
+    _operator: Server,
+}
+
+fn start(
+    stakker: &mut Stakker,
+    options: &Sections,
+    metrics: &PrometheusHandle,
+) -> Result<Node, String> {
+    let now = Instant::now();
+    let incarnation = units::unix_ms(SystemTime::now());
+    let health = Arc::new(Health::default());
+    let board = StatusBoard::new(first_status(&options.node));
+    let client = Client::new(options.store.clone(), rand::random());
+    let mut guards = Vec::new();
+
+    let control = actor_new!(stakker, Control, ret_shutdown!(stakker));
+    let calls = actor_new!(stakker, Calls, ret_shutdown!(stakker));
+    let dispatch = actor_new!(stakker, Dispatch, ret_shutdown!(stakker));
+
+    let link_events = fwd_to!([dispatch], link_event() as (crate::edge::links::LinkEvent));
+    let links = actor!(
+        stakker,
+        Links::init(link_options(options), link_events),
+        ret_shutdown!(stakker)
+    );
+    let received = fwd_to!([dispatch], datagram() as (crate::edge::datagrams::Received));
+    let datagrams = actor!(
+        stakker,
+        Datagrams::init(options.node.peer_address, received),
+        ret_shutdown!(stakker)
+    );
+    let limits = HttpLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        max_body_bytes: MAX_BODY_BYTES,
+    };
+    let caller_events = fwd_to!(
+        [calls],
+        caller_event() as (crate::edge::message::CallerEvent)
+    );
+    let caller_options = CallerOptions::new(options.node.caller_address, limits);
+    let callers = actor!(
+        stakker,
+        CallerServer::init(caller_options, caller_events),
+        ret_shutdown!(stakker)
+    );
+    let target_events = fwd_to!(
+        [calls],
+        target_event() as (crate::edge::target_client::TargetEvent)
+    );
+    let target_client = actor!(
+        stakker,
+        TargetClient::init(limits, TARGET_CONNECTIONS, target_events),
+        ret_shutdown!(stakker)
+    );
+
+    let receivers = Receivers {
+        control: control.clone(),
+        calls: calls.clone(),
+        links: links.clone(),
+    };
+    call!([dispatch], Dispatch::init(receivers));
+
+    let store_events = fwd_to!(
+        [control],
+        store_event() as (crate::node::store_io::StoreEvent)
+    );
+    let (store_channel, guard) = Channel::new(stakker, store_events);
+    guards.push(guard);
+    let data_centre = options.node.data_centre.clone();
+    let outputs = fwd_to!(
+        [dispatch],
+        control_output() as (crate::node::control::ControlOutput)
+    );
+    let parts = ControlParts {
+        membership: membership(options, incarnation, now),
+        distribution: Distribution::new(
+            options.distribution.clone(),
+            options.node.peer_address,
+            rand::random(),
+            now,
+        ),
+        datagrams: datagrams.clone(),
+        links: links.clone(),
+        store: StoreIo::start(client.clone(), data_centre, store_channel),
+        health: Arc::clone(&health),
+        board: board.clone(),
+        outputs,
+    };
+    let calls_parts = CallsParts {
+        place: place(&options.node),
+        incarnation,
+        options: options.request.clone(),
+        links: links.clone(),
+        callers: callers.clone(),
+        target_client: target_client.clone(),
+        control: control.clone(),
+        decisions: DecisionLog::new(options.log.decisions_per_s, now),
+    };
+    call!([calls], Calls::init(calls_parts));
+    call!([control], Control::init(parts));
+
+    let local_events = fwd_to!([calls], local_event() as (crate::edge::message::LocalEvent));
+    let (local_channel, guard) = Channel::new(stakker, local_events);
+    guards.push(guard);
+    local::start(options.node.local_address, &local_channel, &health, metrics)?;
+
+    let accepted = fwd_to!([control], accepted() as (Accepted));
+    let (accepted_channel, guard) = Channel::new(stakker, accepted);
+    guards.push(guard);
+    let operator = start_operator(options, client, accepted_channel, board)?;
+
+    let stopping_parts = StoppingParts {
+        control: control.clone(),
+        calls: calls.clone(),
+        callers: callers.clone(),
+        health,
+        timeout: options.node.stop_timeout(),
+    };
+    let stopping = actor!(
+        stakker,
+        Stopping::init(stopping_parts),
+        ret_shutdown!(stakker)
+    );
+    let begin = fwd_to!([stopping], begin() as (signals::StopRequested));
+    let (stop_channel, guard) = Channel::new(stakker, begin);
+    guards.push(guard);
+    signals::watch(stop_channel)?;
+
+    Ok(Node {
+        _control: control,
+        _calls: calls,
+        _links: links,
+        _datagrams: datagrams,
+        _callers: callers,
+        _target_client: target_client,
+        _dispatch: dispatch,
+        _stopping: stopping,
+        _guards: guards,
+        _operator: operator,
+    })
+}
+
+fn link_options(options: &Sections) -> LinkOptions {
+    let silence = Duration::from_millis(u64::from(options.request.link_silence_ms));
+    LinkOptions {
+        address: options.node.peer_address,
+        connect_timeout: Duration::from_secs(1),
+        ping_after: silence,
+        lost_after: silence,
+        idle_timeout: Duration::from_mins(1),
+        queue_limit_bytes: 32 * MIB,
+        max_incoming: 4096,
+    }
+}
+
+fn place(options: &NodeOptions) -> Place {
+    Place {
+        node: options.name.clone(),
+        region: options.region.clone(),
+        data_centre: options.data_centre.clone(),
+    }
+}
+
+fn membership(options: &Sections, incarnation: u64, now: Instant) -> Membership {
+    let own = EndpointRecord {
+        node: options.node.name.clone(),
+        peer_address: options.node.peer_address,
+        region: options.node.region.clone(),
+        data_centre: options.node.data_centre.clone(),
+        incarnation,
+        sequence: 0,
+        state: EndpointState::Starting,
+        target: None,
+        revision: 0,
+    };
+    Membership::new(options.membership.clone(), own, rand::random(), now)
+}
+
+fn first_status(options: &NodeOptions) -> NodeStatus {
+    NodeStatus {
+        node: options.name.clone(),
+        region: options.region.clone(),
+        data_centre: options.data_centre.clone(),
+        state: "starting".into(),
+        revision: 0,
+        digest: String::new(),
+        members: 0,
+        store_down_since_unix_ms: None,
+        operations: Vec::new(),
+    }
+}
+
+fn start_operator(
+    options: &Sections,
+    client: Client,
+    accepted: Channel<Accepted>,
+    board: StatusBoard,
+) -> Result<Server, String> {
+    let (requests, receiver) = operator::channel(&options.operator);
+    let hooks = Hooks {
+        on_accepted: Box::new(move |stored| {
+            let (copies, counted) = mpsc::sync_channel(1);
+            accepted.send(Accepted {
+                stored: Box::new(stored.clone()),
+                copies,
+            });
+            counted.recv_timeout(COPIES_TIMEOUT).unwrap_or(0)
+        }),
+        status: Box::new(move || board.get()),
+        report: Box::new(|_| {
+            let reason = "this node has no report yet";
+            Err(OperatorError::failed(operator::errors::NODE_FAILED, reason))
+        }),
+    };
+    let worker_options = options.operator.clone();
+    thread::spawn(move || worker::run(receiver, client, hooks, &worker_options));
+    let address = options.node.operator_address;
+    Server::start(address, &options.operator, requests, Arc::new(|| {}))
+        .map_err(|error| error.to_string())
+}
+
+/// Installs the recorder of the metrics page and describes the registered metrics.
+fn install_metrics() -> Result<PrometheusHandle, String> {
+    let handle = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| error.to_string())?;
+    for plugin in kernel::plugins() {
+        for metric in plugin.metrics {
+            match metric.kind {
+                MetricKind::Counter => metrics::describe_counter!(metric.name, metric.help),
+                MetricKind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+                MetricKind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+            }
+        }
+    }
+    Ok(handle)
+}
--- /dev/null
+++ b/crates/hemlockfall/src/node/stopping.rs
@@ -0,0 +1,91 @@
+//! The planned stop: leave, finish what runs, tell the others, end.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use stakker::Actor;
+use stakker::CX;
+use stakker::after;
+use stakker::call;
+use stakker::ret_some_to;
+
+use crate::edge::caller_server::CallerServer;
+use crate::node::calls::Calls;
+use crate::node::control::Control;
+use crate::node::health::Health;
+use crate::node::signals::StopRequested;
+
+const POLL: Duration = Duration::from_millis(20);
+/// Peers hear of the leaving within this time and send nothing new after it.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
+
+/// `Stopping` is the actor that carries out the planned stop.
+pub struct Stopping {
+    parts: StoppingParts,
+    started: Option<Instant>,
+}
+
+/// `StoppingParts` are what the stop works with.
+pub struct StoppingParts {
+    /// Membership and distribution.
+    pub control: Actor<Control>,
+    /// Request path.
+    pub calls: Actor<Calls>,
+    /// HTTP edge towards callers.
+    pub callers: Actor<CallerServer>,
+    /// Health page.
+    pub health: Arc<Health>,
+    /// Longest wait for requests in flight.
+    pub timeout: Duration,
+}
+
+impl Stopping {
+    /// `init` waits for the request to stop.
+    #[must_use]
+    pub fn init(_: CX![], parts: StoppingParts) -> Option<Self> {
+        Some(Self {
+            parts,
+            started: None,
+        })
+    }
+
+    /// `begin` starts the stop; a second request changes nothing.
+    pub fn begin(&mut self, cx: CX![], _: StopRequested) {
+        if self.started.is_some() {
+            return;
+        }
+        spdlog::info!("planned stop begins");
+        self.started = Some(cx.now());
+        self.parts.health.set_stopping();
+        call!([self.parts.calls], leave());
+        call!([self.parts.callers], stop_accepting());
+        after!(ANNOUNCE_TIME, [cx], poll());
+    }
+
+    fn poll(&mut self, cx: CX![]) {
+        let idle = ret_some_to!([cx], polled() as (bool));
+        call!([self.parts.calls], report_idle(idle));
+    }
+
+    fn polled(&mut self, cx: CX![], is_idle: bool) {
+        let waited = self
+            .started
+            .map_or(Duration::ZERO, |since| cx.now() - since);
+        if !is_idle && waited < self.parts.timeout {
+            after!(POLL, [cx], poll());
+            return;
+        }
+        if !is_idle {
+            spdlog::warn!("planned stop ends with requests in flight");
+        }
+        call!([self.parts.control], left());
+        after!(ANNOUNCE_TIME, [cx], end());
+    }
+
+    #[expect(clippy::unused_self, reason = "stakker calls methods of the actor")]
+    fn end(&mut self, cx: CX![]) {
+        spdlog::info!("planned stop ends");
+        cx.shutdown(stakker::StopCause::Stopped);
+    }
+}
--- a/crates/hemlockfall/src/node/store_io.rs
+++ b/crates/hemlockfall/src/node/store_io.rs
@@ -35,7 +35,7 @@
 
 enum Job {
     ReadCatalogue,
-    ReadContacts,
+    ReadContacts { all: bool },
     WriteContacts { addresses: Vec<SocketAddr> },
 }
 
@@ -61,7 +61,12 @@
         };
         let (jobs, receiver) = mpsc::sync_channel(QUEUE_LENGTH);
         thread::spawn(move || caller.run(&receiver));
-        Self { client, jobs, events, watch_stop: None }
+        Self {
+            client,
+            jobs,
+            events,
+            watch_stop: None,
+        }
     }
 
     /// `read_catalogue` reads the catalogue once.
@@ -69,9 +74,15 @@
         self.submit(Job::ReadCatalogue);
     }
 
-    /// `read_contacts` reads the contact objects.
+    /// `read_contacts` reads the contact object of the own data centre, and the others when it
+    /// is empty, so that a herd of starting nodes costs one read each.
     pub fn read_contacts(&self) {
-        self.submit(Job::ReadContacts);
+        self.submit(Job::ReadContacts { all: false });
+    }
+
+    /// `read_all_contacts` reads the contact objects of all data centres.
+    pub fn read_all_contacts(&self) {
+        self.submit(Job::ReadContacts { all: true });
     }
 
     /// `write_contacts` replaces the contact object of the own data centre.
@@ -161,10 +172,11 @@
         while let Ok(job) = jobs.recv() {
             match job {
                 Job::ReadCatalogue => {
-                    self.events.send(StoreEvent::Catalogue(self.read_catalogue()));
+                    self.events
+                        .send(StoreEvent::Catalogue(self.read_catalogue()));
                 }
-                Job::ReadContacts => {
-                    if let Some(contacts) = self.read_contacts() {
+                Job::ReadContacts { all } => {
+                    if let Some(contacts) = self.read_contacts(all) {
                         self.events.send(StoreEvent::Contacts(contacts));
                     }
                 }
@@ -181,32 +193,36 @@
         }
     }
 
-    /// Reads the own data centre's object; the others only when there is none, so that a herd
-    /// of starting nodes costs one read each.
-    fn read_contacts(&self) -> Option<Vec<Contacts>> {
+    fn read_contacts(&self, all: bool) -> Option<Vec<Contacts>> {
         let own = self.read_contact(self.data_centre.clone())?;
-        if own.iter().any(|contacts| !contacts.addresses.is_empty()) {
+        if !all && own.iter().any(|contacts| !contacts.addresses.is_empty()) {
             return Some(own);
         }
         let listed = self.client.list(CONTACTS_PREFIX).ok()?;
-        let mut all = own;
+        let mut contacts = own;
         for object in listed {
             if let Some(name) = object.key.strip_prefix(CONTACTS_PREFIX)
                 && name != self.data_centre
             {
-                all.extend(self.read_contact(name.into())?);
+                contacts.extend(self.read_contact(name.into())?);
             }
         }
-        Some(all)
+        Some(contacts)
     }
 
     fn read_contact(&self, data_centre: DataCentreName) -> Option<Vec<Contacts>> {
-        let object = self.client.get(&format!("{CONTACTS_PREFIX}{data_centre}")).ok()?;
+        let object = self
+            .client
+            .get(&format!("{CONTACTS_PREFIX}{data_centre}"))
+            .ok()?;
         let Some(object) = object else {
             return Some(Vec::new());
         };
         let addresses = serde_json::from_slice(&object.body).unwrap_or_default();
-        Some(vec![Contacts { data_centre, addresses }])
+        Some(vec![Contacts {
+            data_centre,
+            addresses,
+        }])
     }
 
     /// A lost race leaves the other writer's list, which is as good.
--- a/crates/membership/src/items.rs
+++ b/crates/membership/src/items.rs
@@ -5,6 +5,7 @@
 
 use hemlockfall_core::ids::Digest;
 use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::ServiceName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -30,12 +31,16 @@
 /// `GossipItem` is a notice that all nodes receive.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum GossipItem {
-    /// Requests with this fingerprint are refused.
+    /// A target vanished while it ran a request with this fingerprint.
     Fingerprint {
-        /// Service that refuses them.
+        /// Service of the target.
         service: ServiceName,
         /// Fingerprint of the request.
         fingerprint: Digest,
+        /// Node of the target.
+        node: NodeName,
+        /// When the target announced itself, in unix milliseconds; tells apart its lives.
+        ready_unix_ms: u64,
     },
     /// The share of a move is 0 until its state is committed.
     StopMove {
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// `is_of` tells whether this is the admission of a life of the node.
+    #[must_use]
+    pub fn is_of(&self, incarnation: Incarnation) -> bool {
+        self.incarnation == incarnation
+    }
+
     /// `offer` decides about an attempt that arrived.
     pub fn offer(&mut self, offer: &Offer, now: Now) -> Admitted {
         if let Some(refused) = self.screen(offer.attempt_id, offer.incarnation) {
--- a/xtask/src/harness/mod.rs
+++ b/xtask/src/harness/mod.rs
@@ -163,8 +163,16 @@
         let store = self.store_address()?;
         let node = NodeSpec::new(name, region, data_centre)?;
         let settings = self.directory.join(format!("{name}.toml"));
-        std::fs::write(&settings, node.settings(store, &self.extra_settings))
-            .map_err(|error| Error::resource(settings.display().to_string(), error))?;
+        // The store is in the region of the first node.
+        let store_region = self
+            .nodes
+            .first()
+            .map_or(region, |first| first.region.as_str());
+        std::fs::write(
+            &settings,
+            node.settings(store, store_region, &self.extra_settings),
+        )
+        .map_err(|error| Error::resource(settings.display().to_string(), error))?;
         let program = self.programs.hemlockfall.clone();
         let arguments = vec!["node".into(), "--settings".into(), settings.into()];
         self.start(name, &program, arguments)?;
--- a/xtask/src/harness/node.rs
+++ b/xtask/src/harness/node.rs
@@ -53,7 +53,7 @@
 
     /// `settings` returns the text of the settings file; `extra` is appended as it is.
     #[must_use]
-    pub fn settings(&self, store: SocketAddr, extra: &str) -> String {
+    pub fn settings(&self, store: SocketAddr, store_region: &str, extra: &str) -> String {
         let mut text = String::from("[node]\n");
         let keys = [
             ("name", self.name.clone()),
@@ -67,7 +67,10 @@
         for (key, value) in keys {
             let _ = writeln!(text, "{key} = \"{value}\"");
         }
-        let _ = write!(text, "\n[store]\naddress = \"{store}\"\n\n{extra}");
+        let _ = write!(
+            text,
+            "\n[store]\naddress = \"{store}\"\nregion = \"{store_region}\"\n\n{extra}"
+        );
         text
     }
 
