request: apply weights in the draw only

The cost of a target contained its weight, and the draw of two candidates did too. An idle target in its cold start, or one that reports itself unhealthy, then lost every comparison and got no request at all: the tests cold_target_ramps_up_over_10_seconds and report_only_lowers_the_weight_of_a_target failed. Dropping the weight from the draw was ruled out, since cost decides nothing between idle targets.

--- a/crates/request/src/balance.rs
+++ b/crates/request/src/balance.rs
@@ -116,12 +116,12 @@
         ramp_permille * self.reported_weight_permille / FULL_WEIGHT_PERMILLE
     }
 
-    /// `cost` returns the expected cost of one more attempt; the lower one is chosen.
+    /// `cost` returns the expected cost of one more attempt; the lower one is chosen. Weights are
+    /// left to the draw: a cost that contained them would keep an idle cold target, and one that
+    /// reports itself unhealthy, from any request at all.
     #[must_use]
-    pub fn cost(&self, now: Instant, options: &Options) -> u64 {
-        let weight_permille = self.weight_permille(now, options).max(1);
-        let latency_us = self.latency_us + LATENCY_FLOOR_US;
-        latency_us * u64::from(self.in_flight + 1) * FULL_WEIGHT_PERMILLE / weight_permille
+    pub fn cost(&self) -> u64 {
+        (self.latency_us + LATENCY_FLOOR_US) * u64::from(self.in_flight + 1)
     }
 }
 
@@ -190,9 +190,6 @@
 }
 
 /// `better_of_two` draws two different candidates by weight and returns the cheaper one.
-///
-/// Drawing by weight as well as comparing cost keeps a cold target from being every second
-/// request's partner while its in-flight count is zero.
 pub fn better_of_two<'a, F>(
     candidates: &[usize],
     load: F,
@@ -207,8 +204,8 @@
     let Some(second) = draw(candidates, Some(first), &load, now, options, random) else {
         return Some(first);
     };
-    let first_cost = load(first).cost(now, options);
-    let second_cost = load(second).cost(now, options);
+    let first_cost = load(first).cost();
+    let second_cost = load(second).cost();
     Some(if second_cost < first_cost {
         second
     } else {
--- a/crates/request/tests/common/mod.rs
+++ b/crates/request/tests/common/mod.rs
@@ -5,10 +5,6 @@
 
 use hemlockfall_core::catalogue::Configuration;
 use hemlockfall_core::catalogue::Limits;
-use hemlockfall_core::catalogue::MoveState;
-use hemlockfall_core::catalogue::MoveStatus;
-use hemlockfall_core::catalogue::OnOutage;
-use hemlockfall_core::catalogue::PlanStep;
 use hemlockfall_core::catalogue::Route;
 use hemlockfall_core::catalogue::ServiceEntry;
 use hemlockfall_core::endpoint::EndpointRecord;
@@ -18,7 +14,6 @@
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::options::Options;
 use hemlockfall_request::router::Router;
-use uuid::Uuid;
 
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
 
@@ -59,25 +54,6 @@
     }
 }
 
-pub fn running_move(share_permille: u16) -> MoveState {
-    MoveState {
-        move_id: Uuid::from_u128(7),
-        from: "v1".into(),
-        to: "v2".into(),
-        status: MoveStatus::Running,
-        share_permille: 0,
-        plan: vec![PlanStep {
-            at_unix_ms: START_UNIX_MS,
-            share_permille,
-        }],
-        started_unix_ms: START_UNIX_MS,
-        deadline_unix_ms: START_UNIX_MS + 600_000,
-        on_outage: OnOutage::Advance,
-        reason: "test".into(),
-        lease_term: 0,
-    }
-}
-
 pub fn configuration(entries: Vec<ServiceEntry>) -> Arc<Configuration> {
     Arc::new(Configuration {
         revision: 1,
