--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -234,18 +234,21 @@
     pub fn runner(&self, key: &Key, version: &str, tried: &[NodeName], now: Now) -> Option<Target> {
         let position = self.service_position(&key.service).ok()?;
         let members = &self.services[position].key_members;
-        let is_fit = |node: &NodeName| {
-            self.position(node).is_ok_and(|at| {
-                let known = &self.known[self.by_node[at]];
-                !known.is_suspected && !known.load.health.is_ejected(now.at)
-            })
-        };
-        let is_untried = |node: &NodeName| !tried.contains(node);
-        let node = members
-            .runner(key, version, |node| is_untried(node) && is_fit(node))
-            .or_else(|| members.runner(key, version, is_untried))?;
-        let at = self.position(node).ok()?;
-        Some(self.target(self.by_node[at]))
+        let mut passed_over: Vec<&NodeName> = Vec::new();
+        // The fitness of a target is looked up for the first-ranked one only, as it costs a
+        // search of the whole table.
+        loop {
+            let Some(node) = members.runner(key, version, |node| {
+                !tried.contains(node) && !passed_over.contains(&node)
+            }) else {
+                let first = passed_over.first()?;
+                return self.named_target(first);
+            };
+            if self.is_fit(node, now) {
+                return self.named_target(node);
+            }
+            passed_over.push(node);
+        }
     }
 
     /// `keepers` returns the nodes that keep the record of a key, in this node's view.
@@ -333,6 +336,18 @@
         uuid::Builder::from_unix_timestamp_millis(now.unix_ms, &random).into_uuid()
     }
 
+    fn is_fit(&self, node: &str, now: Now) -> bool {
+        self.position(node).is_ok_and(|position| {
+            let known = &self.known[self.by_node[position]];
+            !known.is_suspected && !known.load.health.is_ejected(now.at)
+        })
+    }
+
+    fn named_target(&self, node: &str) -> Option<Target> {
+        let position = self.position(node).ok()?;
+        Some(self.target(self.by_node[position]))
+    }
+
     fn target(&self, index: usize) -> Target {
         let record = &self.known[index].record;
         Target {
