request: do not retry a request whose target vanished

A repeatable request that crashes its target was retried twice by its entry node, before the fingerprint could be known there, and so took down up to three targets. Allowing one retry was ruled out: with one crash counted already, it would reach the third target. The fingerprint is also checked again before each retry.

--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -162,6 +162,7 @@
     is_retry: bool,
     key: Option<Key>,
     is_generated: bool,
+    fingerprint: Option<Digest>,
     deadline: Instant,
     attempts: u32,
     tried: Vec<NodeName>,
@@ -190,12 +191,7 @@
         F: Fn(&str, &str, &str) -> u16,
     {
         let mut call = Self::route(request, router, cap, now)?;
-        if let Some(fingerprint) = request.fingerprint
-            && router
-                .fingerprints()
-                .refused_for(&fingerprint, now.at)
-                .is_some()
-        {
+        if call.is_refused(router, now) {
             return Err(Reason::FingerprintRefused);
         }
         let mut actions = Vec::with_capacity(2);
@@ -381,6 +377,7 @@
             is_retry: request.is_retry,
             key: None,
             is_generated: request.key.is_none(),
+            fingerprint: request.fingerprint,
             deadline: budget::deadline(now.at, request.timeout_ms, route.timeout_ms),
             attempts: 0,
             tried: Vec::new(),
@@ -405,6 +402,10 @@
             self.answer(Reason::DeadlinePassed, None, actions);
             return;
         };
+        if self.is_refused(router, now) {
+            self.answer(Reason::FingerprintRefused, None, actions);
+            return;
+        }
         let target = match &self.key {
             Some(key) => router.runner(key, &self.version, &self.tried, now),
             None => router.pick(&self.service, &self.version, &self.tried, now),
@@ -433,6 +434,11 @@
         })));
     }
 
+    fn is_refused(&self, router: &Router, now: Now) -> bool {
+        self.fingerprint
+            .is_some_and(|known| router.fingerprints().refused_for(&known, now.at).is_some())
+    }
+
     fn attempt_key(&self) -> Option<AttemptKey> {
         self.key.as_ref().map(|key| AttemptKey {
             key: key.clone(),
@@ -480,7 +486,8 @@
             }
             AttemptResult::Unknown { reason } => {
                 self.doubt.get_or_insert(reason);
-                if !(self.is_repeatable && self.retry(router, now)) {
+                let is_open = self.is_repeatable && helps_to_retry(reason);
+                if !(is_open && self.retry(router, now)) {
                     self.answer(reason, None, &mut actions);
                 }
             }
@@ -569,10 +576,15 @@
     }
 }
 
-/// Whether another target could do better than the one that refused for a reason.
+/// Whether another target could do better. A request whose target vanished is not retried: if it
+/// was the cause, each retry would take down one more target before its fingerprint is known.
 fn helps_to_retry(reason: Reason) -> bool {
     !matches!(
         reason,
-        Reason::FingerprintRefused | Reason::Cancelled | Reason::NoService | Reason::NoRoute
+        Reason::TargetLost
+            | Reason::FingerprintRefused
+            | Reason::Cancelled
+            | Reason::NoService
+            | Reason::NoRoute
     )
 }
