--- a/crates/request/tests/common/network.rs
+++ b/crates/request/tests/common/network.rs
@@ -125,7 +125,14 @@
             faults,
             key,
             routers: (0..2)
-                .map(|entry| common::router_with(&format!("e{entry}"), seed.wrapping_add(entry), TARGETS, now))
+                .map(|entry| {
+                    common::router_with(
+                        &format!("e{entry}"),
+                        seed.wrapping_add(entry),
+                        TARGETS,
+                        now,
+                    )
+                })
                 .collect(),
             targets: BTreeMap::new(),
             calls: Vec::new(),
@@ -321,12 +328,12 @@
         for action in actions {
             match action {
                 KeyAction::Send { to, message } => self.send(at, &to, Frame::Key(message)),
-                KeyAction::Decide { claimant, decision } => self.decide(at, claimant, decision),
+                KeyAction::Decide { claimant, decision } => self.decide(at, claimant, &decision),
             }
         }
     }
 
-    fn decide(&mut self, at: &NodeName, attempt_id: AttemptId, decision: KeyDecision) {
+    fn decide(&mut self, at: &NodeName, attempt_id: AttemptId, decision: &KeyDecision) {
         let now = self.now;
         let Some(node) = self.targets.get_mut(at) else {
             return;
@@ -336,7 +343,7 @@
         };
         let result = match decision {
             KeyDecision::Recorded(_) => AttemptResult::Answered { is_failure: false },
-            KeyDecision::Refused(reason) => AttemptResult::refused(reason, None),
+            KeyDecision::Refused(reason) => AttemptResult::refused(*reason, None),
             KeyDecision::Run => match node.admission.offer(&offer, now) {
                 Admitted::Start => return self.begin_run(at, attempt_id),
                 Admitted::Queued { .. } | Admitted::Duplicate => return,
