--- a/crates/hemlockfall/src/cli/remote.rs
+++ b/crates/hemlockfall/src/cli/remote.rs
@@ -133,6 +133,7 @@
 }
 
 fn show(node: SocketAddr, request: OperatorRequest, format: Format) -> Result<()> {
+    request.check()?;
     let reply = client::call(node, request)?;
     match format {
         Format::Json => output::print_json(&reply),
--- a/crates/hemlockfall/src/operator/request.rs
+++ b/crates/hemlockfall/src/operator/request.rs
@@ -17,6 +17,10 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::operator::errors;
+use crate::operator::errors::OperatorError;
+use crate::operator::errors::Result;
+
 /// `OperatorRequest` is one call of an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorRequest {
@@ -72,7 +76,32 @@
     },
 }
 
+/// `MAX_TEXT_BYTES` is the length limit of names of operators and of reasons. They are kept in
+/// the change records of the catalogue object, whose size is limited.
+pub const MAX_TEXT_BYTES: usize = 256;
+
 impl OperatorRequest {
+    /// `check` verifies the texts that are kept in the change records.
+    ///
+    /// # Errors
+    /// [`errors::PARAMETERS_INVALID`] with the text that is empty or too long.
+    pub fn check(&self) -> Result<()> {
+        match self {
+            Self::Apply { author, .. } | Self::Remove { author, .. } => {
+                check_text("who", &author.who)
+            }
+            Self::Move { author, reason, .. } => {
+                check_text("who", &author.who)?;
+                check_text("reason", reason)
+            }
+            Self::Get { .. }
+            | Self::List
+            | Self::History { .. }
+            | Self::Status
+            | Self::Report { .. } => Ok(()),
+        }
+    }
+
     /// `operation_id` identifies the write of a request that changes the catalogue.
     #[must_use]
     pub fn operation_id(&self) -> Option<OperationId> {
@@ -129,6 +158,16 @@
     }
 }
 
+fn check_text(name: &str, text: &str) -> Result<()> {
+    if !text.trim().is_empty() && text.len() <= MAX_TEXT_BYTES {
+        return Ok(());
+    }
+    let size_bytes = text.len();
+    let message =
+        format!("`{name}` has {size_bytes} bytes, allowed: text of 1 to {MAX_TEXT_BYTES}");
+    Err(OperatorError::failed(errors::PARAMETERS_INVALID, message))
+}
+
 /// `MoveCommand` is what an operator may do with a move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/hemlockfall/src/operator/server.rs
+++ b/crates/hemlockfall/src/operator/server.rs
@@ -242,7 +242,8 @@
     P: DeserializeOwned + Into<OperatorRequest>,
 {
     let params: P = params.parse().map_err(|error| invalid_params(&error))?;
-    answer(dispatcher.call(params.into()))
+    let request: OperatorRequest = params.into();
+    answer(request.check().and_then(|()| dispatcher.call(request)))
 }
 
 fn invalid_params(error: &ErrorObjectOwned) -> ErrorObjectOwned {
--- a/crates/hemlockfall/tests/operator/json_rpc.rs
+++ b/crates/hemlockfall/tests/operator/json_rpc.rs
@@ -111,6 +111,13 @@
         );
         assert_eq!(numbered(&answer).code, errors::PARAMETERS_INVALID);
     }
+    for (who, reason) in [("", "r"), ("w", " "), ("w", &*"r".repeat(257))] {
+        let params = json!({"service": "a", "action": "abort", "reason": reason, "who": who, "operation_id": ID});
+
+        let answer = call(server.address(), "move_change", &params);
+
+        assert_eq!(numbered(&answer).code, errors::PARAMETERS_INVALID);
+    }
     assert!(requests.try_recv().is_err());
     assert_eq!(wakes.load(Ordering::Relaxed), 0);
 }
--- a/crates/hemlockfall/tests/operator/pages.rs
+++ b/crates/hemlockfall/tests/operator/pages.rs
@@ -6,6 +6,7 @@
 use hemlockfall_core::kernel;
 use hemlockfall_core::settings::Settings;
 
+use crate::file;
 use crate::hemlockfall;
 
 fn page(name: &str) -> String {
@@ -48,6 +49,28 @@
     assert!(String::from_utf8_lossy(&settings.stdout).starts_with(&table));
 }
 
+/// Guards against documented examples that the product refuses.
+#[test]
+fn documented_examples_are_valid() {
+    let operations = page("operations.md");
+    let blocks = operations.split("```toml\n").skip(1);
+    let examples: Vec<&str> = blocks.filter_map(|rest| rest.split("```").next()).collect();
+
+    let outputs: Vec<_> = examples
+        .iter()
+        .enumerate()
+        .map(|(index, text)| {
+            let path = file(&format!("example-{index}.toml"), text.as_bytes());
+            hemlockfall(&["check", &path])
+        })
+        .collect();
+
+    assert_eq!(outputs.len(), 2);
+    for output in outputs {
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+    }
+}
+
 /// Guards against two families that give one number, section or metric two meanings.
 #[test]
 fn registry_has_no_duplicates() {
