--- a/crates/store/tests/store/catalogue.rs
+++ b/crates/store/tests/store/catalogue.rs
@@ -6,6 +6,7 @@
 use hemlockfall_core::catalogue::edit::Author;
 use hemlockfall_core::catalogue::edit::Edit;
 use hemlockfall_core::catalogue::file::CatalogueFile;
+use hemlockfall_core::catalogue::validate;
 use hemlockfall_core::codec;
 use hemlockfall_store::Error;
 use hemlockfall_store::catalogue;
@@ -114,6 +115,20 @@
     }
 }
 
+/// Guards against a panic or an invalid catalogue from arbitrary bytes in the store.
+#[test]
+fn arbitrary_bytes_never_panic() {
+    fn decoded_is_valid(body: &[u8]) -> bool {
+        let decoded = catalogue::decode(body);
+        decoded.map_or(true, |stored| {
+            validate::check(&stored.configuration).is_ok()
+        })
+    }
+    let property = |body: Vec<u8>| decoded_is_valid(&body);
+
+    quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
 /// Guards against an unknown outcome that is told as a failure while the store is down, and
 /// against a settled outcome that differs from what the store holds.
 #[test]
