Split the node's start into edges, control, calls and outside interfaces; let the demo wait for keys

Cause: 661 of 2,400 requests ended as unknown, all with a key, because key records vouch for keys only 10 s after their node has started and the demo sent earlier. Ruled out: lowering the 10 s, since a node that starts is not counted among a key's keepers until membership has spread.

--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -21,7 +21,9 @@
 use hemlockfall_store::Client;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use stakker::Actor;
 use stakker::ActorOwn;
+use stakker::Fwd;
 use stakker::Stakker;
 use stakker::actor;
 use stakker::actor_new;
@@ -29,6 +31,7 @@
 use stakker::fwd_to;
 use stakker::ret_shutdown;
 use stakker::sync::Channel;
+use stakker::sync::ChannelGuard;
 use stakker_mio::MioPoll;
 use stakker_mio::mio::Events;
 use stakker_mio::mio::Poll;
@@ -36,17 +39,23 @@
 use crate::edge::caller_server::CallerOptions;
 use crate::edge::caller_server::CallerServer;
 use crate::edge::datagrams::Datagrams;
+use crate::edge::datagrams::Received;
 use crate::edge::http1::HttpLimits;
+use crate::edge::links::LinkEvent;
 use crate::edge::links::LinkOptions;
 use crate::edge::links::Links;
 use crate::edge::local;
+use crate::edge::message::CallerEvent;
+use crate::edge::message::LocalEvent;
 use crate::edge::target_client::TargetClient;
+use crate::edge::target_client::TargetEvent;
 use crate::log;
 use crate::log::LogOptions;
 use crate::node::calls::Calls;
 use crate::node::calls::CallsParts;
 use crate::node::control::Accepted;
 use crate::node::control::Control;
+use crate::node::control::ControlOutput;
 use crate::node::control::ControlParts;
 use crate::node::decisions::DecisionLog;
 use crate::node::dispatch::Dispatch;
@@ -54,9 +63,11 @@
 use crate::node::health::Health;
 use crate::node::options::NodeOptions;
 use crate::node::signals;
+use crate::node::signals::StopRequested;
 use crate::node::status::StatusBoard;
 use crate::node::stopping::Stopping;
 use crate::node::stopping::StoppingParts;
+use crate::node::store_io::StoreEvent;
 use crate::node::store_io::StoreIo;
 use crate::operator;
 use crate::operator::OperatorError;
@@ -144,131 +155,79 @@
 
 /// Everything that must live as long as the node.
 struct Node {
+    _edges: Edges,
     _control: ActorOwn<Control>,
     _calls: ActorOwn<Calls>,
-    _links: ActorOwn<Links>,
-    _datagrams: ActorOwn<Datagrams>,
-    _callers: ActorOwn<CallerServer>,
-    _target_client: ActorOwn<TargetClient>,
     _dispatch: ActorOwn<Dispatch>,
     _stopping: ActorOwn<Stopping>,
-    _guards: Vec<stakker::sync::ChannelGuard>,
+    _guards: Vec<ChannelGuard>,
     _operator: Server,
 }
 
+/// The actors that own sockets.
+struct Edges {
+    links: ActorOwn<Links>,
+    datagrams: ActorOwn<Datagrams>,
+    callers: ActorOwn<CallerServer>,
+    target_client: ActorOwn<TargetClient>,
+}
+
+/// What several parts of the node share.
+struct Shared {
+    incarnation: u64,
+    health: Arc<Health>,
+    board: StatusBoard,
+    client: Client,
+}
+
 fn start(
     stakker: &mut Stakker,
     options: &Sections,
     metrics: &PrometheusHandle,
 ) -> Result<Node, String> {
-    let now = Instant::now();
-    let incarnation = units::unix_ms(SystemTime::now());
-    let health = Arc::new(Health::default());
-    let board = StatusBoard::new(first_status(&options.node));
-    let client = Client::new(options.store.clone(), rand::random());
+    let shared = Shared {
+        incarnation: units::unix_ms(SystemTime::now()),
+        health: Arc::new(Health::default()),
+        board: StatusBoard::new(first_status(&options.node)),
+        client: Client::new(options.store.clone(), rand::random()),
+    };
     let mut guards = Vec::new();
-
     let control = actor_new!(stakker, Control, ret_shutdown!(stakker));
     let calls = actor_new!(stakker, Calls, ret_shutdown!(stakker));
     let dispatch = actor_new!(stakker, Dispatch, ret_shutdown!(stakker));
-
-    let link_events = fwd_to!([dispatch], link_event() as (crate::edge::links::LinkEvent));
-    let links = actor!(
-        stakker,
-        Links::init(link_options(options), link_events),
-        ret_shutdown!(stakker)
-    );
-    let received = fwd_to!([dispatch], datagram() as (crate::edge::datagrams::Received));
-    let datagrams = actor!(
-        stakker,
-        Datagrams::init(options.node.peer_address, received),
-        ret_shutdown!(stakker)
-    );
-    let limits = HttpLimits {
-        max_head_bytes: MAX_HEAD_BYTES,
-        max_body_bytes: MAX_BODY_BYTES,
-    };
-    let caller_events = fwd_to!(
-        [calls],
-        caller_event() as (crate::edge::message::CallerEvent)
-    );
-    let caller_options = CallerOptions::new(options.node.caller_address, limits);
-    let callers = actor!(
-        stakker,
-        CallerServer::init(caller_options, caller_events),
-        ret_shutdown!(stakker)
-    );
-    let target_events = fwd_to!(
-        [calls],
-        target_event() as (crate::edge::target_client::TargetEvent)
-    );
-    let target_client = actor!(
-        stakker,
-        TargetClient::init(limits, TARGET_CONNECTIONS, target_events),
-        ret_shutdown!(stakker)
-    );
-
+    let edges = start_edges(stakker, options, &dispatch, &calls);
     let receivers = Receivers {
         control: control.clone(),
         calls: calls.clone(),
-        links: links.clone(),
+        links: edges.links.clone(),
     };
     call!([dispatch], Dispatch::init(receivers));
-
-    let store_events = fwd_to!(
-        [control],
-        store_event() as (crate::node::store_io::StoreEvent)
-    );
-    let (store_channel, guard) = Channel::new(stakker, store_events);
-    guards.push(guard);
-    let data_centre = options.node.data_centre.clone();
-    let outputs = fwd_to!(
-        [dispatch],
-        control_output() as (crate::node::control::ControlOutput)
-    );
-    let parts = ControlParts {
-        membership: membership(options, incarnation, now),
-        distribution: Distribution::new(
-            options.distribution.clone(),
-            options.node.peer_address,
-            rand::random(),
-            now,
-        ),
-        datagrams: datagrams.clone(),
-        links: links.clone(),
-        store: StoreIo::start(client.clone(), data_centre, store_channel),
-        health: Arc::clone(&health),
-        board: board.clone(),
-        outputs,
-    };
-    let calls_parts = CallsParts {
-        place: place(&options.node),
-        incarnation,
-        options: options.request.clone(),
-        links: links.clone(),
-        callers: callers.clone(),
-        target_client: target_client.clone(),
-        control: control.clone(),
-        decisions: DecisionLog::new(options.log.decisions_per_s, now),
-    };
+    let calls_parts = calls_parts(options, &shared, &edges, &control);
     call!([calls], Calls::init(calls_parts));
-    call!([control], Control::init(parts));
 
-    let local_events = fwd_to!([calls], local_event() as (crate::edge::message::LocalEvent));
-    let (local_channel, guard) = Channel::new(stakker, local_events);
-    guards.push(guard);
-    local::start(options.node.local_address, &local_channel, &health, metrics)?;
+    let store_events = fwd_to!([control], store_event() as (StoreEvent));
+    let store_events = channel(stakker, store_events, &mut guards);
+    let outputs = fwd_to!([dispatch], control_output() as (ControlOutput));
+    let control_parts = control_parts(options, &shared, &edges, store_events, outputs);
+    call!([control], Control::init(control_parts));
 
+    let local_events = fwd_to!([calls], local_event() as (LocalEvent));
+    let local_events = channel(stakker, local_events, &mut guards);
+    local::start(
+        options.node.local_address,
+        &local_events,
+        &shared.health,
+        metrics,
+    )?;
     let accepted = fwd_to!([control], accepted() as (Accepted));
-    let (accepted_channel, guard) = Channel::new(stakker, accepted);
-    guards.push(guard);
-    let operator = start_operator(options, client, accepted_channel, board)?;
+    let accepted = channel(stakker, accepted, &mut guards);
+    let operator = start_operator(options, &shared, accepted)?;
 
     let stopping_parts = StoppingParts {
         control: control.clone(),
         calls: calls.clone(),
-        callers: callers.clone(),
-        health,
+        callers: edges.callers.clone(),
+        health: shared.health,
         timeout: options.node.stop_timeout(),
     };
     let stopping = actor!(
@@ -276,18 +235,12 @@
         Stopping::init(stopping_parts),
         ret_shutdown!(stakker)
     );
-    let begin = fwd_to!([stopping], begin() as (signals::StopRequested));
-    let (stop_channel, guard) = Channel::new(stakker, begin);
-    guards.push(guard);
-    signals::watch(stop_channel)?;
-
+    let stop = fwd_to!([stopping], begin() as (StopRequested));
+    signals::watch(channel(stakker, stop, &mut guards))?;
     Ok(Node {
+        _edges: edges,
         _control: control,
         _calls: calls,
-        _links: links,
-        _datagrams: datagrams,
-        _callers: callers,
-        _target_client: target_client,
         _dispatch: dispatch,
         _stopping: stopping,
         _guards: guards,
@@ -295,6 +248,97 @@
     })
 }
 
+fn channel<M: Send + 'static>(
+    stakker: &mut Stakker,
+    receiver: Fwd<M>,
+    guards: &mut Vec<ChannelGuard>,
+) -> Channel<M> {
+    let (channel, guard) = Channel::new(stakker, receiver);
+    guards.push(guard);
+    channel
+}
+
+fn start_edges(
+    stakker: &mut Stakker,
+    options: &Sections,
+    dispatch: &Actor<Dispatch>,
+    calls: &Actor<Calls>,
+) -> Edges {
+    let limits = HttpLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        max_body_bytes: MAX_BODY_BYTES,
+    };
+    let link_events = fwd_to!([dispatch], link_event() as (LinkEvent));
+    let link_options = link_options(options);
+    let received = fwd_to!([dispatch], datagram() as (Received));
+    let address = options.node.peer_address;
+    let caller_events = fwd_to!([calls], caller_event() as (CallerEvent));
+    let caller_options = CallerOptions::new(options.node.caller_address, limits);
+    let results = fwd_to!([calls], target_event() as (TargetEvent));
+    Edges {
+        links: actor!(
+            stakker,
+            Links::init(link_options, link_events),
+            ret_shutdown!(stakker)
+        ),
+        datagrams: actor!(
+            stakker,
+            Datagrams::init(address, received),
+            ret_shutdown!(stakker)
+        ),
+        callers: actor!(
+            stakker,
+            CallerServer::init(caller_options, caller_events),
+            ret_shutdown!(stakker)
+        ),
+        target_client: actor!(
+            stakker,
+            TargetClient::init(limits, TARGET_CONNECTIONS, results),
+            ret_shutdown!(stakker)
+        ),
+    }
+}
+
+fn calls_parts(
+    options: &Sections,
+    shared: &Shared,
+    edges: &Edges,
+    control: &Actor<Control>,
+) -> CallsParts {
+    CallsParts {
+        place: place(&options.node),
+        incarnation: shared.incarnation,
+        options: options.request.clone(),
+        links: edges.links.clone(),
+        callers: edges.callers.clone(),
+        target_client: edges.target_client.clone(),
+        control: control.clone(),
+        decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
+    }
+}
+
+fn control_parts(
+    options: &Sections,
+    shared: &Shared,
+    edges: &Edges,
+    store_events: Channel<StoreEvent>,
+    outputs: Fwd<ControlOutput>,
+) -> ControlParts {
+    let now = Instant::now();
+    let address = options.node.peer_address;
+    let data_centre = options.node.data_centre.clone();
+    ControlParts {
+        membership: membership(options, shared.incarnation, now),
+        distribution: Distribution::new(options.distribution.clone(), address, rand::random(), now),
+        datagrams: edges.datagrams.clone(),
+        links: edges.links.clone(),
+        store: StoreIo::start(shared.client.clone(), data_centre, store_events),
+        health: Arc::clone(&shared.health),
+        board: shared.board.clone(),
+        outputs,
+    }
+}
+
 fn link_options(options: &Sections) -> LinkOptions {
     let silence = Duration::from_millis(u64::from(options.request.link_silence_ms));
     LinkOptions {
@@ -347,10 +391,10 @@
 
 fn start_operator(
     options: &Sections,
-    client: Client,
+    shared: &Shared,
     accepted: Channel<Accepted>,
-    board: StatusBoard,
 ) -> Result<Server, String> {
+    let (client, board) = (shared.client.clone(), shared.board.clone());
     let (requests, receiver) = operator::channel(&options.operator);
     let hooks = Hooks {
         on_accepted: Box::new(move |stored| {
--- a/crates/membership/tests/group.rs
+++ b/crates/membership/tests/group.rs
@@ -204,6 +204,8 @@
     let item = GossipItem::Fingerprint {
         service: "order-desk".into(),
         fingerprint: [7; 16],
+        node: "n1".into(),
+        ready_unix_ms: 1,
     };
     let now = network.now;
 
--- a/crates/membership/tests/parts.rs
+++ b/crates/membership/tests/parts.rs
@@ -292,6 +292,8 @@
         item: GossipItem::Fingerprint {
             service: "order-desk".into(),
             fingerprint: [1; 16],
+            node: "n1".into(),
+            ready_unix_ms: 1,
         },
         lifetime_ms,
     };
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -27,13 +27,15 @@
 const TIME_LIMIT: Duration = Duration::from_secs(55);
 /// Bound of convergence from the design page (invariant I10).
 const CONVERGENCE_BOUND: Duration = Duration::from_secs(7);
-const ANSWER_BOUND: Duration = Duration::from_secs(10);
+const ANSWER_BOUND: Duration = Duration::from_secs(25);
 const REQUESTS_PER_CALLER: usize = 1_200;
 const RATE_PER_CALLER_PER_S: u64 = 80;
 const RESENDS: usize = 2;
 const KILLED_VM: &str = "vm-2";
 const LOG_LINES: usize = 3;
 
+/// Requests per route that must all be answered before the callers start.
+const PROBES: usize = 20;
 /// Node, region, data centre, service and slots: both deployments of the design page, with
 /// fewer VMs, in one mesh of two regions.
 const VMS: [(&str, &str, &str, &str, u16); 12] = [
@@ -201,14 +203,17 @@
 
     fn wait_answers(&self) -> Result<()> {
         let through = vec![self.cluster.node("vm-1")?.caller_address];
-        for (service, path, _, _) in ROUTES {
-            let mut options = calls::options(through.clone(), vec![kind(service, path, true)], 1);
+        // Key records vouch for keys only some time after their node has started, so the first
+        // keyed requests after a cold start end as unknown.
+        for (service, path, repeatable, _) in ROUTES {
+            let kinds = vec![kind(service, path, repeatable)];
+            let mut options = calls::options(through.clone(), kinds, PROBES);
             options.timeout_ms = 1_000;
             "probe".clone_into(&mut options.prefix);
             wait::until(&format!("answers from {service}"), ANSWER_BOUND, || {
                 let report =
                     caller::send_all(options.clone()).map_err(|error| error.to_string())?;
-                let whole = report.sends.iter().any(|send| send.whole);
+                let whole = report.sends.iter().all(|send| send.whole);
                 whole.then_some(()).ok_or_else(|| format!("{report:?}"))
             })?;
         }
