Release connections that tiny_http queues behind open ones

The thread pool of tiny_http 0.12 counts a thread as idle until it has taken the connection it was woken for, so two connections of one burst can be handed to one thread; the second waits until any connection closes, which kept-alive ones do not.

Ruled out: load (8 requests in flight, 12 slots). Clients that close each connection would hide the fault only as long as no watch or slow call occupies a thread.

The stand-ins now open a short connection to themselves every 100 ms, which makes the pool start or wake a thread.

The caller-facing edge of a node has the same fault when it uses tiny_http.

--- a/xtask/src/http.rs
+++ b/xtask/src/http.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -17,6 +18,8 @@
 use crate::errors::Result;
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait of a connection in the queue of the server's thread pool.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 const MAX_REPLY_BYTES: u64 = 64 * 1024 * 1024;
 
 /// `Reply` is a whole answer to an HTTP request.
@@ -144,6 +147,7 @@
 {
     let server =
         Server::http(address).map_err(|error| Error::resource(address.to_string(), error))?;
+    std::thread::spawn(move || release_queued_connections(address));
     let handle = std::sync::Arc::new(handle);
     loop {
         let request = server
@@ -157,6 +161,17 @@
     }
 }
 
+/// `tiny_http` 0.12 hands a connection to an idle thread that an earlier connection of the same
+/// burst may already have taken; the connection is then queued until some thread ends its own
+/// connection, which a client with kept-alive connections can delay without limit. A short
+/// connection makes the pool start or wake a thread, which takes the queued one.
+fn release_queued_connections(address: SocketAddr) {
+    loop {
+        std::thread::sleep(RELEASE_INTERVAL);
+        drop(TcpStream::connect(address));
+    }
+}
+
 /// `field` returns a header field of an incoming request.
 #[must_use]
 pub fn field(request: &Request, name: &'static str) -> Option<String> {
--- a/xtask/tests/store_contract.rs
+++ b/xtask/tests/store_contract.rs
@@ -310,3 +310,35 @@
     assert!(taken >= Duration::from_millis(200), "{taken:?}");
     assert!(cut.is_err(), "{cut:?}");
 }
+
+/// Guards against connections that wait behind idle ones: the thread pool of `tiny_http` can
+/// queue a connection of a burst until another connection closes.
+#[test]
+fn bursts_of_connections_are_answered_while_others_stay_open() {
+    let (_cluster, address) = store(GENEROUS);
+    let url = format!("http://{address}/v1/list?prefix=x");
+    let mut open = Vec::new();
+
+    for burst in 0..30 {
+        let agents: Vec<_> = std::thread::scope(|scope| {
+            let callers: Vec<_> = (0..8)
+                .map(|_| {
+                    scope.spawn(|| {
+                        let agent = http::agent(Duration::from_secs(2));
+                        http::exchange(&agent, "GET", &url, &[], b"").map(|_| agent)
+                    })
+                })
+                .collect();
+            callers
+                .into_iter()
+                .map(|caller| caller.join().expect("no panic"))
+                .collect()
+        });
+
+        for agent in agents {
+            open.push(agent.unwrap_or_else(|error| panic!("burst {burst}: {error}")));
+        }
+    }
+
+    assert_eq!(open.len(), 240);
+}
