--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::fs::File;
 use std::fs::OpenOptions;
+use std::os::unix::process::parent_id;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -19,6 +20,12 @@
 use crate::errors::Result;
 use crate::harness::wait;
 
+const PARENT_POLL: Duration = Duration::from_millis(500);
+
+/// `PARENT_VARIABLE` is the environment variable with the process id of the harness; stand-ins
+/// end when that process has ended without stopping them.
+pub const PARENT_VARIABLE: &str = "XTASK_HARNESS_PID";
+
 /// `Signal` is a signal that the harness sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -160,6 +167,23 @@
     }
 }
 
+/// `end_with_harness` ends this process when the harness that started it has ended; without a
+/// harness it does nothing.
+pub fn end_with_harness() {
+    let Some(harness) = std::env::var(PARENT_VARIABLE)
+        .ok()
+        .and_then(|id| id.parse::<u32>().ok())
+    else {
+        return;
+    };
+    std::thread::spawn(move || {
+        while parent_id() == harness {
+            std::thread::sleep(PARENT_POLL);
+        }
+        std::process::exit(1);
+    });
+}
+
 fn lock(child: &Mutex<Child>) -> MutexGuard<'_, Child> {
     child.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -187,6 +211,7 @@
 fn spawn(name: &str, program: &Path, arguments: &[OsString], directory: &Path) -> Result<Child> {
     Command::new(program)
         .args(arguments)
+        .env(PARENT_VARIABLE, std::process::id().to_string())
         .stdin(Stdio::null())
         .stdout(log_file(directory, name, "out")?)
         .stderr(log_file(directory, name, "err")?)
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 use xtask::caller::CallerOptions;
 use xtask::demo;
 use xtask::demo::DemoOptions;
+use xtask::harness::process;
 use xtask::scenario::command;
 use xtask::scenario::command::ScenariosOptions;
 use xtask::store;
@@ -40,6 +41,9 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    if !matches!(arguments.task, Some(Task::Demo(_) | Task::Scenarios(_))) {
+        process::end_with_harness();
+    }
     let result = match arguments.task {
         Some(Task::Store(options)) => store::run(&options),
         Some(Task::Target(options)) => target::run(options),
--- a/xtask/src/target/announce.rs
+++ b/xtask/src/target/announce.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -50,16 +52,19 @@
 pub fn start(state: &Arc<State>, address: SocketAddr) -> Result<()> {
     let mut signals =
         Signals::new([SIGTERM]).map_err(|error| Error::resource("SIGTERM handler", error))?;
+    let leaving = Arc::new(AtomicBool::new(false));
     let draining = Arc::clone(state);
+    let leaves = Arc::clone(&leaving);
     std::thread::spawn(move || {
         if signals.forever().next().is_some() {
+            leaves.store(true, Ordering::Relaxed);
             leave(&draining);
             std::process::exit(0);
         }
     });
     if let Some(node) = state.options().node {
         let state = Arc::clone(state);
-        std::thread::spawn(move || announce_and_report(&state, node, address));
+        std::thread::spawn(move || announce_and_report(&state, node, address, &leaving));
     }
     Ok(())
 }
@@ -72,8 +77,9 @@
 }
 
 /// The announcement is repeated until the node accepts it. A report that fails means that the
-/// node was replaced, so the target announces itself again.
-fn announce_and_report(state: &State, node: SocketAddr, address: SocketAddr) {
+/// node was replaced, so the target announces itself again. A leaving target says nothing
+/// more, since an announcement would undo its leaving.
+fn announce_and_report(state: &State, node: SocketAddr, address: SocketAddr, leaving: &AtomicBool) {
     let announcement = Announcement {
         service: state.options().service.clone(),
         version: state.options().version.clone(),
@@ -83,7 +89,7 @@
     };
     let mut lagging = VecDeque::new();
     let mut accepted = false;
-    while !state.summary().draining {
+    while !leaving.load(Ordering::Relaxed) {
         let sent = if accepted {
             let report = next_report(state, &mut lagging);
             http::post_json(node, "/v1/report", &report)
