--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 use xtask::caller::CallerOptions;
 use xtask::demo;
 use xtask::demo::DemoOptions;
+use xtask::harness::process;
 use xtask::scenario::command;
 use xtask::scenario::command::ScenariosOptions;
 use xtask::store;
@@ -44,6 +45,13 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    let is_stand_in = matches!(
+        arguments.task,
+        Some(Task::Store(_) | Task::Target(_) | Task::Caller(_))
+    );
+    if is_stand_in {
+        process::end_with_harness();
+    }
     match arguments.task {
         Some(Task::Store(options)) => exit_code(store::run(&options)),
         Some(Task::Target(options)) => exit_code(target::run(options)),
