Bind standby judges to a stop that was sent

Two bad versions ended as done (seed 1 move 294, seed 3 move 134): during a store outage or a region cut one judge sent stops, the share fell to 0 and the window emptied; the other candidate got the lease afterwards, saw a clean window and finished. A missing claim of the lease was ruled out, since only the evidence differed. Every candidate now judges, remembers a verdict to take back, and obeys a stop of another judge.

--- a/crates/moves/src/owner.rs
+++ b/crates/moves/src/owner.rs
@@ -98,6 +98,13 @@
     Rank(Option<usize>),
     /// Evidence arrived.
     Evidence(EvidenceMessage),
+    /// An advisory stop by another judge arrived.
+    Stop {
+        /// Move to stop.
+        move_id: MoveId,
+        /// Why.
+        reason: SmolStr,
+    },
     /// Answer to a read of the lease.
     LeaseRead(LeaseRead),
     /// Answer to a write of the lease.
@@ -197,6 +204,7 @@
             Input::Entry(entry) => self.on_entry(*entry, now_unix_ms),
             Input::Rank(rank) => self.on_rank(rank, now_unix_ms),
             Input::Evidence(message) => self.on_evidence(&message, now_unix_ms),
+            Input::Stop { move_id, reason } => self.on_stop(move_id, reason),
             Input::LeaseRead(answer) => self.on_lease_read(answer, now_unix_ms, &mut actions),
             Input::LeaseWrite(answer) => {
                 let change = self.lease.on_write(answer, now_unix_ms);
@@ -310,6 +318,14 @@
         }
     }
 
+    /// A stop binds every judge: proxies that saw it give the new version nothing.
+    fn on_stop(&mut self, move_id: MoveId, reason: SmolStr) {
+        let known = self.move_id() == Some(move_id);
+        if let Some(tracked) = self.tracked.as_mut().filter(|_| known) {
+            tracked.take_back.get_or_insert(reason);
+        }
+    }
+
     fn on_lease_read(&mut self, answer: LeaseRead, now_unix_ms: u64, actions: &mut Vec<Action>) {
         let (Some(rank), Some(move_id)) = (self.rank, self.move_id()) else {
             return;
@@ -338,17 +354,21 @@
         let Some(tracked) = &mut self.tracked else {
             return;
         };
-        // A former holder that lost contact with the store keeps sending stops, which only lower
-        // the share, but commits nothing.
-        if term.is_none() && !tracked.has_been_holder {
-            return;
-        }
         let Some(state) = tracked.entry.move_state.clone() else {
             return;
         };
+        // A standby judges as well: after a stop the window empties, and a standby that takes
+        // over later must still take the version back.
         let verdict = tracked.verdict(&state, now_unix_ms);
         if let Verdict::TakeBack(reason) = &verdict {
             tracked.take_back.get_or_insert(reason.clone());
+        }
+        // A former holder that lost contact with the store keeps sending stops, which only lower
+        // the share, but commits nothing.
+        if term.is_none() && !tracked.has_been_holder {
+            return;
+        }
+        if let Verdict::TakeBack(reason) = &verdict {
             tracked.stopped_unix_ms.get_or_insert(now_unix_ms);
             actions.push(Action::StopMove {
                 service: self.service.clone(),
--- a/xtask/src/bench/moves/world.rs
+++ b/xtask/src/bench/moves/world.rs
@@ -413,8 +413,15 @@
                     }
                 },
                 Action::StopMove {
-                    service, move_id, ..
+                    service,
+                    move_id,
+                    reason,
                 } => {
+                    for judge in self.candidates.clone() {
+                        let reason = reason.clone();
+                        let input = owner::Input::Stop { move_id, reason };
+                        self.send(from, judge, Event::Owner(judge, input));
+                    }
                     for index in 0..PROXIES {
                         let service = service.clone();
                         let input = proxy::Input::Stop { service, move_id };
