Judge routes over all regions as well

Bad versions on a route with little traffic met up to 62 s of requests because each region alone showed too few failures. The judge now also sums a route over the regions.

--- a/crates/moves/src/judge.rs
+++ b/crates/moves/src/judge.rs
@@ -222,9 +222,38 @@
                 );
             }
         }
+        if worst.0 < Finding::Bad {
+            let pooled = self.worst_route();
+            if pooled.0 > worst.0 {
+                return pooled;
+            }
+        }
         worst
     }
 
+    /// Judges routes over all regions: a route with little traffic shows its fault earlier there
+    /// than in any single region.
+    fn worst_route(&self) -> (Finding, SmolStr) {
+        let bad_tail = BAD_TAIL * self.options.caution();
+        for cells in self.cells.chunk_by(|a, b| a.route == b.route) {
+            let mut old = Counts::default();
+            let mut new = Counts::default();
+            for cell in cells {
+                old.add(&cell.old_total);
+                new.add(&cell.new_total);
+            }
+            if new.failure_tail(&old, self.limit_permille) < bad_tail {
+                let route = cells.first().map_or("", |cell| cell.route.as_str());
+                let text = failures_text(&new, &old);
+                return (
+                    Finding::Bad,
+                    format_smolstr!("route {route}, all regions: {text}"),
+                );
+            }
+        }
+        (Finding::Clean, SmolStr::default())
+    }
+
     fn note_region(&mut self, region: &RegionName, now_unix_ms: u64) {
         match self.regions.binary_search_by(|known| known.0.cmp(region)) {
             Ok(index) => self.regions[index].1 = now_unix_ms,
