Ignore answers to requests sent before a guard's cut, add tests

Answers that were under way at the time of a cut counted as failed trials, and each one doubled the wait up to 40 s, so the first trial came late. The test trials_after_a_cut_are_single showed it. Only answers to trials count now.

The report listed changes of the service made in the same millisecond before the move; the proof of a line now begins at the revision whose operation id is the move's.

Tried and reverted: a tail bound of 5e-4 in place of 1e-4 for verdicts.

--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -98,6 +98,7 @@
         next_trial_unix_ms: u64,
         cut_ms: u64,
         successes: u32,
+        outstanding: u32,
     },
 }
 
@@ -197,9 +198,12 @@
         match &mut guard.permit {
             Permit::Open => Choice::New,
             Permit::Cut {
-                next_trial_unix_ms, ..
+                next_trial_unix_ms,
+                outstanding,
+                ..
             } if now_unix_ms >= *next_trial_unix_ms => {
                 *next_trial_unix_ms = now_unix_ms + TRIAL_INTERVAL_MS;
+                *outstanding += 1;
                 Choice::Trial
             }
             Permit::Cut { .. } => Choice::Old,
@@ -281,16 +285,18 @@
                     next_trial_unix_ms: now_unix_ms + cut_ms,
                     cut_ms,
                     successes: 0,
+                    outstanding: 0,
                 };
                 Some((CUT, reason))
             }
+            // Answers to requests sent before the cut say nothing about the time after it.
+            Permit::Cut { outstanding: 0, .. } => None,
             Permit::Cut {
                 cut_ms, successes, ..
             } => self.on_trial(result, cut_ms, successes, now_unix_ms),
         }
     }
 
-    /// Answers to requests sent before the cut count like trials: they come from the same version.
     fn on_trial(
         &mut self,
         result: &AttemptResult,
@@ -307,6 +313,7 @@
                 next_trial_unix_ms: now_unix_ms + cut_ms,
                 cut_ms: longer_ms,
                 successes: 0,
+                outstanding: 0,
             };
             return None;
         }
@@ -318,8 +325,14 @@
                 format_smolstr!("{} trials succeeded", successes + 1),
             ));
         }
-        if let Permit::Cut { successes, .. } = &mut self.permit {
+        if let Permit::Cut {
+            successes,
+            outstanding,
+            ..
+        } = &mut self.permit
+        {
             *successes += 1;
+            *outstanding -= 1;
         }
         None
     }
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -21,3 +21,4 @@
 
 mod plot;
 mod plugin;
+mod tracked;
--- a/crates/moves/src/owner.rs
+++ b/crates/moves/src/owner.rs
@@ -4,11 +4,8 @@
 //! takeover loses none; only the holder of the lease commits.
 
 use hemlockfall_core::catalogue::MoveState;
-use hemlockfall_core::catalogue::MoveStatus;
 use hemlockfall_core::catalogue::ServiceEntry;
 use hemlockfall_core::catalogue::edit::Edit;
-use hemlockfall_core::catalogue::edit::MoveAction;
-use hemlockfall_core::catalogue::plan::COMMIT_MARGIN_MS;
 use hemlockfall_core::ids::MoveId;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::OperationId;
@@ -24,8 +21,6 @@
 use crate::action::Action;
 use crate::action::LogLine;
 use crate::evidence::EvidenceMessage;
-use crate::evidence::Sequences;
-use crate::judge::Judge;
 use crate::judge::Verdict;
 use crate::lease::Change;
 use crate::lease::LeaseKeeper;
@@ -34,7 +29,11 @@
 use crate::options::Options;
 use crate::record::MoveResult;
 use crate::record::Point;
-use crate::record::Series;
+use crate::tracked::PendingCommit;
+use crate::tracked::Step;
+use crate::tracked::Tracked;
+use crate::tracked::edit_for;
+use crate::tracked::new_judge;
 
 /// `CANDIDATES` is the number of nodes that compete for a lease. Two keep the load on the store
 /// independent of the number of nodes.
@@ -127,37 +126,6 @@
     Result(bool),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    Sent { at_unix_ms: u64 },
-    LookedUp { at_unix_ms: u64 },
-    LookUp { from_unix_ms: u64 },
-}
-
-#[derive(Clone, Debug)]
-struct PendingCommit {
-    operation_id: OperationId,
-    step: Step,
-}
-
-#[derive(Clone, Debug)]
-struct Tracked {
-    entry: ServiceEntry,
-    judge: Judge,
-    sources: Sequences,
-    series: Series,
-    commit: Option<PendingCommit>,
-    committed_revision: Revision,
-    last_decision_id: Option<OperationId>,
-    needs_claim: bool,
-    has_been_holder: bool,
-    take_back: Option<SmolStr>,
-    stopped_unix_ms: Option<u64>,
-    ended_unix_ms: Option<u64>,
-    result_next_unix_ms: u64,
-    result_written: bool,
-}
-
 /// `Owner` is the state of one candidate for one service.
 #[derive(Clone, Debug)]
 pub struct Owner {
@@ -542,106 +510,3 @@
         }
     }
 }
-
-impl Tracked {
-    fn new(entry: ServiceEntry, options: &Options) -> Self {
-        Self {
-            judge: new_judge(&entry, options),
-            entry,
-            sources: Sequences::default(),
-            series: Series::default(),
-            commit: None,
-            committed_revision: 0,
-            last_decision_id: None,
-            needs_claim: false,
-            has_been_holder: false,
-            take_back: None,
-            stopped_unix_ms: None,
-            ended_unix_ms: None,
-            result_next_unix_ms: 0,
-            result_written: false,
-        }
-    }
-
-    fn verdict(&mut self, state: &MoveState, now_unix_ms: u64) -> Verdict {
-        let judged = self.judge.decide(state, now_unix_ms);
-        if let Some(reason) = &self.take_back {
-            return Verdict::TakeBack(reason.clone());
-        }
-        if now_unix_ms >= state.deadline_unix_ms {
-            return match state.status_at_deadline() {
-                MoveStatus::Done => Verdict::Finish("deadline passed at full share".into()),
-                _ => Verdict::TakeBack("deadline passed below half of the traffic".into()),
-            };
-        }
-        let late = now_unix_ms + COMMIT_MARGIN_MS > state.deadline_unix_ms;
-        let agrees = state.status_at_deadline() == MoveStatus::Done;
-        match judged {
-            // Too late to reach every proxy: only what they decide by themselves is safe.
-            Verdict::Finish(_) if late && !agrees => Verdict::Continue,
-            Verdict::Hold(_) | Verdict::Resume if late => Verdict::Continue,
-            other => other,
-        }
-    }
-
-    fn accepted(&mut self, revision: Revision) {
-        self.needs_claim = false;
-        self.committed_revision = revision;
-        let Some(commit) = self.commit.take() else {
-            return;
-        };
-        self.last_decision_id = Some(commit.operation_id);
-    }
-
-    fn result(&self, judge: NodeName) -> Option<MoveResult> {
-        let state = self.entry.move_state.as_ref()?;
-        Some(MoveResult {
-            service: self.entry.service.clone(),
-            move_id: state.move_id,
-            from: state.from.clone(),
-            to: state.to.clone(),
-            status: state.status,
-            reason: state.reason.clone(),
-            judge,
-            started_unix_ms: state.started_unix_ms,
-            deadline_unix_ms: state.deadline_unix_ms,
-            ended_unix_ms: self.ended_unix_ms.unwrap_or(state.deadline_unix_ms),
-            revision: self.entry.changed_revision,
-            decision_id: self.last_decision_id,
-            fault_seen_unix_ms: self.judge.suspect_since_unix_ms(),
-            stopped_unix_ms: self.stopped_unix_ms,
-            evidence: self.judge.records(),
-            series: self.series.clone(),
-        })
-    }
-}
-
-fn new_judge(entry: &ServiceEntry, options: &Options) -> Judge {
-    Judge::new(entry.limits.max_failure_permille, options.clone())
-}
-
-/// Returns the change of the move's state that a verdict or a takeover needs.
-fn edit_for(
-    verdict: &Verdict,
-    state: &MoveState,
-    needs_claim: bool,
-    term: u64,
-) -> Option<(MoveAction, SmolStr)> {
-    let paused = state.status == MoveStatus::Paused;
-    match verdict {
-        Verdict::TakeBack(reason) => Some((MoveAction::TakeBack, reason.clone())),
-        Verdict::Finish(reason) => Some((MoveAction::Finish, reason.clone())),
-        Verdict::Hold(reason) => Some((MoveAction::Pause, reason.clone())),
-        Verdict::Resume => Some((MoveAction::Resume, "resumed by judge".into())),
-        // Repeating the current state writes the new lease term into the entry, which fences the
-        // former holder.
-        Verdict::Continue if needs_claim && paused => {
-            Some((MoveAction::Pause, state.reason.clone()))
-        }
-        Verdict::Continue if needs_claim => Some((
-            MoveAction::Resume,
-            format_smolstr!("judge changed, lease term {term}"),
-        )),
-        Verdict::Continue => None,
-    }
-}
--- a/crates/moves/src/report.rs
+++ b/crates/moves/src/report.rs
@@ -343,8 +343,15 @@
     started_unix_ms: u64,
     last_revision: Revision,
 ) -> (Vec<Revision>, Vec<OperationId>) {
+    let start = changes
+        .iter()
+        .find(|change| change.operation_id == move_id)
+        .map(|change| change.revision);
     let concerned = |change: &&ChangeRecord| {
-        let of_move = change.at_unix_ms >= started_unix_ms || change.operation_id == move_id;
+        // The start may have left the kept records; then the time tells.
+        let of_move = start.map_or(change.at_unix_ms >= started_unix_ms, |revision| {
+            change.revision >= revision
+        });
         change.service == service && of_move && change.revision <= last_revision
     };
     changes
--- /dev/null
+++ b/crates/moves/tests/guard.rs
@@ -0,0 +1,242 @@
+//! Windows, local guard and proxy.
+
+mod common;
+
+use hemlockfall_core::catalogue::MoveStatus;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_moves::guard::AttemptResult;
+use hemlockfall_moves::guard::Choice;
+use hemlockfall_moves::guard::Outcome;
+use hemlockfall_moves::guard::Side;
+use hemlockfall_moves::proxy::Input;
+use hemlockfall_moves::proxy::Proxy;
+use hemlockfall_moves::window::Counts;
+use hemlockfall_moves::window::Window;
+use quickcheck::QuickCheck;
+
+use common::START_UNIX_MS;
+use common::catalogue_with_move;
+use common::entry_of;
+use common::options;
+
+fn entry_with_move(duration_ms: u64) -> (ServiceEntry, u64) {
+    (entry_of(&catalogue_with_move(duration_ms)), START_UNIX_MS)
+}
+
+fn proxy_with(entry: &ServiceEntry) -> Proxy {
+    let mut proxy = Proxy::new("node-1".into(), "east".into(), options());
+    proxy.handle(Input::Entries(vec![entry.clone()]), START_UNIX_MS);
+    proxy
+}
+
+fn attempt(route: &str, side: Side, outcome: Outcome, latency_ms: u32) -> AttemptResult {
+    AttemptResult {
+        service: "order-desk".into(),
+        route: route.into(),
+        side,
+        outcome,
+        latency_ms,
+        cold: false,
+    }
+}
+
+/// Sends one request every 10 ms; the new version answers as `answer` says. Returns the time of
+/// the last request that went to the new version outside of trials.
+fn drive(proxy: &mut Proxy, from_ms: u64, to_ms: u64, answer: impl Fn(u64) -> Outcome) -> u64 {
+    let mut last_new_ms = 0;
+    for now_ms in (from_ms..to_ms).step_by(10) {
+        let hash_permille = u16::try_from(now_ms / 10 * 37 % 1000).expect("below 1000");
+        let choice = proxy.choose("order-desk", "orders", hash_permille, now_ms);
+        if choice == Choice::New {
+            last_new_ms = now_ms;
+        }
+        let (side, outcome) = match choice {
+            Choice::Old => (Side::Old, Outcome::Succeeded),
+            Choice::New | Choice::Trial => (Side::New, answer(now_ms)),
+        };
+        proxy.handle(Input::Attempt(attempt("orders", side, outcome, 20)), now_ms);
+    }
+    last_new_ms
+}
+
+/// Guards against a failing route that keeps its share while the judge is out of reach.
+#[test]
+fn failing_route_is_cut_within_three_seconds() {
+    let (entry, start_ms) = entry_with_move(120_000);
+    let mut proxy = proxy_with(&entry);
+    let fault_ms = start_ms + 60_000;
+
+    let last_new_ms = drive(&mut proxy, fault_ms - 10_000, fault_ms + 60_000, |now_ms| {
+        if now_ms < fault_ms {
+            Outcome::Succeeded
+        } else {
+            Outcome::Failed
+        }
+    });
+
+    assert!(last_new_ms >= fault_ms, "the fault was met");
+    assert!(
+        last_new_ms < fault_ms + 3_000,
+        "cut {} ms after the fault",
+        last_new_ms - fault_ms
+    );
+    assert_eq!(proxy.cap_permille("order-desk", "orders"), 0);
+    assert_eq!(proxy.cap_permille("order-desk", "lookup"), 1000);
+}
+
+/// Guards against a proxy that never uses a healthy version again after a short disturbance.
+#[test]
+fn false_alarm_heals() {
+    let (entry, start_ms) = entry_with_move(120_000);
+    let mut proxy = proxy_with(&entry);
+    let burst_ms = start_ms + 70_000;
+
+    drive(&mut proxy, burst_ms - 5_000, burst_ms + 1_500, |now_ms| {
+        if now_ms < burst_ms {
+            Outcome::Succeeded
+        } else {
+            Outcome::Failed
+        }
+    });
+    let cut_permille = proxy.cap_permille("order-desk", "orders");
+    drive(&mut proxy, burst_ms + 1_500, burst_ms + 31_500, |_| {
+        Outcome::Succeeded
+    });
+
+    assert_eq!(cut_permille, 0);
+    assert_eq!(proxy.cap_permille("order-desk", "orders"), 1000);
+}
+
+/// Guards against more than one trial request a second to a version that may be bad.
+#[test]
+fn trials_after_a_cut_are_single() {
+    let (entry, start_ms) = entry_with_move(120_000);
+    let mut proxy = proxy_with(&entry);
+    for index in 0..30 {
+        let failed = attempt("orders", Side::New, Outcome::Failed, 20);
+        proxy.handle(Input::Attempt(failed), start_ms + index);
+    }
+
+    let choices: Vec<Choice> = (0..20_000)
+        .step_by(100)
+        .map(|after_ms| proxy.choose("order-desk", "orders", 0, start_ms + after_ms))
+        .collect();
+
+    let trials = choices
+        .iter()
+        .filter(|choice| **choice == Choice::Trial)
+        .count();
+    assert!(choices[..49].iter().all(|choice| *choice == Choice::Old));
+    assert!((1..=16).contains(&trials), "{trials} trials in 20 s");
+    assert!(!choices.contains(&Choice::New));
+}
+
+/// Guards against target reports that move traffic in either direction.
+#[test]
+fn reports_alone_change_nothing() {
+    let check = |reports: Vec<bool>| {
+        let (entry, start_ms) = entry_with_move(120_000);
+        let mut proxy = proxy_with(&entry);
+        let mut actions = Vec::new();
+        for (index, healthy) in reports.into_iter().enumerate() {
+            let report = Input::Report {
+                service: "order-desk".into(),
+                version: "v2".into(),
+                healthy,
+            };
+            actions.extend(proxy.handle(report, start_ms + index as u64));
+        }
+        actions.extend(proxy.tick(start_ms + 2_000));
+        actions.is_empty() && proxy.cap_permille("order-desk", "orders") == 1000
+    };
+
+    QuickCheck::new()
+        .rng(common::generator(1))
+        .quickcheck(check as fn(Vec<bool>) -> bool);
+}
+
+/// Guards against proxies that split after a deadline because they saw different outages.
+#[test]
+fn proxies_with_the_same_entry_agree_after_the_deadline() {
+    let check = |down_after_ms: Vec<u32>, late_ms: u32| {
+        let (entry, start_ms) = entry_with_move(120_000);
+        let now_ms = start_ms + 120_000 + u64::from(late_ms);
+        let seen: Vec<(Option<MoveStatus>, Choice)> = down_after_ms
+            .iter()
+            .map(|after_ms| {
+                let mut proxy = proxy_with(&entry);
+                let since = start_ms + u64::from(*after_ms % 200_000);
+                proxy.handle(Input::StoreDownSince(Some(since)), since);
+                let status = proxy.status("order-desk", now_ms);
+                (status, proxy.choose("order-desk", "orders", 999, now_ms))
+            })
+            .collect();
+        seen.iter()
+            .all(|one| *one == (Some(MoveStatus::Done), Choice::New))
+    };
+
+    QuickCheck::new()
+        .rng(common::generator(2))
+        .quickcheck(check as fn(Vec<u32>, u32) -> bool);
+}
+
+/// Guards against a proxy that resumes a stopped move when its entry is delivered again.
+#[test]
+fn stop_holds_until_the_move_is_final() {
+    let (entry, start_ms) = entry_with_move(120_000);
+    let mut proxy = proxy_with(&entry);
+    let move_id = entry.move_state.as_ref().expect("a move runs").move_id;
+    let stop = Input::Stop {
+        service: "order-desk".into(),
+        move_id,
+    };
+
+    proxy.handle(stop, start_ms + 1);
+    proxy.handle(Input::Entries(vec![entry]), start_ms + 2);
+
+    let choice = proxy.choose("order-desk", "orders", 0, start_ms + 100_000);
+    assert_eq!(choice, Choice::Old);
+}
+
+/// Guards against running totals that drift from the counts inside the window.
+#[test]
+fn window_total_equals_the_sum_of_recent_counts() {
+    let check = |gaps_ms: Vec<u16>| {
+        let mut window = Window::default();
+        let mut added = Vec::new();
+        let mut now_ms = 1_000_000;
+        for gap_ms in gaps_ms {
+            now_ms += u64::from(gap_ms % 4_000);
+            let mut counts = Counts::default();
+            counts.success(Some(u32::from(gap_ms)));
+            window.add(&counts, now_ms);
+            added.push(now_ms / 1000);
+        }
+        let recent = added
+            .iter()
+            .filter(|slot| **slot + 10 > now_ms / 1000)
+            .count();
+        window.total(now_ms).attempts as usize == recent
+    };
+
+    QuickCheck::new()
+        .rng(common::generator(3))
+        .quickcheck(check as fn(Vec<u16>) -> bool);
+}
+
+/// Guards against a cold start's slow answers being taken for a slow version, and against a
+/// crashing version that hides behind its cold starts.
+#[test]
+fn cold_start_counts_only_lost_attempts() {
+    let mut slow = attempt("orders", Side::New, Outcome::Succeeded, 900);
+    slow.cold = true;
+    let mut lost = attempt("orders", Side::New, Outcome::Lost, 5);
+    lost.cold = true;
+    let mut counts = Counts::default();
+
+    slow.count(&mut counts);
+
+    assert!(!slow.is_evidence());
+    assert!(lost.is_evidence());
+    assert_eq!((counts.attempts, counts.timed()), (1, 0));
+}
