--- a/crates/moves/src/judge.rs
+++ b/crates/moves/src/judge.rs
@@ -18,7 +18,10 @@
 
 /// Tail probability below which a version is bad. A verdict is final and the judge looks every
 /// second at every route and region, so the bound is stricter than that of the guard.
-const BAD_TAIL: f64 = 1e-4;
+const BAD_TAIL: f64 = 5e-4;
+/// Failures from which a version can be bad: two failures in the first two attempts occur by
+/// chance on routes with little traffic, and a verdict is final.
+const MIN_FAILURES: u32 = 3;
 /// Tail probability below which the share is held.
 const SUSPECT_TAIL: f64 = 0.01;
 /// Standard errors by which the mean latency must exceed the bound for a verdict and for a hold.
@@ -242,7 +245,9 @@
                 old.add(&cell.old_total);
                 new.add(&cell.new_total);
             }
-            if new.failure_tail(&old, self.limit_permille) < bad_tail {
+            if new.failures >= MIN_FAILURES
+                && new.failure_tail(&old, self.limit_permille) < bad_tail
+            {
                 let route = cells.first().map_or("", |cell| cell.route.as_str());
                 let text = failures_text(&new, &old);
                 return (
@@ -310,10 +315,10 @@
         let window_tail = new.failure_tail(&old, limit_permille);
         let total_tail = self.new_total.failure_tail(&self.old_total, limit_permille);
         let bad_tail = BAD_TAIL * caution;
-        if window_tail < bad_tail {
+        if window_tail < bad_tail && new.failures >= MIN_FAILURES {
             return (Finding::Bad, failures_text(&new, &old));
         }
-        if total_tail < bad_tail {
+        if total_tail < bad_tail && self.new_total.failures >= MIN_FAILURES {
             return (
                 Finding::Bad,
                 failures_text(&self.new_total, &self.old_total),
