Decide soon after evidence with failures arrives

The judge decided once a second, so a fault waited half a second on average. Evidence with failures now pulls the next decision forward, at most every 200 ms.

--- a/crates/moves/src/owner.rs
+++ b/crates/moves/src/owner.rs
@@ -40,6 +40,8 @@
 pub const CANDIDATES: usize = 2;
 /// Time between verdicts.
 const DECIDE_INTERVAL_MS: u64 = 1_000;
+/// Time between verdicts while evidence with failures arrives.
+const DECIDE_SOON_MS: u64 = 200;
 /// Time after which a commit without an answer is looked up.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
 /// Pause after a failed store call.
@@ -138,6 +140,7 @@
     tracked: Option<Tracked>,
     last_tick_unix_ms: Option<u64>,
     next_decision_unix_ms: u64,
+    last_decision_unix_ms: u64,
 }
 
 impl Owner {
@@ -155,6 +158,7 @@
             tracked: None,
             last_tick_unix_ms: None,
             next_decision_unix_ms: 0,
+            last_decision_unix_ms: 0,
         }
     }
 
@@ -209,6 +213,7 @@
         actions.extend(self.lease.tick(move_id, now_unix_ms));
         if now_unix_ms >= self.next_decision_unix_ms {
             self.next_decision_unix_ms = now_unix_ms + DECIDE_INTERVAL_MS;
+            self.last_decision_unix_ms = now_unix_ms;
             self.note_point(now_unix_ms);
             self.decide(now_unix_ms, &mut actions);
         }
@@ -283,6 +288,16 @@
             && tracked.sources.is_new(&message.source, message.sequence)
         {
             tracked.judge.record(&message.summary, now_unix_ms);
+            let shows_failures = message
+                .summary
+                .cells()
+                .iter()
+                .any(|cell| cell.new.failures > 0);
+            if shows_failures {
+                self.next_decision_unix_ms = self
+                    .next_decision_unix_ms
+                    .min(self.last_decision_unix_ms + DECIDE_SOON_MS);
+            }
         }
     }
 
