--- a/crates/moves/src/lease.rs
+++ b/crates/moves/src/lease.rs
@@ -91,6 +91,7 @@
     pending: Option<(Pending, u64)>,
     next_unix_ms: u64,
     next_is_read: bool,
+    unreachable: bool,
 }
 
 impl LeaseKeeper {
@@ -106,9 +107,16 @@
             pending: None,
             next_unix_ms: 0,
             next_is_read: true,
+            unreachable: false,
         }
     }
 
+    /// `store_is_unreachable` tells whether the last read of the lease failed.
+    #[must_use]
+    pub fn store_is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
     /// `term` returns the term while the lease is held and surely valid.
     #[must_use]
     pub fn term(&self, now_unix_ms: u64) -> Option<u64> {
@@ -167,6 +175,7 @@
             return (Change::None, None);
         }
         self.pending = None;
+        self.unreachable = answer == LeaseRead::Unavailable;
         match answer {
             LeaseRead::Unavailable => {
                 self.next_unix_ms = now_unix_ms + RETRY_MS;
--- a/crates/moves/src/owner.rs
+++ b/crates/moves/src/owner.rs
@@ -346,9 +346,10 @@
         if let Verdict::TakeBack(reason) = &verdict {
             tracked.take_back.get_or_insert(reason.clone());
         }
-        // A former holder that lost contact with the store keeps sending stops, which only lower
-        // the share, but commits nothing.
-        if term.is_none() && !tracked.has_been_holder {
+        // A former holder, or a candidate in a region that lost contact with the store, sends
+        // stops, which only lower the share, but commits nothing.
+        let sends_stops = tracked.has_been_holder || self.lease.store_is_unreachable();
+        if term.is_none() && !sends_stops {
             return;
         }
         if let Verdict::TakeBack(reason) = &verdict {
