Let a target learn from its report that its node does not know it

Cause: after a herd restart of the nodes their targets stayed unknown, since a target announces itself only once. Ruled out: announcing with every report, which would hide a lost target behind its reports. Conclusion: a report to a node without a target is refused with 409.

--- a/crates/hemlockfall/src/edge/local.rs
+++ b/crates/hemlockfall/src/edge/local.rs
@@ -76,6 +76,12 @@
                 Err(answer) => answer,
             },
             (Method::Post, "/v1/leave") => self.pass(LocalEvent::Leave),
+            // A target learns here that its node has restarted or has lost it, and announces
+            // itself again.
+            (Method::Post, "/v1/report") if !self.health.has_target() => Answer {
+                status: 409,
+                text: "HF-3409: no target is announced\n".to_owned(),
+            },
             (Method::Post, "/v1/report") => match body(request) {
                 Ok(report) => self.pass(LocalEvent::Report(report)),
                 Err(answer) => answer,
--- a/crates/hemlockfall/src/edge/plugin.rs
+++ b/crates/hemlockfall/src/edge/plugin.rs
@@ -64,6 +64,7 @@
         ],
         codes: &[
             CodeSpec { code: ResultCode(3400), help: "the body of a local call is not valid; the reason is given" },
+            CodeSpec { code: ResultCode(3409), help: "the node knows no target; the target must announce itself again" },
             CodeSpec { code: ResultCode(3901), help: "the message is not valid HTTP/1.1; it has not run" },
             CodeSpec { code: ResultCode(3902), help: "the framing of the body is ambiguous; it has not run" },
             CodeSpec { code: ResultCode(3903), help: "the start line and headers exceed `edge.max_head_bytes`; it has not run" },
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -37,6 +37,7 @@
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
 use crate::node::decisions::DecisionLog;
+use crate::node::health::Health;
 use crate::wire::LinkMessage;
 
 pub mod answer;
@@ -69,6 +70,8 @@
     pub target_client: Actor<TargetClient>,
     /// Membership and distribution.
     pub control: Actor<Control>,
+    /// Health page.
+    pub health: Arc<Health>,
     /// Writes routing decisions.
     pub decisions: DecisionLog,
 }
@@ -81,6 +84,7 @@
     callers: Actor<CallerServer>,
     target_client: Actor<TargetClient>,
     control: Actor<Control>,
+    health: Arc<Health>,
     decisions: DecisionLog,
     router: Router,
     keys: KeyStore,
@@ -123,6 +127,7 @@
             callers: parts.callers,
             target_client: parts.target_client,
             control: parts.control,
+            health: parts.health,
             decisions: parts.decisions,
             entry: EntryCalls::default(),
             local: LocalTarget::default(),
@@ -270,6 +275,7 @@
             self.keys.rejoined(now);
         }
         self.local.announced(announcement, now.unix_ms);
+        self.health.set_target(true);
         self.admission.resize(announcement.slots);
         let connections = usize::from(announcement.connections);
         call!([self.target_client], set_max_connections(connections));
--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -207,6 +207,7 @@
         metrics::counter!("hemlockfall_targets_lost_total").increment(1);
         let ready_unix_ms = self.local.ready_unix_ms;
         self.local.lost();
+        self.health.set_target(false);
         call!([self.control], withdraw());
         let suspects = std::mem::take(&mut self.local.suspects);
         for fingerprint in suspects {
--- a/crates/hemlockfall/src/node/health.rs
+++ b/crates/hemlockfall/src/node/health.rs
@@ -11,6 +11,7 @@
 pub struct Health {
     serving: AtomicBool,
     stopping: AtomicBool,
+    has_target: AtomicBool,
     revision: AtomicU64,
 }
 
@@ -26,6 +27,17 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// `set_target` notes whether a target has announced itself and is not lost.
+    pub fn set_target(&self, is_known: bool) {
+        self.has_target.store(is_known, Ordering::Relaxed);
+    }
+
+    /// `has_target` tells whether a target has announced itself and is not lost.
+    #[must_use]
+    pub fn has_target(&self) -> bool {
+        self.has_target.load(Ordering::Relaxed)
+    }
+
     /// `is_serving` tells whether the node takes requests.
     #[must_use]
     pub fn is_serving(&self) -> bool {
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -308,6 +308,7 @@
         callers: edges.callers.clone(),
         target_client: edges.target_client.clone(),
         control: control.clone(),
+        health: Arc::clone(&shared.health),
         decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
     }
 }
