Restart the failed node without store and contacts in its test

The node found its group through the contacts of its settings, so the test did not show that probing of departed addresses finds it. With the store down and no contacts it still joins within 20 s of the queue's time.

--- a/crates/membership/tests/group.rs
+++ b/crates/membership/tests/group.rs
@@ -108,6 +108,7 @@
 fn dead_node_fails_and_its_next_life_is_found() {
     let mut network = ready_group(3);
 
+    network.store_up = false;
     network.nodes[4].is_up = false;
     network.run(200);
     let is_failed = network.all_see(4, |r| r.state == EndpointState::Failed);
@@ -117,6 +118,7 @@
     network.run(200);
 
     assert!(is_failed);
+    assert!(network.nodes[4].state.is_joined());
     assert!(network.all_see(4, |r| r.incarnation >= 2_000
         && r.state < EndpointState::Left));
 }
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -37,6 +37,7 @@
     pub now: Instant,
     pub nodes: Vec<Node>,
     pub loss_permille: u32,
+    pub store_up: bool,
     /// Data centre that is cut off from the others.
     pub cut: Option<&'static str>,
     /// Table exchanges sent to another data centre by a node that is no relay.
@@ -59,6 +60,7 @@
             now,
             nodes: records.into_iter().map(node).collect(),
             loss_permille: 0,
+            store_up: true,
             cut: None,
             stray_exchanges: 0,
             contacts: Vec::new(),
@@ -67,10 +69,13 @@
         }
     }
 
-    /// Starts a node anew, as a later life that remembers nothing.
+    /// Starts a node anew, as a later life that remembers nothing and has no contacts in its
+    /// settings.
     pub fn restart(&mut self, index: usize, record: EndpointRecord) {
         let seed = self.rng.random();
-        self.nodes[index].state = Membership::new(options(), record, seed, self.now);
+        let mut options = options();
+        options.contacts.clear();
+        self.nodes[index].state = Membership::new(options, record, seed, self.now);
         self.nodes[index].is_up = true;
     }
 
@@ -127,6 +132,7 @@
                 }
                 Action::SendBulk { to, message } => self.send(index, to, &message),
                 Action::Item { item, .. } => self.nodes[index].items.push(item),
+                Action::ReadContacts if !self.store_up => {}
                 Action::ReadContacts => {
                     let contacts = self.contacts.clone();
                     self.nodes[index].state.handle_contacts(&contacts);
