Wire the moves into the node

The node had the moves crate and no caller of it: the share of a new version followed the plan alone, evidence was dropped and no move had a judge.

A moves actor now holds the proxy state and an owner per service that this node may judge. The proxy state is a shared cell of the actor system, so the request path asks the guard without a message; ended attempts of services with a move reach the actor by message. Evidence goes to the aggregator and from there to both candidates, with its recipient in the message, since a node can be aggregator and candidate at once. Store calls run on one thread; a commit checks the entry's last change against the catalogue that the write is conditional on. Nodes without contact to the store learn of an outage by a gossip item, as only a few nodes per data centre talk to it and a share that freezes must freeze everywhere.

The guard is asked only for requests that the plan gives to the new version, so that trial requests are counted; the choice is otherwise unchanged.

--- a/crates/core/src/catalogue/edit.rs
+++ b/crates/core/src/catalogue/edit.rs
@@ -160,7 +160,12 @@
         .ok_or_else(not_found)
 }
 
-fn check_seen(
+/// `check_seen` checks that an entry has not changed since `seen_revision`; `None` means that the
+/// writer saw nothing that must still hold.
+///
+/// # Errors
+/// [`Error::Conflict`] with the changes since.
+pub fn check_seen(
     before: &StoredCatalogue,
     service: &str,
     seen_revision: Option<Revision>,
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -14,6 +14,7 @@
 use hemlockfall_core::units;
 use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_membership::items::GossipItem;
+use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::admission::Admission;
 use hemlockfall_request::balance::Place;
 use hemlockfall_request::clock::Now;
@@ -23,6 +24,7 @@
 use stakker::Actor;
 use stakker::CX;
 use stakker::Core;
+use stakker::Share;
 use stakker::after;
 use stakker::call;
 
@@ -38,6 +40,7 @@
 use crate::node::control::ControlOutput;
 use crate::node::decisions::DecisionLog;
 use crate::node::health::Health;
+use crate::node::moves::Moves;
 use crate::wire::LinkMessage;
 
 pub mod answer;
@@ -45,6 +48,7 @@
 mod fingerprints;
 mod keys;
 mod local;
+mod moving;
 mod target;
 
 use entry::EntryCalls;
@@ -74,6 +78,10 @@
     pub health: Arc<Health>,
     /// Writes routing decisions.
     pub decisions: DecisionLog,
+    /// Shares and guards of the moves.
+    pub proxy: Share<Proxy>,
+    /// Takes in the results of attempts.
+    pub moves: Actor<Moves>,
 }
 
 /// `Calls` is the actor of the request path.
@@ -86,6 +94,8 @@
     control: Actor<Control>,
     health: Arc<Health>,
     decisions: DecisionLog,
+    proxy: Share<Proxy>,
+    moves: Actor<Moves>,
     router: Router,
     keys: KeyStore,
     admission: Admission,
@@ -129,6 +139,8 @@
             control: parts.control,
             health: parts.health,
             decisions: parts.decisions,
+            proxy: parts.proxy,
+            moves: parts.moves,
             entry: EntryCalls::default(),
             local: LocalTarget::default(),
             addresses: Vec::new(),
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -1,10 +1,10 @@
 //! The entry side: requests of this node's callers and their attempts.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use hemlockfall_core::codec;
 use hemlockfall_core::ids::NodeName;
-use hemlockfall_core::units;
 use hemlockfall_request::admission::FenceAnswer;
 use hemlockfall_request::call;
 use hemlockfall_request::call::Attempt;
@@ -46,26 +46,35 @@
 /// `EntryCalls` are the requests in progress, sorted by caller.
 #[derive(Default)]
 pub struct EntryCalls {
-    calls: Vec<EntryCall>,
+    pub(super) calls: Vec<EntryCall>,
     /// Attempts in flight, sorted by attempt id.
     attempts: Vec<AttemptOf>,
     next_tag: Tag,
 }
 
-struct EntryCall {
+pub(super) struct EntryCall {
     caller: CallerId,
-    call: Call,
+    pub(super) call: Call,
     request: Rc<HttpRequest>,
     max_body_bytes: u32,
-    attempt: Option<Current>,
+    pub(super) attempt: Option<Current>,
     answer: Option<HttpAnswer>,
 }
 
+impl EntryCall {
+    fn is_current(&self, attempt_id: AttemptId) -> bool {
+        self.attempt
+            .as_ref()
+            .is_some_and(|current| current.attempt_id == attempt_id)
+    }
+}
+
 #[derive(Clone)]
-struct Current {
+pub(super) struct Current {
     attempt_id: AttemptId,
-    node: NodeName,
+    pub(super) node: NodeName,
     tag: Tag,
+    pub(super) sent_at: Instant,
 }
 
 struct AttemptOf {
@@ -138,7 +147,7 @@
             return;
         }
         let request = Rc::new(request);
-        match self.start_call(&request, now) {
+        match self.start_call(cx, &request, now) {
             Ok((call, actions)) => {
                 let max_body_bytes = self.max_body_bytes(&call);
                 let (attempt, answer) = (None, None);
@@ -159,6 +168,7 @@
 
     fn start_call(
         &mut self,
+        cx: CX![],
         request: &HttpRequest,
         now: Now,
     ) -> Result<(Call, Vec<CallAction>), Reason> {
@@ -185,7 +195,12 @@
             key,
             fingerprint,
         };
-        let cap = |_: &str, _: &str, _: &str| units::FULL_PERMILLE;
+        let proxy = self.proxy.rw(cx);
+        self.router
+            .set_store_down_since(proxy.store_down_since_unix_ms());
+        let cap = |service: &str, route: &str, _: &str| {
+            proxy.permitted_permille(service, route, now.unix_ms)
+        };
         Call::start(&call_request, &mut self.router, cap, now)
     }
 
@@ -256,6 +271,14 @@
             return;
         }
         let actions = call.tick(&mut self.router, now);
+        // A call in time cancels nothing.
+        if actions
+            .iter()
+            .any(|action| matches!(action, CallAction::Cancel { .. }))
+        {
+            let reason = Reason::TimedOut;
+            self.report_attempt(cx, index, AttemptResult::Unknown { reason }, now);
+        }
         self.perform_call(cx, caller, actions);
     }
 
@@ -271,6 +294,7 @@
             attempt_id,
             node: attempt.to.node.clone(),
             tag,
+            sent_at: cx.now(),
         });
         let frame = call_frame(entry, attempt);
         if let Some(earlier) = earlier {
@@ -372,6 +396,9 @@
         let Some(index) = self.entry.position(caller) else {
             return;
         };
+        if self.entry.calls[index].is_current(attempt_id) {
+            self.report_attempt(cx, index, result, now);
+        }
         let call = &mut self.entry.calls[index].call;
         let actions = call.attempt_ended(attempt_id, result, &mut self.router, now);
         self.perform_call(cx, caller, actions);
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -24,6 +24,8 @@
 use hemlockfall_membership::items::GossipItem;
 use hemlockfall_membership::node::Membership;
 use hemlockfall_membership::roles::Roles;
+use hemlockfall_moves::action::Recipient;
+use hemlockfall_moves::evidence::EvidenceMessage;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Fwd;
@@ -176,7 +178,7 @@
                 let actions = self.parts.distribution.handle(from, message, now);
                 self.perform_distribution(actions);
             }
-            ControlMessage::Evidence(_) => {}
+            ControlMessage::Evidence { .. } => {}
         }
     }
 
@@ -275,6 +277,17 @@
             .spread_item(item, lifetime_ms, cx.now());
     }
 
+    /// `send_evidence` sends evidence of the moves family to a node.
+    pub fn send_evidence(
+        &mut self,
+        _: CX![],
+        address: SocketAddr,
+        to: Recipient,
+        message: EvidenceMessage,
+    ) {
+        self.send(address, ControlMessage::Evidence { to, message });
+    }
+
     fn output_own(&self) {
         let own = self.parts.membership.own().clone();
         fwd!([self.parts.outputs], ControlOutput::Endpoint(own));
--- a/crates/hemlockfall/src/node/dispatch.rs
+++ b/crates/hemlockfall/src/node/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::node::calls::Calls;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
+use crate::node::moves::Moves;
 use crate::wire::ControlMessage;
 use crate::wire::LinkMessage;
 
@@ -24,6 +25,8 @@
     pub control: Actor<Control>,
     /// Request path.
     pub calls: Actor<Calls>,
+    /// Moves.
+    pub moves: Actor<Moves>,
     /// TCP links.
     pub links: Actor<Links>,
 }
@@ -47,7 +50,7 @@
     )]
     pub fn datagram(&mut self, _: CX![], received: Received) {
         match ControlMessage::decode(&received.content) {
-            Ok(message) => self.control(received.from, Box::new(message)),
+            Ok(message) => self.control(received.from, message),
             Err(error) => malformed(received.from, &error.to_string()),
         }
     }
@@ -68,7 +71,7 @@
 
     fn link_message(&mut self, link: LinkId, peer: SocketAddr, content: &[u8]) {
         match LinkMessage::decode(content) {
-            Ok(LinkMessage::Control(message)) => self.control(peer, message),
+            Ok(LinkMessage::Control(message)) => self.control(peer, *message),
             Ok(message) => call!([self.receivers.calls], link_message(link, message)),
             Err(error) => {
                 malformed(peer, &error.to_string());
@@ -77,12 +80,22 @@
         }
     }
 
-    fn control(&mut self, from: SocketAddr, message: Box<ControlMessage>) {
-        call!([self.receivers.control], receive(from, message));
+    fn control(&mut self, from: SocketAddr, message: ControlMessage) {
+        match message {
+            ControlMessage::Evidence { to, message } => match message.check() {
+                Ok(()) => call!([self.receivers.moves], evidence(to, Box::new(message))),
+                Err(error) => {
+                    metrics::counter!("hemlockfall_evidence_refused_total").increment(1);
+                    malformed(from, &error.to_string());
+                }
+            },
+            other => call!([self.receivers.control], receive(from, Box::new(other))),
+        }
     }
 
     /// `control_output` passes news of membership and distribution on.
     pub fn control_output(&mut self, _: CX![], output: ControlOutput) {
+        call!([self.receivers.moves], control_output(output.clone()));
         call!([self.receivers.calls], control_output(output));
     }
 }
--- a/crates/hemlockfall/src/node/mod.rs
+++ b/crates/hemlockfall/src/node/mod.rs
@@ -1,13 +1,14 @@
 //! The node: the process beside each target.
 //!
 //! One thread runs the actors: [`control`] (membership and distribution), [`calls`] (request
-//! path) and the edges. [`dispatch`] decodes what peers send and hands it to its actor.
+//! path), [`moves`] and the edges. [`dispatch`] decodes what peers send and hands it to its actor.
 
 pub mod calls;
 pub mod control;
 pub mod decisions;
 pub mod dispatch;
 pub mod health;
+pub mod moves;
 pub mod options;
 pub mod signals;
 pub mod status;
--- /dev/null
+++ b/crates/hemlockfall/src/node/moves.rs
@@ -0,0 +1,506 @@
+//! The moves actor: shares and guards of this node, evidence, and the moves that it judges.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use hemlockfall_core::catalogue::OnOutage;
+use hemlockfall_core::catalogue::ServiceEntry;
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::EndpointState;
+use hemlockfall_core::ids::MoveId;
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::ServiceName;
+use hemlockfall_core::units;
+use hemlockfall_distribution::snapshot::Snapshot;
+use hemlockfall_membership::items::GossipItem;
+use hemlockfall_membership::items::MAX_REASON_BYTES;
+use hemlockfall_membership::roles::Roles;
+use hemlockfall_moves::action::Action;
+use hemlockfall_moves::action::LogLine;
+use hemlockfall_moves::action::Recipient;
+use hemlockfall_moves::evidence::EvidenceMessage;
+use hemlockfall_moves::guard::AttemptResult;
+use hemlockfall_moves::guard::CUT;
+use hemlockfall_moves::lease::LeaseRead;
+use hemlockfall_moves::options::Options;
+use hemlockfall_moves::owner;
+use hemlockfall_moves::owner::Owner;
+use hemlockfall_moves::proxy;
+use hemlockfall_moves::proxy::Proxy;
+use smol_str::SmolStr;
+use stakker::Actor;
+use stakker::CX;
+use stakker::Share;
+use stakker::after;
+use stakker::call;
+
+use crate::node::control::Accepted;
+use crate::node::control::Control;
+use crate::node::control::ControlOutput;
+
+pub mod report;
+pub mod store;
+
+use store::MoveStore;
+use store::StoreAnswer;
+use store::StoreJob;
+
+const TICK: Duration = Duration::from_millis(200);
+/// Lifetime of a stop; the judge repeats it while the commit is missing.
+const STOP_LIFETIME_MS: u32 = 60_000;
+/// Lifetime of a notice that the store is down, and so the longest time that a frozen share
+/// stays frozen after the store came back.
+const OUTAGE_LIFETIME_MS: u32 = 12_000;
+/// Time between notices of one node; membership takes a notice as renewed when it lives longer by
+/// more than 5 s.
+const OUTAGE_NOTICE_MS: u64 = 6_000;
+/// Time without the store after which a node tells the others; shorter gaps are restarts.
+const OUTAGE_FROM_MS: u64 = 1_000;
+
+/// `MovesParts` are what the moves actor works with.
+pub struct MovesParts {
+    /// Name of this node.
+    pub node: NodeName,
+    /// Peer address of this node.
+    pub address: SocketAddr,
+    /// Settings of the moves family.
+    pub options: Options,
+    /// Shares and guards; the request path reads them for each request.
+    pub proxy: Share<Proxy>,
+    /// Membership and distribution.
+    pub control: Actor<Control>,
+    /// Store thread.
+    pub store: MoveStore,
+}
+
+/// `Moves` is the actor of the moves family.
+pub struct Moves {
+    parts: MovesParts,
+    roles: Arc<Roles>,
+    /// Nodes that can judge, sorted by name.
+    nodes: Vec<LiveNode>,
+    nodes_changed: bool,
+    /// Entries with a move under way, sorted by service.
+    moving: Vec<Moving>,
+    outage: Outage,
+}
+
+struct LiveNode {
+    node: NodeName,
+    address: SocketAddr,
+}
+
+struct Moving {
+    entry: ServiceEntry,
+    judges: Vec<NodeName>,
+    /// Only on a candidate for the lease.
+    owner: Option<Owner>,
+}
+
+/// What this node knows of an outage of the store.
+#[derive(Default)]
+struct Outage {
+    own_since_unix_ms: Option<u64>,
+    heard: Option<HeardOutage>,
+    next_notice_unix_ms: u64,
+}
+
+struct HeardOutage {
+    since_unix_ms: u64,
+    until_unix_ms: u64,
+}
+
+fn now_unix_ms() -> u64 {
+    units::unix_ms(SystemTime::now())
+}
+
+impl Moves {
+    /// `init` starts without moves.
+    pub fn init(cx: CX![], parts: MovesParts) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self {
+            parts,
+            roles: Arc::new(Roles::default()),
+            nodes: Vec::new(),
+            nodes_changed: false,
+            moving: Vec::new(),
+            outage: Outage::default(),
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = now_unix_ms();
+        if self.nodes_changed {
+            self.nodes_changed = false;
+            for index in 0..self.moving.len() {
+                self.rank(index, now);
+            }
+        }
+        self.update_outage(cx, now);
+        let proxy = self.parts.proxy.rw(cx);
+        let actions = proxy.tick(now);
+        self.perform(cx, actions, now);
+        for index in 0..self.moving.len() {
+            let owner = self.moving[index].owner.as_mut();
+            let actions = owner.map_or_else(Vec::new, |owner| owner.tick(now));
+            self.perform(cx, actions, now);
+        }
+    }
+
+    /// `control_output` takes in news of membership and distribution.
+    pub fn control_output(&mut self, cx: CX![], output: ControlOutput) {
+        match output {
+            ControlOutput::InForce(snapshot) => self.put_in_force(cx, &snapshot),
+            ControlOutput::Endpoint(record) => self.endpoint(&record),
+            ControlOutput::Forgotten(node) => {
+                if let Ok(index) = self.position_of_node(&node) {
+                    self.nodes.remove(index);
+                    self.nodes_changed = true;
+                }
+            }
+            ControlOutput::Item { item, lifetime_ms } => self.item(cx, item, lifetime_ms),
+            ControlOutput::Roles(roles) => self.roles = roles,
+            ControlOutput::StoreReachable(is_reachable) => self.note_store(is_reachable),
+        }
+    }
+
+    fn put_in_force(&mut self, cx: CX![], snapshot: &Arc<Snapshot>) {
+        let now = now_unix_ms();
+        let entries: Vec<ServiceEntry> = snapshot
+            .configuration()
+            .entries
+            .iter()
+            .filter(|entry| entry.move_state.is_some())
+            .cloned()
+            .collect();
+        let proxy = self.parts.proxy.rw(cx);
+        proxy.handle(proxy::Input::Entries(entries.clone()), now);
+        let mut before = std::mem::take(&mut self.moving);
+        for entry in entries {
+            let known = before
+                .iter()
+                .position(|moving| moving.entry.service == entry.service)
+                .map(|index| before.swap_remove(index));
+            let is_final = entry
+                .move_state
+                .as_ref()
+                .is_some_and(|state| state.status.is_final());
+            let (judges, owner) = known.map_or((Vec::new(), None), |m| (m.judges, m.owner));
+            // A final move is of interest only to the owner that has its result to write.
+            if is_final && owner.is_none() {
+                continue;
+            }
+            self.moving.push(Moving {
+                entry,
+                judges,
+                owner,
+            });
+        }
+        for index in 0..self.moving.len() {
+            self.rank(index, now);
+            let moving = &mut self.moving[index];
+            let Some(owner) = &mut moving.owner else {
+                continue;
+            };
+            let input = owner::Input::Entry(Box::new(moving.entry.clone()));
+            let actions = owner.handle(input, now);
+            self.perform(cx, actions, now);
+        }
+    }
+
+    /// Finds the candidates for the lease of a move, and makes or tells the own owner.
+    fn rank(&mut self, index: usize, now_unix_ms: u64) {
+        let moving = &mut self.moving[index];
+        let nodes = self.nodes.iter().map(|live| &live.node);
+        let judges = owner::candidates(&moving.entry.service, nodes);
+        moving.judges = judges.into_iter().cloned().collect();
+        let own = &self.parts.node;
+        let rank = moving.judges.iter().position(|node| node == own);
+        if moving.owner.is_none() && rank.is_some() {
+            let mut owner = Owner::new(
+                own.clone(),
+                moving.entry.service.clone(),
+                self.parts.options.clone(),
+                rand::random(),
+            );
+            let input = owner::Input::Entry(Box::new(moving.entry.clone()));
+            owner.handle(input, now_unix_ms);
+            moving.owner = Some(owner);
+        }
+        if let Some(owner) = &mut moving.owner {
+            owner.handle(owner::Input::Rank(rank), now_unix_ms);
+        }
+    }
+
+    fn endpoint(&mut self, record: &EndpointRecord) {
+        // Leaving nodes hand their roles over before they stop.
+        let can_judge = record.state < EndpointState::Leaving;
+        match (self.position_of_node(&record.node), can_judge) {
+            (Ok(index), true) => self.nodes[index].address = record.peer_address,
+            (Ok(index), false) => {
+                self.nodes.remove(index);
+                self.nodes_changed = true;
+            }
+            (Err(index), true) => {
+                let (node, address) = (record.node.clone(), record.peer_address);
+                self.nodes.insert(index, LiveNode { node, address });
+                self.nodes_changed = true;
+            }
+            (Err(_), false) => {}
+        }
+    }
+
+    fn position_of_node(&self, node: &str) -> Result<usize, usize> {
+        self.nodes
+            .binary_search_by(|live| live.node.as_str().cmp(node))
+    }
+
+    fn item(&mut self, cx: CX![], item: GossipItem, lifetime_ms: u32) {
+        match item {
+            GossipItem::StopMove {
+                service,
+                move_id,
+                reason,
+            } => self.obey_stop(cx, service, move_id, reason),
+            GossipItem::StoreDown { since_unix_ms } => {
+                self.outage.heard = Some(HeardOutage {
+                    since_unix_ms,
+                    until_unix_ms: now_unix_ms() + u64::from(lifetime_ms),
+                });
+            }
+            GossipItem::Fingerprint { .. } => {}
+        }
+    }
+
+    fn obey_stop(&mut self, cx: CX![], service: ServiceName, move_id: MoveId, reason: SmolStr) {
+        let now = now_unix_ms();
+        if let Some(owner) = self.owner(&service) {
+            let input = owner::Input::Stop { move_id, reason };
+            let actions = owner.handle(input, now);
+            self.perform(cx, actions, now);
+        }
+        let proxy = self.parts.proxy.rw(cx);
+        proxy.handle(proxy::Input::Stop { service, move_id }, now);
+    }
+
+    fn owner(&mut self, service: &str) -> Option<&mut Owner> {
+        let index = self.position(service).ok()?;
+        self.moving[index].owner.as_mut()
+    }
+
+    fn position(&self, service: &str) -> Result<usize, usize> {
+        self.moving
+            .binary_search_by(|moving| moving.entry.service.as_str().cmp(service))
+    }
+
+    /// `attempt` takes in the end of an attempt of this node's callers.
+    #[expect(clippy::boxed_local, reason = "stakker's queue copies arguments")]
+    pub fn attempt(&mut self, cx: CX![], result: Box<AttemptResult>) {
+        let now = now_unix_ms();
+        let proxy = self.parts.proxy.rw(cx);
+        let actions = proxy.handle(proxy::Input::Attempt(*result), now);
+        self.perform(cx, actions, now);
+    }
+
+    /// `evidence` takes in evidence of another node.
+    #[expect(clippy::boxed_local, reason = "stakker's queue copies arguments")]
+    pub fn evidence(&mut self, cx: CX![], to: Recipient, message: Box<EvidenceMessage>) {
+        self.take_evidence(cx, to, *message, now_unix_ms());
+    }
+
+    fn take_evidence(&mut self, cx: CX![], to: Recipient, message: EvidenceMessage, now: u64) {
+        match to {
+            Recipient::Aggregator => {
+                let proxy = self.parts.proxy.rw(cx);
+                proxy.handle(proxy::Input::Evidence(message), now);
+            }
+            Recipient::Judges => {
+                if let Some(owner) = self.owner(&message.service) {
+                    let actions = owner.handle(owner::Input::Evidence(message), now);
+                    self.perform(cx, actions, now);
+                }
+            }
+        }
+    }
+
+    /// `store_answer` takes in a result of the store thread.
+    pub fn store_answer(&mut self, cx: CX![], answer: StoreAnswer) {
+        let now = now_unix_ms();
+        let StoreAnswer {
+            service,
+            input,
+            committed,
+        } = answer;
+        if let owner::Input::LeaseRead(read) = &input {
+            self.note_store(*read != LeaseRead::Unavailable);
+        }
+        if let Some(stored) = committed {
+            if let owner::Input::Commit { operation_id, .. } = &input {
+                metrics::counter!("hemlockfall_move_verdicts_total").increment(1);
+                spdlog::info!("move decision committed", kv: {
+                    service = service.as_str(),
+                    decision_id = operation_id.to_string(),
+                    revision = stored.configuration.revision,
+                });
+            }
+            // Nobody waits for the number of copies.
+            let (copies, _) = mpsc::sync_channel(1);
+            call!([self.parts.control], accepted(Accepted { stored, copies }));
+        }
+        if let Some(owner) = self.owner(&service) {
+            let actions = owner.handle(input, now);
+            self.perform(cx, actions, now);
+        }
+    }
+
+    fn perform(&mut self, cx: CX![], actions: Vec<Action>, now: u64) {
+        for action in actions {
+            match action {
+                Action::SendEvidence { to, message } => self.send_evidence(cx, to, message, now),
+                Action::StopMove {
+                    service,
+                    move_id,
+                    reason,
+                } => self.stop_move(cx, service, move_id, reason),
+                Action::Log(line) => log_decision(&line),
+                Action::ReadLease { service } => self.submit(service, StoreJob::ReadLease),
+                Action::AcquireLease {
+                    service,
+                    lease,
+                    if_version,
+                }
+                | Action::RenewLease {
+                    service,
+                    lease,
+                    if_version,
+                } => self.submit(service, StoreJob::WriteLease { lease, if_version }),
+                Action::Commit {
+                    operation_id,
+                    edit,
+                    seen_revision,
+                } => {
+                    let service = edit.service().clone();
+                    let job = StoreJob::Commit {
+                        operation_id,
+                        edit: Box::new(edit),
+                        seen_revision,
+                    };
+                    self.submit(service, job);
+                }
+                Action::ReadBack {
+                    service,
+                    operation_id,
+                } => self.submit(service, StoreJob::ReadBack { operation_id }),
+                Action::WriteResult { key, result } => {
+                    let service = result.service.clone();
+                    self.submit(service, StoreJob::WriteResult { key, result });
+                }
+            }
+        }
+    }
+
+    fn submit(&self, service: ServiceName, job: StoreJob) {
+        self.parts.store.submit(service, job);
+    }
+
+    fn send_evidence(&mut self, cx: CX![], to: Recipient, message: EvidenceMessage, now: u64) {
+        match to {
+            Recipient::Aggregator => {
+                let other = self.roles.aggregator.filter(|a| *a != self.parts.address);
+                match other {
+                    Some(address) => {
+                        call!([self.parts.control], send_evidence(address, to, message));
+                    }
+                    None => self.take_evidence(cx, to, message, now),
+                }
+            }
+            Recipient::Judges => self.send_to_judges(cx, &message, now),
+        }
+    }
+
+    fn send_to_judges(&mut self, cx: CX![], message: &EvidenceMessage, now: u64) {
+        let to = Recipient::Judges;
+        let judges = self
+            .position(&message.service)
+            .map_or_else(|_| Vec::new(), |index| self.moving[index].judges.clone());
+        for judge in judges {
+            let copy = message.clone();
+            if judge == self.parts.node {
+                self.take_evidence(cx, to, copy, now);
+            } else if let Ok(index) = self.position_of_node(&judge) {
+                let address = self.nodes[index].address;
+                call!([self.parts.control], send_evidence(address, to, copy));
+            }
+        }
+    }
+
+    fn stop_move(&mut self, cx: CX![], service: ServiceName, move_id: MoveId, reason: SmolStr) {
+        let item = GossipItem::StopMove {
+            service: service.clone(),
+            move_id,
+            reason: shortened(&reason),
+        };
+        call!([self.parts.control], spread(item, STOP_LIFETIME_MS));
+        self.obey_stop(cx, service, move_id, reason);
+    }
+
+    fn note_store(&mut self, is_reachable: bool) {
+        if is_reachable {
+            self.outage.own_since_unix_ms = None;
+        } else {
+            self.outage
+                .own_since_unix_ms
+                .get_or_insert_with(now_unix_ms);
+        }
+    }
+
+    /// Tells the proxy since when the store is down, and other nodes when a share must freeze:
+    /// only a few nodes of a data centre talk to the store.
+    fn update_outage(&mut self, cx: CX![], now: u64) {
+        let outage = &mut self.outage;
+        outage.heard.take_if(|heard| heard.until_unix_ms <= now);
+        let heard_since = outage.heard.as_ref().map(|heard| heard.since_unix_ms);
+        let own_since = outage.own_since_unix_ms;
+        let since_unix_ms = own_since.into_iter().chain(heard_since).min();
+        let proxy = self.parts.proxy.rw(cx);
+        proxy.handle(proxy::Input::StoreDownSince(since_unix_ms), now);
+        let freezes = self.moving.iter().any(|moving| {
+            let state = moving.entry.move_state.as_ref();
+            state.is_some_and(|s| !s.status.is_final() && s.on_outage == OnOutage::Freeze)
+        });
+        if let Some(since_unix_ms) = own_since
+            && freezes
+            && now >= since_unix_ms + OUTAGE_FROM_MS
+            && now >= outage.next_notice_unix_ms
+        {
+            outage.next_notice_unix_ms = now + OUTAGE_NOTICE_MS;
+            let item = GossipItem::StoreDown { since_unix_ms };
+            call!([self.parts.control], spread(item, OUTAGE_LIFETIME_MS));
+        }
+    }
+}
+
+fn log_decision(line: &LogLine) {
+    if line.decision == CUT {
+        metrics::counter!("hemlockfall_guard_cuts_total").increment(1);
+    }
+    let decision_id = line.decision_id.map(|id| id.to_string());
+    spdlog::info!("move decision", kv: {
+        service = line.service.as_str(),
+        move_id = line.move_id.to_string(),
+        route = line.route.as_ref().map_or("", |route| route.as_str()),
+        decision = line.decision.as_str(),
+        reason = line.reason.as_str(),
+        decision_id = decision_id.unwrap_or_default(),
+        at_unix_ms = line.at_unix_ms,
+    });
+}
+
+fn shortened(reason: &SmolStr) -> SmolStr {
+    let end = reason.floor_char_boundary(MAX_REASON_BYTES);
+    reason[..end].into()
+}
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -15,6 +15,7 @@
 use hemlockfall_core::units;
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_membership::node::Membership;
+use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::balance::Place;
 use hemlockfall_store::Client;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -22,6 +23,7 @@
 use stakker::Actor;
 use stakker::ActorOwn;
 use stakker::Fwd;
+use stakker::Share;
 use stakker::Stakker;
 use stakker::actor;
 use stakker::actor_new;
@@ -59,6 +61,11 @@
 use crate::node::dispatch::Dispatch;
 use crate::node::dispatch::Receivers;
 use crate::node::health::Health;
+use crate::node::moves::Moves;
+use crate::node::moves::MovesParts;
+use crate::node::moves::report;
+use crate::node::moves::store::MoveStore;
+use crate::node::moves::store::StoreAnswer;
 use crate::node::options::NodeOptions;
 use crate::node::signals;
 use crate::node::signals::StopRequested;
@@ -68,7 +75,6 @@
 use crate::node::store_io::StoreEvent;
 use crate::node::store_io::StoreIo;
 use crate::operator;
-use crate::operator::OperatorError;
 use crate::operator::request::NodeStatus;
 use crate::operator::server::Server;
 use crate::operator::worker;
@@ -125,6 +131,7 @@
     distribution: hemlockfall_distribution::options::Options,
     membership: hemlockfall_membership::options::Options,
     request: hemlockfall_request::options::Options,
+    moves: hemlockfall_moves::options::Options,
     operator: operator::Options,
     edge: EdgeOptions,
 }
@@ -145,6 +152,7 @@
                 ..membership
             },
             request: settings.section("request")?,
+            moves: settings.section("moves")?,
             operator: settings.section("operator")?,
             edge: settings.section("edge")?,
         })
@@ -156,6 +164,7 @@
     _edges: Edges,
     _control: ActorOwn<Control>,
     _calls: ActorOwn<Calls>,
+    _moves: ActorOwn<Moves>,
     _dispatch: ActorOwn<Dispatch>,
     _stopping: ActorOwn<Stopping>,
     _guards: Vec<ChannelGuard>,
@@ -192,16 +201,47 @@
     let mut guards = Vec::new();
     let control = actor_new!(stakker, Control, ret_shutdown!(stakker));
     let calls = actor_new!(stakker, Calls, ret_shutdown!(stakker));
+    let moves = actor_new!(stakker, Moves, ret_shutdown!(stakker));
+    let proxy = Proxy::new(
+        options.node.name.clone(),
+        options.node.region.clone(),
+        options.moves.clone(),
+    );
+    let proxy = Share::new(stakker, proxy);
     let dispatch = actor_new!(stakker, Dispatch, ret_shutdown!(stakker));
     let edges = start_edges(stakker, options, &dispatch, &calls);
     let receivers = Receivers {
         control: control.clone(),
         calls: calls.clone(),
+        moves: moves.clone(),
         links: edges.links.clone(),
     };
     call!([dispatch], Dispatch::init(receivers));
-    let calls_parts = calls_parts(options, &shared, &edges, &control);
+    let calls_parts = CallsParts {
+        place: place(&options.node),
+        incarnation: shared.incarnation,
+        options: options.request.clone(),
+        links: edges.links.clone(),
+        callers: edges.callers.clone(),
+        target_client: edges.target_client.clone(),
+        control: control.clone(),
+        health: Arc::clone(&shared.health),
+        decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
+        proxy: proxy.clone(),
+        moves: moves.clone(),
+    };
     call!([calls], Calls::init(calls_parts));
+    let store_answers = fwd_to!([moves], store_answer() as (StoreAnswer));
+    let store_answers = channel(stakker, store_answers, &mut guards);
+    let moves_parts = MovesParts {
+        node: options.node.name.clone(),
+        address: options.node.peer_address,
+        options: options.moves.clone(),
+        proxy,
+        control: control.clone(),
+        store: MoveStore::start(&shared.client, options.node.name.clone(), store_answers),
+    };
+    call!([moves], Moves::init(moves_parts));
 
     let store_events = fwd_to!([control], store_event() as (StoreEvent));
     let store_events = channel(stakker, store_events, &mut guards);
@@ -239,6 +279,7 @@
         _edges: edges,
         _control: control,
         _calls: calls,
+        _moves: moves,
         _dispatch: dispatch,
         _stopping: stopping,
         _guards: guards,
@@ -294,25 +335,6 @@
     }
 }
 
-fn calls_parts(
-    options: &Sections,
-    shared: &Shared,
-    edges: &Edges,
-    control: &Actor<Control>,
-) -> CallsParts {
-    CallsParts {
-        place: place(&options.node),
-        incarnation: shared.incarnation,
-        options: options.request.clone(),
-        links: edges.links.clone(),
-        callers: edges.callers.clone(),
-        target_client: edges.target_client.clone(),
-        control: control.clone(),
-        health: Arc::clone(&shared.health),
-        decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
-    }
-}
-
 fn control_parts(
     options: &Sections,
     shared: &Shared,
@@ -391,6 +413,7 @@
     accepted: Channel<Accepted>,
 ) -> Result<Server, String> {
     let (client, board) = (shared.client.clone(), shared.board.clone());
+    let reader = client.clone();
     let (requests, receiver) = operator::channel(&options.operator);
     let hooks = Hooks {
         on_accepted: Box::new(move |stored| {
@@ -402,10 +425,7 @@
             counted.recv_timeout(COPIES_TIMEOUT).unwrap_or(0)
         }),
         status: Box::new(move || board.get()),
-        report: Box::new(|_| {
-            let reason = "this node has no report yet";
-            Err(OperatorError::failed(operator::errors::NODE_FAILED, reason))
-        }),
+        report: Box::new(move |format| report::render(&reader, format)),
     };
     let worker_options = options.operator.clone();
     thread::spawn(move || worker::run(receiver, client, hooks, &worker_options));
--- a/crates/hemlockfall/src/operator/worker.rs
+++ b/crates/hemlockfall/src/operator/worker.rs
@@ -1,7 +1,7 @@
 //! Worker of a node that carries out operator requests.
 //!
-//! Status and report are answered at once, so that they work while the store is down; all
-//! other requests go one by one through a thread that makes the store's blocking calls and,
+//! Status is answered at once, so that it works while the store is down; all other requests go
+//! one by one through a thread that makes the store's blocking calls and,
 //! in between, settles changes whose answer was lost.
 
 use std::collections::VecDeque;
@@ -90,10 +90,6 @@
                     status.operations = notes.list();
                     respond(&envelope, Ok(OperatorReply::Status(status)));
                 }
-                OperatorRequest::Report { format } => {
-                    let report = (hooks.report)(format).map(OperatorReply::Report);
-                    respond(&envelope, report);
-                }
                 _ => {
                     if let Err(TrySendError::Full(envelope)) = jobs.try_send(envelope) {
                         let message = "too many operator calls wait for the store";
@@ -248,6 +244,9 @@
         match request {
             OperatorRequest::Get { service } => self.get(service),
             OperatorRequest::History { service, limit } => self.history(service, *limit),
+            OperatorRequest::Report { format } => {
+                (self.hooks.report)(*format).map(OperatorReply::Report)
+            }
             _ => self.list(),
         }
     }
--- a/crates/hemlockfall/src/wire.rs
+++ b/crates/hemlockfall/src/wire.rs
@@ -11,6 +11,7 @@
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_distribution::message::Message as DistributionMessage;
 use hemlockfall_membership::message::Message as MembershipMessage;
+use hemlockfall_moves::action::Recipient;
 use hemlockfall_moves::evidence::EvidenceMessage;
 use hemlockfall_request::admission::FenceAnswer;
 use hemlockfall_request::idempotency::KeyMessage;
@@ -32,7 +33,12 @@
     /// Of the membership family.
     Membership(MembershipMessage),
     /// Of the moves family.
-    Evidence(EvidenceMessage),
+    Evidence {
+        /// Tells the evidence of one node from the sum of a data centre.
+        to: Recipient,
+        /// The evidence.
+        message: EvidenceMessage,
+    },
 }
 
 /// `CallFrame` is one attempt on its way to the target's node.
--- a/crates/moves/src/action.rs
+++ b/crates/moves/src/action.rs
@@ -14,7 +14,7 @@
 use crate::record::MoveResult;
 
 /// `Recipient` names the receiver of an evidence message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Recipient {
     /// The aggregator of the own data centre.
     Aggregator,
@@ -109,6 +109,8 @@
     },
     /// Look whether a write took effect.
     ReadBack {
+        /// Service.
+        service: ServiceName,
         /// Write to look for.
         operation_id: OperationId,
     },
--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -166,6 +166,13 @@
         self.stopped
     }
 
+    /// `watches` tells whether the move shifts the traffic of a route; routes with a pinned
+    /// version are not watched.
+    #[must_use]
+    pub fn watches(&self, route: &str) -> bool {
+        self.find(route).is_some()
+    }
+
     /// `cap_permille` is the permitted share on a route: everything, or nothing after a cut or a
     /// stop.
     #[must_use]
--- a/crates/moves/src/owner.rs
+++ b/crates/moves/src/owner.rs
@@ -437,7 +437,10 @@
                 commit.step = Step::LookedUp {
                     at_unix_ms: now_unix_ms,
                 };
-                actions.push(Action::ReadBack { operation_id });
+                actions.push(Action::ReadBack {
+                    service: self.service.clone(),
+                    operation_id,
+                });
             }
         }
     }
@@ -489,6 +492,7 @@
                 at_unix_ms: now_unix_ms,
             };
             actions.push(Action::ReadBack {
+                service: self.service.clone(),
                 operation_id: commit.operation_id,
             });
         }
--- a/crates/moves/src/proxy.rs
+++ b/crates/moves/src/proxy.rs
@@ -108,6 +108,44 @@
             .choose(route, share_permille, hash_permille, now_unix_ms)
     }
 
+    /// `side` tells which side of a move under way a version is; `None` for services without one
+    /// and for routes with a pinned version, whose traffic the move does not shift.
+    #[must_use]
+    pub fn side(&self, service: &str, route: &str, version: &str) -> Option<Side> {
+        let moving = self.moving.get(self.position(service).ok()?)?;
+        if !moving.guard.watches(route) {
+            return None;
+        }
+        let state = moving.entry.move_state.as_ref()?;
+        if state.to == version {
+            Some(Side::New)
+        } else if state.from == version {
+            Some(Side::Old)
+        } else {
+            None
+        }
+    }
+
+    /// `permitted_permille` is the share that the guard permits for one request that the plan
+    /// gives to the new version: everything, for trial requests as well, or nothing. Each call
+    /// takes up a trial that is due, so it is made once per request.
+    pub fn permitted_permille(&mut self, service: &str, route: &str, now_unix_ms: u64) -> u16 {
+        let full = hemlockfall_core::units::FULL_PERMILLE;
+        let Some(moving) = self.find(service) else {
+            return full;
+        };
+        match moving.guard.choose(route, full, 0, now_unix_ms) {
+            Choice::Old => 0,
+            Choice::New | Choice::Trial => full,
+        }
+    }
+
+    /// `store_down_since_unix_ms` returns since when the store cannot be reached.
+    #[must_use]
+    pub fn store_down_since_unix_ms(&self) -> Option<u64> {
+        self.store_down_since_unix_ms
+    }
+
     /// `cap_permille` is the share that the guard permits on a route.
     #[must_use]
     pub fn cap_permille(&self, service: &str, route: &str) -> u16 {
--- a/crates/moves/tests/owner.rs
+++ b/crates/moves/tests/owner.rs
@@ -96,7 +96,7 @@
                     answer,
                 })
             }
-            Action::ReadBack { operation_id } => {
+            Action::ReadBack { operation_id, .. } => {
                 let answer = if self.catalogue.has_operation(operation_id) {
                     ReadBackAnswer::Found {
                         revision: self.catalogue.configuration.revision,
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -188,7 +188,7 @@
         now: Now,
     ) -> Result<(Self, Vec<CallAction>), Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let mut call = Self::route(request, router, cap, now)?;
         if call.is_refused(router, now) {
@@ -346,7 +346,7 @@
         now: Now,
     ) -> Result<Self, Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let found = router.routes().find(request.host, request.path)?;
         let entry = router.routes().entry(found);
--- a/crates/request/src/route.rs
+++ b/crates/request/src/route.rs
@@ -101,16 +101,18 @@
 /// `choose_version` returns the version that serves a request. The choice depends on the request
 /// id, so retries stay with one version, and a growing share only moves requests to the new one.
 ///
-/// `cap` is the limit that the local guard sets on the share of a new version, in permille.
+/// `cap` is the limit that the local guard sets on the share of a new version, in permille. It is
+/// asked once, and only for a request that the plan gives to the new version, so that a guard can
+/// count the trial requests that it permits.
 #[must_use]
 pub fn choose_version<'a, F>(
     entry: &'a ServiceEntry,
     route: &'a Route,
     share: Share,
-    cap: F,
+    mut cap: F,
 ) -> &'a VersionName
 where
-    F: Fn(&str, &str, &str) -> u16,
+    F: FnMut(&str, &str, &str) -> u16,
 {
     if let Some(version) = &route.version {
         return version;
@@ -123,13 +125,12 @@
         return &entry.active_version;
     };
     let planned_permille = entry.share_permille(share.now_unix_ms, share.store_down_since_unix_ms);
-    if planned_permille == 0 {
+    let position = request_position(share.request_id, state.move_id);
+    if position >= u64::from(planned_permille) {
         return &state.from;
     }
     let cap_permille = cap(&entry.service, &route.name, &state.to);
-    let share_permille = planned_permille.min(cap_permille);
-    let position = request_position(share.request_id, state.move_id);
-    if position < u64::from(share_permille) {
+    if position < u64::from(cap_permille) {
         &state.to
     } else {
         &state.from
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -11,6 +11,7 @@
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::units::duration_ms;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -190,6 +191,17 @@
         })
     }
 
+    /// `is_cold` tells whether the target beside a node is in its cold start.
+    #[must_use]
+    pub fn is_cold(&self, node: &str, now: Now) -> bool {
+        let ready_unix_ms = self
+            .position(node)
+            .ok()
+            .and_then(|position| self.known[self.by_node[position]].record.target.as_ref())
+            .map_or(0, |target| target.ready_unix_ms);
+        now.unix_ms.saturating_sub(ready_unix_ms) < duration_ms(self.options.cold_start())
+    }
+
     /// `pick` chooses a target for a repeatable request; targets in `tried` are avoided.
     pub fn pick(
         &mut self,
--- a/crates/store/src/catalogue.rs
+++ b/crates/store/src/catalogue.rs
@@ -7,6 +7,7 @@
 use hemlockfall_core::catalogue::StoredCatalogue;
 use hemlockfall_core::catalogue::edit::Author;
 use hemlockfall_core::catalogue::edit::Edit;
+use hemlockfall_core::catalogue::edit::check_seen;
 use hemlockfall_core::catalogue::validate;
 use hemlockfall_core::codec;
 use hemlockfall_core::ids::Revision;
@@ -100,12 +101,27 @@
 /// [`Error::Refused`] when the catalogue does not take the edit, [`Error::CommitUnknown`]
 /// when a lost answer could not be settled in time, and failures without an effect.
 pub fn commit(client: &Client, edit: &Edit, author: &Author) -> Result<Committed> {
+    commit_seen(client, edit, author, None)
+}
+
+/// `commit_seen` commits an edit only if its entry has not changed since `seen_revision`; the
+/// check holds for the catalogue that the write is conditional on.
+///
+/// # Errors
+/// As [`commit`]; [`Error::Refused`] when the entry changed.
+pub fn commit_seen(
+    client: &Client,
+    edit: &Edit,
+    author: &Author,
+    seen_revision: Option<Revision>,
+) -> Result<Committed> {
     let mut backoff = client.backoff();
     let mut before = read_within(client, &mut backoff)?;
     loop {
         if let Some(committed) = committed(&before, author) {
             return Ok(committed);
         }
+        check_seen(&before.stored, edit.service(), seen_revision)?;
         let after = edit.apply(&before.stored, author)?;
         history::archive(client, &before.stored, &mut backoff).map_err(without_effect)?;
         match write(client, &before, &after, author, &mut backoff)? {
--- a/xtask/src/bench/moves/world.rs
+++ b/xtask/src/bench/moves/world.rs
@@ -505,7 +505,7 @@
                     answer,
                 })
             }
-            Action::ReadBack { operation_id } => {
+            Action::ReadBack { operation_id, .. } => {
                 let answer = if missing {
                     ReadBackAnswer::Unavailable
                 } else {
