--- a/crates/moves/tests/guard.rs
+++ b/crates/moves/tests/guard.rs
@@ -240,3 +240,55 @@
     assert!(lost.is_evidence());
     assert_eq!((counts.attempts, counts.timed()), (1, 0));
 }
+
+/// Guards against trial requests that the request path never sends, so that a route that was
+/// cut by a false alarm stays cut, and against more trials than one a second.
+#[test]
+fn cut_route_permits_one_trial_a_second() {
+    let (entry, start_ms) = entry_with_move(120_000);
+    let mut proxy = proxy_with(&entry);
+    let cut_ms = start_ms + 60_000;
+    for _ in 0..20 {
+        let failed = attempt("orders", Side::New, Outcome::Failed, 20);
+        proxy.handle(Input::Attempt(failed), cut_ms);
+    }
+    assert_eq!(proxy.cap_permille("order-desk", "orders"), 0);
+
+    let permitted: Vec<u64> = (0..8_000)
+        .step_by(100)
+        .filter(|after_ms| {
+            proxy.permitted_permille("order-desk", "orders", cut_ms + after_ms) == 1_000
+        })
+        .collect();
+
+    assert_eq!(permitted, vec![5_000, 6_000, 7_000]);
+    assert_eq!(
+        proxy.permitted_permille("order-desk", "lookup", cut_ms),
+        1_000
+    );
+}
+
+/// Guards against evidence from traffic that the move does not shift: other services, versions
+/// that take no part, and routes with a pinned version.
+#[test]
+fn only_traffic_of_the_move_has_a_side() {
+    let (mut entry, _) = entry_with_move(120_000);
+    let pinned = entry.routes.iter_mut().find(|route| route.name == "lookup");
+    pinned.expect("the fixture has the route").version = Some("v2".into());
+    let proxy = proxy_with(&entry);
+    let rows = [
+        ("order-desk", "orders", "v1", Some(Side::Old)),
+        ("order-desk", "orders", "v2", Some(Side::New)),
+        ("order-desk", "orders", "v3", None),
+        ("order-desk", "lookup", "v2", None),
+        ("filmstore", "orders", "v1", None),
+    ];
+
+    for (service, route, version, side) in rows {
+        assert_eq!(
+            proxy.side(service, route, version),
+            side,
+            "{service} {route} {version}"
+        );
+    }
+}
--- a/crates/request/tests/routing.rs
+++ b/crates/request/tests/routing.rs
@@ -232,3 +232,22 @@
         );
     }
 }
+
+/// Guards against a guard that counts trial requests for traffic that stays with the old version
+/// anyway, and so never sends one.
+#[test]
+fn guard_is_asked_only_for_the_share_of_the_plan() {
+    let entry = entry_with_move(100);
+    let mut asked = 0;
+
+    for request in 0..10_000 {
+        let cap = |_: &str, _: &str, _: &str| {
+            asked += 1;
+            0
+        };
+        let version = route::choose_version(&entry, &entry.routes[1], share(request), cap);
+        assert_eq!(version, "v1");
+    }
+
+    assert!((800..1_200).contains(&asked), "{asked} of 10000");
+}
--- a/crates/store/tests/store/catalogue.rs
+++ b/crates/store/tests/store/catalogue.rs
@@ -101,6 +101,25 @@
     assert_eq!(error.code(), hemlockfall_core::errors::CATALOGUE_CONFLICT);
 }
 
+/// Guards against a judge's decision that overrides a change which was made between its read and
+/// its write.
+#[test]
+fn decision_on_a_changed_entry_is_refused() {
+    let rows = [(&["order-desk"], false), (&["filmstore"], true)];
+    for (overtaken_by, accepted) in rows {
+        let store = FakeStore::start();
+        store.fail_writes(&[Fault::Overtaken(catalogue_with(overtaken_by))]);
+        let edit = edit("order-desk", None);
+
+        let result = catalogue::commit_seen(&store.client(), &edit, &author(1), Some(0));
+
+        assert_eq!(result.is_ok(), accepted, "{overtaken_by:?}: {result:?}");
+        if let Err(error) = result {
+            assert_eq!(error.effect(), Effect::Conflict);
+        }
+    }
+}
+
 /// Guards against garbage that is taken for an empty catalogue and overwritten.
 #[test]
 fn garbage_in_place_of_a_catalogue_is_refused() {
--- a/xtask/src/harness/mod.rs
+++ b/xtask/src/harness/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Dropping a [`Cluster`] kills every process that it started and removes its directory.
 
+use std::ffi::OsStr;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,6 +12,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
+
 use crate::audit;
 use crate::caller::CallerOptions;
 use crate::caller::CallerReport;
@@ -280,6 +283,14 @@
         http::get_json(self.store_address()?, "/control/counters")
     }
 
+    /// `store_value` reads the JSON value of an object in the store.
+    ///
+    /// # Errors
+    /// [`Error::Http`] when the store does not answer with such a value.
+    pub fn store_value<T: DeserializeOwned>(&self, key: &str) -> Result<T> {
+        http::get_json(self.store_address()?, &format!("/v1/objects/{key}"))
+    }
+
     /// `start_caller` starts a caller stand-in; [`Cluster::finish_caller`] returns its report.
     ///
     /// # Errors
@@ -308,13 +319,26 @@
     /// # Errors
     /// [`Error::Process`] when the command cannot be started.
     pub fn apply_catalogue(&self, file: &Path, node: &str) -> Result<Applied> {
+        self.command(&["catalogue", "apply"], node, &[file])
+    }
+
+    /// `command` runs an operator's command against a node.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the command cannot be started.
+    pub fn command<A: AsRef<OsStr>>(
+        &self,
+        command: &[&str],
+        node: &str,
+        arguments: &[A],
+    ) -> Result<Applied> {
         let operator_address = self.node(node)?.operator_address.to_string();
         let output = Command::new(&self.programs.hemlockfall)
-            .args(["catalogue", "apply"])
+            .args(command)
             .args(["--node", operator_address.as_str()])
-            .arg(file)
+            .args(arguments)
             .output()
-            .map_err(|error| Error::process("catalogue apply", error))?;
+            .map_err(|error| Error::process(command.join(" "), error))?;
         let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
         text.push_str(&String::from_utf8_lossy(&output.stderr));
         Ok(Applied {
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -22,6 +22,11 @@
 //! store loses answer of next N writes | store cuts watches
 //! target TARGET fails N permille [path PATH] [above N] [after T]
 //! target TARGET slow T [path PATH] [above N] [after T]
+//! move SERVICE aborts through NODE
+//! move SERVICE has judge within T | kills judge | freezes judge for T
+//! move SERVICE gave at most N runs to VERSION
+//! move SERVICE sends at most|at least N permille to VERSION for T
+//! move SERVICE reports "TEXT" through NODE[,NODE...] within T
 //! expect revision N on all|NODE within T
 //! expect no double runs | no wrong answers | no false not-run
 //! expect at least N answered
@@ -30,5 +35,6 @@
 
 pub mod command;
 pub mod model;
+pub mod moves;
 pub mod parser;
 pub mod runner;
--- a/xtask/src/scenario/model.rs
+++ b/xtask/src/scenario/model.rs
@@ -6,6 +6,7 @@
 use crate::caller::KeyMode;
 use crate::harness::StoreLimits;
 use crate::harness::target::TargetSpec;
+use crate::scenario::moves::MoveStep;
 use crate::store::fault::FaultChange as StoreFault;
 use crate::target::fault::FaultChange as TargetFault;
 
@@ -112,6 +113,8 @@
         /// The fault.
         fault: TargetFault,
     },
+    /// Acts on a move or checks one.
+    Move(MoveStep),
     /// Checks an expectation.
     Expect(Expectation),
 }
--- a/xtask/src/scenario/parser.rs
+++ b/xtask/src/scenario/parser.rs
@@ -41,13 +41,14 @@
 use crate::scenario::model::SendOptions;
 use crate::scenario::model::SendStep;
 use crate::scenario::model::Step;
+use crate::scenario::moves;
 use crate::store::fault::Down;
 use crate::store::fault::FaultChange as StoreFault;
 use crate::target::fault::FaultChange as TargetFault;
 
 const DEFAULT_SEED: u64 = 1;
 const VERBS: &str = "a step (seed, long, start, apply, race, send, wait, kill, stop, restart, freeze, store, \
-     target or expect)";
+     target, move or expect)";
 
 /// `read` reads and parses a scenario file.
 ///
@@ -145,7 +146,7 @@
 
 /// `described` replaces what a parser expected by one description, and gives back what the
 /// parser took. Mistakes behind a keyword that matched keep their own, closer description.
-fn described<'a, O>(
+pub(super) fn described<'a, O>(
     mut parser: impl Parser<&'a str, O, Failure>,
     what: &'static str,
 ) -> impl Parser<&'a str, O, Failure> {
@@ -167,26 +168,26 @@
     alt((space1.void(), eof.void())).parse_next(input)
 }
 
-fn keyword<'a>(text: &'static str) -> impl Parser<&'a str, (), Failure> {
+pub(super) fn keyword<'a>(text: &'static str) -> impl Parser<&'a str, (), Failure> {
     (text, gap)
         .void()
         .context(StrContext::Expected(StrContextValue::StringLiteral(text)))
 }
 
 /// `after` parses a value behind a keyword; once the keyword matched, the value must follow.
-fn after<'a, O>(
+pub(super) fn after<'a, O>(
     text: &'static str,
     value: impl Parser<&'a str, O, Failure>,
 ) -> impl Parser<&'a str, O, Failure> {
     preceded(keyword(text), cut_err(value))
 }
 
-fn name(input: &mut &str) -> ModalResult<String> {
+pub(super) fn name(input: &mut &str) -> ModalResult<String> {
     let word = take_while(1.., |c: char| !c.is_whitespace() && c != '"').map(str::to_owned);
     described(terminated(word, gap), "a name").parse_next(input)
 }
 
-fn quoted(input: &mut &str) -> ModalResult<String> {
+pub(super) fn quoted(input: &mut &str) -> ModalResult<String> {
     let text = delimited('"', take_till(0.., '"'), '"').map(str::to_owned);
     described(terminated(text, gap), "a text in quotes").parse_next(input)
 }
@@ -195,11 +196,11 @@
     described(terminated(dec_uint, gap), "a whole number").parse_next(input)
 }
 
-fn count(input: &mut &str) -> ModalResult<usize> {
+pub(super) fn count(input: &mut &str) -> ModalResult<usize> {
     described(number.try_map(usize::try_from), "a whole number").parse_next(input)
 }
 
-fn duration(input: &mut &str) -> ModalResult<Duration> {
+pub(super) fn duration(input: &mut &str) -> ModalResult<Duration> {
     let unit = alt(("ms".value(1), "s".value(1_000)));
     let time = (dec_uint::<_, u64, _>, space0, unit)
         .verify_map(|(value, _, unit_ms): (u64, _, u64)| value.checked_mul(unit_ms))
@@ -230,6 +231,9 @@
         "freeze" => cut_err(freeze).map(Line::Step).parse_next(input),
         "store" => cut_err(store).map(Line::Step).parse_next(input),
         "target" => cut_err(target_fault).map(Line::Step).parse_next(input),
+        "move" => cut_err(moves::step)
+            .map(|step| Line::Step(Step::Move(step)))
+            .parse_next(input),
         "expect" => cut_err(expect).map(Line::Step).parse_next(input),
         _ => {
             // The verb is given back, so that the message shows it as what was found.
--- a/xtask/src/scenario/runner.rs
+++ b/xtask/src/scenario/runner.rs
@@ -25,6 +25,7 @@
 use crate::scenario::model::Scope;
 use crate::scenario::model::SendStep;
 use crate::scenario::model::Step;
+use crate::scenario::moves;
 
 /// A caller that sends in the foreground may take this long.
 const SEND_BOUND: Duration = Duration::from_mins(1);
@@ -101,6 +102,7 @@
             Step::Freeze { name, time } => self.cluster.freeze_for(name, *time),
             Step::Store(fault) => self.cluster.store_fault(fault),
             Step::Target { name, fault } => self.cluster.target_fault(name, fault),
+            Step::Move(step) => moves::run(&mut self.cluster, step),
             Step::Expect(expectation) => self.expect(expectation),
         }
     }
