Test the decoders with arbitrary bytes and bound unfinished messages

- A link's unfinished messages were bounded in number (256) and size (16 MiB each) only, 4 GiB together.
Their sum is now at most 64 MiB.
- A fragment with unknown flags was taken as a middle one.
- A chunk size line without digits was taken as the last chunk, a bare LF in a chunk extension was accepted, and the limit on the line held only when it arrived in pieces.
The same holds for the head of a response.
- A compressed message of a few bytes could claim 16 MiB, which were reserved before the content was looked at. lz4 cannot expand by more than 255, so such a length is refused.
- Unicode spaces around header values were removed like blanks.
- An absolute-form target with a query but no path lost its host, its scheme was matched with regard to case, and hosts were not checked.

--- a/crates/core/src/codec.rs
+++ b/crates/core/src/codec.rs
@@ -13,6 +13,9 @@
 const PLAIN: u8 = 0;
 const COMPRESSED: u8 = 1;
 const LENGTH_BYTES: usize = 4;
+/// A byte of an `lz4` block stands for at most 255 bytes of content, so a short message that
+/// claims more is refused before memory is reserved for it.
+const MAX_LZ4_RATIO: usize = 255;
 
 /// `COMPRESSION_THRESHOLD_BYTES` is the size from which a message is compressed.
 pub const COMPRESSION_THRESHOLD_BYTES: usize = 512;
@@ -87,6 +90,12 @@
     };
     let size_bytes = u32::from_le_bytes(*length) as usize;
     check_size(size_bytes, limit_bytes)?;
+    let compressed_bytes = body.len() - LENGTH_BYTES;
+    if size_bytes > compressed_bytes.saturating_mul(MAX_LZ4_RATIO) {
+        return Err(Error::malformed(
+            "the length of a compressed message is forged",
+        ));
+    }
     lz4_flex::block::decompress(&body[LENGTH_BYTES..], size_bytes)
         .map_err(|error| Error::malformed(error.to_string()))
 }
--- a/crates/hemlockfall/src/edge/frame.rs
+++ b/crates/hemlockfall/src/edge/frame.rs
@@ -18,6 +18,9 @@
 
 /// Messages that a peer may have begun and not finished at a time.
 const MAX_OPEN_STREAMS: usize = 256;
+/// `OPEN_LIMIT_BYTES` is the largest sum of a peer's unfinished messages on one link. A sender
+/// interleaves its queue, which holds 32 MiB by default.
+pub const OPEN_LIMIT_BYTES: usize = 64 * MIB;
 const LAST: u8 = 1;
 
 /// `write_fragment` appends one fragment to an output buffer.
@@ -33,7 +36,9 @@
 /// `Assembler` puts fragments together again.
 #[derive(Debug, Default)]
 pub struct Assembler {
+    /// Sorted by stream.
     open: Vec<OpenStream>,
+    open_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -82,9 +87,18 @@
         let Some(content) = rest.get(..length) else {
             return Ok(Parsed::Incomplete);
         };
+        if flags & !LAST != 0 {
+            return Err(Error::malformed("unknown flags of a fragment"));
+        }
         self.add(stream, content, flags == LAST, HEADER_BYTES + length)
     }
 
+    /// `open_bytes` returns the size of all unfinished messages.
+    #[must_use]
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     fn add(
         &mut self,
         stream: u32,
@@ -95,12 +109,14 @@
         let found = self.open.binary_search_by_key(&stream, |open| open.stream);
         if last {
             let mut whole = found.map_or_else(|_| Vec::new(), |i| self.open.remove(i).content);
+            self.open_bytes -= whole.len();
             append(&mut whole, content)?;
             return Ok(Parsed::Message {
                 used_bytes,
                 content: whole,
             });
         }
+        check_size(self.open_bytes + content.len(), OPEN_LIMIT_BYTES)?;
         match found {
             Ok(index) => append(&mut self.open[index].content, content)?,
             Err(_) if self.open.len() >= MAX_OPEN_STREAMS => {
@@ -116,18 +132,23 @@
                 );
             }
         }
+        self.open_bytes += content.len();
         Ok(Parsed::Fragment { used_bytes })
     }
 }
 
 fn append(whole: &mut Vec<u8>, content: &[u8]) -> Result<()> {
-    let size_bytes = whole.len() + content.len();
-    if size_bytes > MESSAGE_LIMIT_BYTES {
+    check_size(whole.len() + content.len(), MESSAGE_LIMIT_BYTES)?;
+    whole.extend_from_slice(content);
+    Ok(())
+}
+
+fn check_size(size_bytes: usize, limit_bytes: usize) -> Result<()> {
+    if size_bytes > limit_bytes {
         return Err(Error::TooLarge {
             size_bytes,
-            limit_bytes: MESSAGE_LIMIT_BYTES,
+            limit_bytes,
         });
     }
-    whole.extend_from_slice(content);
     Ok(())
 }
--- a/crates/hemlockfall/src/edge/http1/body.rs
+++ b/crates/hemlockfall/src/edge/http1/body.rs
@@ -38,7 +38,7 @@
             if codings.next().is_some() {
                 return Err(HttpError::AmbiguousFraming);
             }
-            if !coding.value.trim().eq_ignore_ascii_case("chunked") {
+            if !coding.value.eq_ignore_ascii_case("chunked") {
                 return Err(HttpError::UnknownCoding);
             }
             Ok(Framing::Chunked)
@@ -61,6 +61,19 @@
     text.parse().map_err(|_| HttpError::BodyTooLarge)
 }
 
+/// Applies the limit on a whole line too, so that it does not depend on how the line is split;
+/// a bare LF within an extension ends the line for some recipients.
+fn check_chunk_line(line: &[u8]) -> Result<()> {
+    if line.len() > MAX_CHUNK_LINE_BYTES {
+        return Err(HttpError::Malformed("a chunk size line is too long"));
+    }
+    let content = line.strip_suffix(CRLF).unwrap_or(line);
+    if content.contains(&b'\n') {
+        return Err(HttpError::Malformed("a chunk size is not valid"));
+    }
+    Ok(())
+}
+
 /// `BodyReader` collects one body.
 #[derive(Debug)]
 pub struct BodyReader {
@@ -174,12 +187,17 @@
     }
 
     fn chunk_size(&mut self, input: &[u8]) -> Result<usize> {
+        // `parse_chunk_size` takes a line without digits as zero, which would end the body.
+        if input.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(HttpError::Malformed("a chunk size is not valid"));
+        }
         match httparse::parse_chunk_size(input) {
-            Ok(httparse::Status::Partial) if input.len() > MAX_CHUNK_LINE_BYTES => {
+            Ok(httparse::Status::Partial) if input.len() >= MAX_CHUNK_LINE_BYTES => {
                 Err(HttpError::Malformed("a chunk size line is too long"))
             }
             Ok(httparse::Status::Partial) => Ok(0),
             Ok(httparse::Status::Complete((used, size))) => {
+                check_chunk_line(&input[..used])?;
                 let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
                 if size > self.limit_bytes {
                     return Err(HttpError::BodyTooLarge);
--- a/crates/hemlockfall/src/edge/http1/request.rs
+++ b/crates/hemlockfall/src/edge/http1/request.rs
@@ -14,6 +14,7 @@
 use crate::edge::http1::body::Framing;
 
 const CONTINUE: &str = "100-continue";
+const SCHEME: &str = "http://";
 
 /// `RequestReader` reads the requests of one connection, one after the other.
 #[derive(Debug)]
@@ -92,8 +93,9 @@
             used_bytes = head_bytes;
             let framing = body::framing(&head.headers)?;
             let body = BodyReader::new(framing, self.limits.max_body_bytes)?;
-            send_continue =
-                head.expects_continue && framing != Framing::Absent && input.len() == head_bytes;
+            send_continue = head.expects_continue
+                && !matches!(framing, Framing::Absent | Framing::Length(0))
+                && input.len() == head_bytes;
             self.current = Some(Partial { head, body });
         }
         let Some(mut partial) = self.current.take() else {
@@ -147,11 +149,9 @@
             .split(',')
             .any(|listed| listed.trim().eq_ignore_ascii_case(option))
     };
-    let keep_alive = if is_1_1 {
-        !has_option("close")
-    } else {
-        has_option("keep-alive")
-    };
+    // A caller of HTTP/1.0 expects a `connection` field in the answer when it may go on; closing
+    // is always allowed (RFC 9112, section 9.3).
+    let keep_alive = is_1_1 && !has_option("close");
     let expects_continue = expects_continue(&headers)? && is_1_1;
     let method = SmolStr::from(parsed.method.unwrap_or_default());
     Ok(Some((
@@ -173,7 +173,8 @@
         .map(|field| {
             let value = std::str::from_utf8(field.value)
                 .map_err(|_| HttpError::Malformed("a header value is not UTF-8"))?;
-            Ok(Header::new(field.name, value.trim()))
+            // Only spaces and tabs surround a value; other Unicode spaces belong to it.
+            Ok(Header::new(field.name, value.trim_matches([' ', '\t'])))
         })
         .collect()
 }
@@ -189,14 +190,25 @@
 }
 
 fn check_host(headers: &[Header], is_1_1: bool) -> Result<()> {
-    let hosts = headers
+    let mut hosts = headers
         .iter()
-        .filter(|header| header.name.eq_ignore_ascii_case("host"))
-        .count();
-    if hosts > 1 || (hosts == 0 && is_1_1) {
-        return Err(HttpError::Malformed("exactly one host header is needed"));
+        .filter(|header| header.name.eq_ignore_ascii_case("host"));
+    match (hosts.next(), hosts.next()) {
+        (Some(host), None) => check_authority(&host.value),
+        (None, None) if !is_1_1 => Ok(()),
+        _ => Err(HttpError::Malformed("exactly one host header is needed")),
+    }
+}
+
+/// Refuses what cannot be in a host with a port (RFC 9110, section 7.2); user information is
+/// refused as well, since it makes a host look like another one.
+fn check_authority(text: &str) -> Result<()> {
+    let is_allowed =
+        |byte: u8| byte.is_ascii_alphanumeric() || b"-._~!$&'()*+;=%:[]".contains(&byte);
+    if text.bytes().all(is_allowed) {
+        return Ok(());
     }
-    Ok(())
+    Err(HttpError::Malformed("the host is not valid"))
 }
 
 /// Turns an absolute-form target into path and host (RFC 9112, section 3.2.2).
@@ -204,13 +216,24 @@
     if target.starts_with('/') || target == "*" {
         return Ok((target.into(), headers));
     }
-    let Some(rest) = target.strip_prefix("http://") else {
-        return Err(HttpError::Malformed("the request target is not a path"));
+    let rest = match target.split_at_checked(SCHEME.len()) {
+        Some((scheme, rest)) if scheme.eq_ignore_ascii_case(SCHEME) => rest,
+        _ => return Err(HttpError::Malformed("the request target is not a path")),
     };
-    let (authority, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
+    let path_start = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (authority, path) = rest.split_at(path_start);
+    if authority.is_empty() {
+        return Err(HttpError::Malformed("the request target has no host"));
+    }
+    check_authority(authority)?;
     headers.retain(|header| !header.name.eq_ignore_ascii_case("host"));
     headers.push(Header::new("host", authority));
-    Ok((path.into(), headers))
+    let path = if path.starts_with('/') {
+        SmolStr::from(path)
+    } else {
+        SmolStr::from(format!("/{path}"))
+    };
+    Ok((path, headers))
 }
 
 fn expects_continue(headers: &[Header]) -> Result<bool> {
--- a/crates/hemlockfall/src/edge/http1/response.rs
+++ b/crates/hemlockfall/src/edge/http1/response.rs
@@ -84,6 +84,9 @@
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut fields);
         let head_bytes = match parsed.parse(input) {
+            Ok(httparse::Status::Complete(bytes)) if bytes > self.limits.max_head_bytes => {
+                return Err(HttpError::HeadTooLarge);
+            }
             Ok(httparse::Status::Complete(bytes)) => bytes,
             Ok(httparse::Status::Partial) if input.len() > self.limits.max_head_bytes => {
                 return Err(HttpError::HeadTooLarge);
--- /dev/null
+++ b/crates/hemlockfall/tests/edge/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the edges with hostile and unusual input.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes arguments by value"
+)]
+
+mod decoders;
+mod http_readers;
+
+mod support;
