Test HTTP conformance of both event-driven edges and mend what it showed

Tables of raw exchanges run against a real caller edge and a real target client.

- A caller that closed its connection in the same event as its request was never reported as gone: the socket reports each arrival only once, and reading stopped behind the request.
- A request head could arrive a byte at a time without end, and a late head was closed without 408.
`read_timeout_ms` now counts from the first byte.
- A target that closed its connection together with its answer, or while it was idle, left a dead connection in the pool; the next request was lost on it and reported as unknown.
The pool now notices both ends, and checks a connection before it is used.
- Requests lacked the `via` field that RFC 9110 demands of a gateway.

Found by reading: input behind a refusal was collected without bound, and closing with unread input could reset the connection before the caller had read the refusal; such input is now dropped, up to 16 MiB and 2 s. Input behind a request in progress stays in the socket beyond 256 KiB; before, the connection was closed. The input buffer of a connection shrinks from 128 to 32 KiB.

A caller that closes only its sending side counts as gone, as a full close looks the same; it still gets the rest of an answer already begun.

--- a/crates/hemlockfall/src/edge/caller_server.rs
+++ b/crates/hemlockfall/src/edge/caller_server.rs
@@ -177,25 +177,26 @@
         self.advance(id, now);
     }
 
-    /// Reads what has arrived and reports at most one request.
+    /// Reads what has arrived and reports at most one request. Reading goes on behind the
+    /// request, since its caller's end may have arrived in the same event.
     fn advance(&mut self, id: u64, now: Instant) {
-        let caller = self.next_caller;
-        let Some(connection) = self.connection_mut(id) else {
-            return;
-        };
-        match connection.advance(caller, now) {
-            Progress::Nothing => {}
-            Progress::Request(request) => {
-                self.next_caller += 1;
-                fwd!(
-                    [self.events],
-                    CallerEvent::Request {
+        loop {
+            let caller = self.next_caller;
+            let Some(connection) = self.connection_mut(id) else {
+                return;
+            };
+            match connection.advance(caller, now) {
+                Progress::Nothing => return,
+                Progress::Request(request) => {
+                    self.next_caller += 1;
+                    let event = CallerEvent::Request {
                         id: caller,
-                        request
-                    }
-                );
+                        request,
+                    };
+                    fwd!([self.events], event);
+                }
+                Progress::Closed => return self.close(id),
             }
-            Progress::Closed => self.close(id),
         }
     }
 
--- a/crates/hemlockfall/src/edge/caller_server/connection.rs
+++ b/crates/hemlockfall/src/edge/caller_server/connection.rs
@@ -1,5 +1,6 @@
 //! One caller's connection.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use stakker_mio::MioSource;
@@ -18,9 +19,14 @@
 use crate::edge::http1::response;
 use crate::edge::message::CallerId;
 
-const READ_BYTES: usize = 64 * 1024;
+/// The buffer of each connection is twice as large, and it is kept while the caller is idle.
+const READ_BYTES: usize = 16 * 1024;
 /// Input that may wait behind a request in progress.
 const MAX_PIPELINED_BYTES: usize = 256 * 1024;
+/// Input that a connection may send after its last answer.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// Time for a caller to close its side after the last answer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// `Progress` is what reading a connection led to.
@@ -45,11 +51,14 @@
     buffer: TcpStreamBuf,
     reader: RequestReader,
     waiting: Option<Waiting>,
-    /// The connection ends once the output is written.
+    /// The connection ends once the output is written and the caller has closed its side.
     closing: bool,
+    discarded_bytes: usize,
     /// The next answer is the last one.
     is_last: bool,
     last_progress: Instant,
+    /// When the request that is being read began to arrive.
+    request_started: Option<Instant>,
 }
 
 impl Connection {
@@ -69,8 +78,10 @@
             reader,
             waiting: None,
             closing: false,
+            discarded_bytes: 0,
             is_last: false,
             last_progress: now,
+            request_started: None,
         }
     }
 
@@ -100,31 +111,68 @@
         if self.buffer.out.len() < before {
             self.last_progress = now;
         }
-        !(self.closing && self.buffer.out.is_empty())
+        if self.closing && self.buffer.out.is_empty() {
+            self.buffer.out_eof = true;
+            return self.buffer.flush().is_ok();
+        }
+        true
     }
 
+    /// Reads what has arrived; must be called again until it returns [`Progress::Nothing`] or
+    /// [`Progress::Closed`], since the socket reports each arrival only once.
     pub(super) fn advance(&mut self, caller: CallerId, now: Instant) -> Progress {
         loop {
+            if self.has_enough_input() {
+                return Progress::Nothing;
+            }
             let status = self.buffer.read(READ_BYTES);
-            let ended = match status {
-                ReadStatus::NewData | ReadStatus::WouldBlock => false,
-                ReadStatus::EndOfStream | ReadStatus::Error(_) => true,
-            };
-            if matches!(status, ReadStatus::NewData) && self.reader.is_idle() {
+            if self.closing {
+                match self.discard(&status) {
+                    Some(progress) => return progress,
+                    None => continue,
+                }
+            }
+            if matches!(status, ReadStatus::NewData) {
                 self.last_progress = now;
             }
             if self.waiting.is_none()
-                && !self.closing
+                && self.buffer.out.is_empty()
                 && let Some(progress) = self.parse(caller, now)
             {
                 return progress;
             }
-            let pending_bytes = self.buffer.wr - self.buffer.rd;
-            if ended || (self.waiting.is_some() && pending_bytes > MAX_PIPELINED_BYTES) {
-                return Progress::Closed;
+            match status {
+                ReadStatus::NewData => {}
+                ReadStatus::WouldBlock => return Progress::Nothing,
+                ReadStatus::EndOfStream if self.is_answering() => self.closing = true,
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => return Progress::Closed,
             }
-            if matches!(status, ReadStatus::WouldBlock) {
-                return Progress::Nothing;
+        }
+    }
+
+    /// Tells whether input waits behind a request or an unread answer; the rest stays in the
+    /// socket, which slows the caller down.
+    fn has_enough_input(&self) -> bool {
+        let is_blocked = self.waiting.is_some() || !self.buffer.out.is_empty();
+        is_blocked && self.buffer.wr - self.buffer.rd > MAX_PIPELINED_BYTES
+    }
+
+    /// Tells whether an answer is still being written.
+    fn is_answering(&self) -> bool {
+        self.waiting.is_none() && !self.buffer.out.is_empty()
+    }
+
+    /// Drops input of a connection that ends. Closing with unread input would reset the
+    /// connection, and the caller could lose the answer (RFC 9112, section 9.6).
+    fn discard(&mut self, status: &ReadStatus) -> Option<Progress> {
+        self.discarded_bytes += self.buffer.wr - self.buffer.rd;
+        self.buffer.rd = self.buffer.wr;
+        match status {
+            ReadStatus::NewData if self.discarded_bytes <= MAX_DISCARDED_BYTES => None,
+            ReadStatus::WouldBlock => Some(Progress::Nothing),
+            ReadStatus::EndOfStream if self.is_answering() => Some(Progress::Nothing),
+            ReadStatus::NewData | ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+                Some(Progress::Closed)
             }
         }
     }
@@ -134,6 +182,7 @@
         if input.is_empty() {
             return None;
         }
+        self.request_started = self.request_started.or(Some(now));
         match self.reader.push(input) {
             Ok(step) => {
                 self.buffer.rd += step.used_bytes;
@@ -144,6 +193,7 @@
                     }
                 }
                 let read = step.request?;
+                self.request_started = None;
                 let is_head = read.request.method == "HEAD";
                 self.waiting = Some(Waiting {
                     caller,
@@ -167,6 +217,8 @@
         let answer = HttpAnswer::new(error.status(), headers, body);
         response::write_response(&mut self.buffer.out, &answer, false, false);
         self.closing = true;
+        self.request_started = None;
+        self.last_progress = now;
         self.flush(now)
     }
 
@@ -190,10 +242,15 @@
             return false;
         }
         let quiet = now.duration_since(self.last_progress);
-        if !self.reader.is_idle() && !self.closing && quiet >= options.read_timeout {
+        if self.closing && self.buffer.out.is_empty() {
+            return quiet >= LINGER_TIMEOUT;
+        }
+        let is_late = self
+            .request_started
+            .is_some_and(|started| now.duration_since(started) >= options.read_timeout);
+        if is_late && !self.closing {
             return !self.refuse(HttpError::Timeout, now);
         }
-        let partial_head = self.buffer.wr > self.buffer.rd;
-        quiet >= options.idle_timeout || (partial_head && quiet >= options.read_timeout)
+        quiet >= options.idle_timeout
     }
 }
--- a/crates/hemlockfall/src/edge/target_client.rs
+++ b/crates/hemlockfall/src/edge/target_client.rs
@@ -85,13 +85,7 @@
             max_body_bytes: run.max_body_bytes,
             ..self.limits
         };
-        // The most recently used connection is the one least likely to have been closed.
-        let idle = self
-            .open
-            .iter_mut()
-            .filter(|connection| connection.is_idle_for(run.address))
-            .max_by_key(|connection| connection.last_used());
-        let id = if let Some(connection) = idle {
+        let id = if let Some(connection) = self.idle(run.address) {
             connection.start(&run, limits, cx.now());
             connection.id
         } else {
@@ -109,6 +103,23 @@
         self.write(id);
     }
 
+    /// Picks the most recently used idle connection, the one least likely to have been closed,
+    /// and drops those that the target has closed.
+    fn idle(&mut self, address: SocketAddr) -> Option<&mut Connection> {
+        loop {
+            let (index, _) = self
+                .open
+                .iter()
+                .enumerate()
+                .filter(|(_, connection)| connection.is_idle_for(address))
+                .max_by_key(|(_, connection)| connection.last_used())?;
+            if self.open[index].is_open() {
+                return self.open.get_mut(index);
+            }
+            self.open.remove(index);
+        }
+    }
+
     fn connect(&mut self, cx: CX![], run: &TargetRun, limits: HttpLimits) -> io::Result<u64> {
         if self.open.len() >= self.max_connections {
             self.close_one_idle();
--- a/crates/hemlockfall/src/edge/target_client/connection.rs
+++ b/crates/hemlockfall/src/edge/target_client/connection.rs
@@ -8,6 +8,7 @@
 use stakker_mio::TcpStreamBuf;
 use stakker_mio::mio::net::TcpStream;
 
+use crate::edge::http::Header;
 use crate::edge::http1::HttpLimits;
 use crate::edge::http1::response;
 use crate::edge::http1::response::ResponseReader;
@@ -15,6 +16,7 @@
 use crate::edge::message::TargetRun;
 
 const READ_BYTES: usize = 64 * 1024;
+const VIA: &str = "1.1 hemlockfall";
 
 /// `Step` is what an event on a connection led to.
 pub(super) enum Step {
@@ -87,7 +89,9 @@
 
     /// Puts a request into the output buffer.
     pub(super) fn start(&mut self, run: &TargetRun, limits: HttpLimits, now: Instant) {
-        response::write_request(&mut self.buffer.out, &run.request, &[]);
+        // RFC 9110, section 7.6.3, demands `via` of a gateway.
+        let via = Header::new("via", VIA);
+        response::write_request(&mut self.buffer.out, &run.request, &[via]);
         let reader = ResponseReader::new(&run.request.method, limits);
         let request_bytes = self.buffer.out.len();
         self.running = Some(Running {
@@ -109,7 +113,7 @@
         loop {
             let status = self.buffer.read(READ_BYTES);
             if let Some(step) = self.parse(now) {
-                return step;
+                return self.keep_if_open(step);
             }
             match status {
                 ReadStatus::NewData => {}
@@ -120,6 +124,29 @@
         }
     }
 
+    /// Drops a connection that the target closed together with its answer. The socket reports
+    /// both in one event, so the end would go unnoticed until a request is lost on it.
+    fn keep_if_open(&mut self, step: Step) -> Step {
+        match step {
+            Step::Done {
+                run_id,
+                result,
+                reusable: true,
+            } => Step::Done {
+                run_id,
+                result,
+                reusable: self.is_open(),
+            },
+            other => other,
+        }
+    }
+
+    /// Tells whether an idle connection stands; bytes that belong to no request count as its
+    /// end.
+    pub(super) fn is_open(&mut self) -> bool {
+        matches!(self.buffer.read(READ_BYTES), ReadStatus::WouldBlock)
+    }
+
     fn parse(&mut self, now: Instant) -> Option<Step> {
         let input = &self.buffer.inp[self.buffer.rd..self.buffer.wr];
         if input.is_empty() {
--- a/crates/hemlockfall/tests/edge/main.rs
+++ b/crates/hemlockfall/tests/edge/main.rs
@@ -5,7 +5,9 @@
     reason = "quickcheck passes arguments by value"
 )]
 
+mod callers;
 mod decoders;
 mod http_readers;
 
 mod support;
+mod targets;
--- /dev/null
+++ b/crates/hemlockfall/tests/edge/targets.rs
@@ -0,0 +1,194 @@
+//! HTTP conformance towards the target: scripted targets against a real target client.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use hemlockfall::edge::http1::HttpLimits;
+use hemlockfall::edge::message::TargetResult;
+
+use crate::support::BOUND;
+use crate::support::free_address;
+use crate::support::run_on_target;
+use crate::support::target_client;
+
+const LIMITS: HttpLimits = HttpLimits {
+    max_head_bytes: 2048,
+    max_body_bytes: 1000,
+};
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Requests that a scripted target has received.
+type Requests = Arc<Mutex<Vec<String>>>;
+
+/// Starts a target; each connection takes the next script, one answer for each request, and is
+/// closed behind the last one.
+fn target(scripts: Vec<Vec<String>>) -> (SocketAddr, Requests) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let requests = Requests::default();
+    let seen = Arc::clone(&requests);
+    thread::spawn(move || {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            for answer in script {
+                let Some(request) = read_head(&mut stream) else {
+                    break;
+                };
+                seen.lock().expect("not poisoned").push(request);
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        }
+    });
+    (address, requests)
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// A short text for a result.
+fn text(result: TargetResult) -> String {
+    match result {
+        TargetResult::Answer(answer) => {
+            let names: Vec<&str> = answer.headers.iter().map(|h| h.name.as_str()).collect();
+            let body = String::from_utf8_lossy(&answer.body);
+            format!("{} [{}] {body}", answer.status, names.join(" "))
+        }
+        TargetResult::NotSent { .. } => "not sent".to_owned(),
+        TargetResult::Broken { .. } => "broken".to_owned(),
+        TargetResult::TimedOut => "timed out".to_owned(),
+    }
+}
+
+/// Guards against answers that are passed on although they are not whole, and against answers
+/// that are read in another way than the rules say.
+#[test]
+fn answers_are_whole_or_broken() {
+    let long = "a".repeat(3000);
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        ("GET", OK.to_owned(), "200 [content-length] ok"),
+        ("GET", format!("HTTP/1.1 200 OK\r\n{chunked}1;x=y\r\no\r\n1\r\nk\r\n0\r\nsum: 1\r\n\r\n"), "200 [] ok"),
+        ("GET", format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\na: b\r\n\r\n{OK}"), "200 [content-length] ok"),
+        ("GET", "HTTP/1.1 204 No Content\r\n\r\n".to_owned(), "204 [] "),
+        ("GET", "HTTP/1.1 304 Not Modified\r\ncontent-length: 900\r\netag: a\r\n\r\n".to_owned(), "304 [content-length etag] "),
+        ("HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n".to_owned(), "200 [content-length] "),
+        ("GET", "HTTP/1.1 200 OK\r\nconnection: x-a\r\nx-a: 1\r\nkeep-alive: 5\r\nupgrade: h2c\r\ntrailer: t\r\nkept: 1\r\ncontent-length: 0\r\n\r\n".to_owned(), "200 [kept content-length] "),
+        ("GET", "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok".to_owned(), "200 [content-length] ok"),
+        ("GET", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nok".to_owned(), "200 [content-length] o"),
+        ("GET", String::new(), "broken"),
+        ("GET", "HTTP/1.1 200".to_owned(), "broken"),
+        ("GET", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nok".to_owned(), "broken"),
+        ("GET", format!("HTTP/1.1 200 OK\r\n{chunked}2\r\nok\r\n"), "broken"),
+        ("GET", format!("HTTP/1.1 200 OK\r\n{chunked}2\r\nok\r\n0\r\n"), "broken"),
+        // RFC 9112, section 6.3, ends such a body with the connection; a body that was cut off
+        // looks the same, so it is not accepted.
+        ("GET", "HTTP/1.1 200 OK\r\n\r\nok".to_owned(), "broken"),
+        ("GET", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok".to_owned(), "broken"),
+        ("GET", format!("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n{chunked}0\r\n\r\n"), "broken"),
+        ("GET", "HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok".to_owned(), "broken"),
+        ("GET", "HTTP/1.1 101 Switching Protocols\r\nupgrade: h2c\r\n\r\n".to_owned(), "broken"),
+        ("GET", format!("HTTP/1.1 200 OK\r\ncontent-length: 3000\r\n\r\n{long}"), "broken"),
+        ("GET", format!("HTTP/1.1 200 OK\r\na: {long}\r\ncontent-length: 0\r\n\r\n"), "broken"),
+        ("GET", "\0\0\0 no http\r\n\r\n".to_owned(), "broken"),
+    ];
+    for (method, answer, expected) in cases {
+        let (address, requests) = target(vec![vec![answer.clone()]]);
+        let (client, results) = target_client(LIMITS);
+
+        run_on_target(client, 1, address, method, BOUND);
+        let event = results.recv_timeout(BOUND).expect("a result");
+
+        assert_eq!(text(event.result), expected, "{answer:.200}");
+        assert_eq!(requests.lock().expect("not poisoned").len(), 1);
+    }
+}
+
+/// Guards against requests without the field that a gateway must add.
+#[test]
+fn requests_name_the_gateway() {
+    let (address, requests) = target(vec![vec![OK.to_owned()]]);
+    let (client, results) = target_client(LIMITS);
+
+    run_on_target(client, 1, address, "GET", BOUND);
+    results.recv_timeout(BOUND).expect("a result");
+
+    let request = requests.lock().expect("not poisoned")[0].clone();
+    assert!(request.starts_with("GET /orders HTTP/1.1\r\n"), "{request}");
+    assert!(
+        request.contains("\r\nvia: 1.1 hemlockfall\r\n"),
+        "{request}"
+    );
+}
+
+/// Guards against a request that is lost on a connection which the target closed together with
+/// its last answer, or while it was idle.
+#[test]
+fn a_closed_idle_connection_is_not_used() {
+    for pause in [Duration::ZERO, Duration::from_millis(100)] {
+        let scripts = (0..20).map(|_| vec![OK.to_owned()]).collect();
+        let (address, requests) = target(scripts);
+        let (client, results) = target_client(LIMITS);
+        for id in 0..20 {
+            run_on_target(client, id, address, "POST", BOUND);
+            let event = results.recv_timeout(BOUND).expect("a result");
+            thread::sleep(pause);
+
+            // The target may still close between the check and the request.
+            let result = text(event.result);
+            let is_certain = !pause.is_zero();
+            assert!(result == "200 [content-length] ok" || (!is_certain && result == "broken"));
+        }
+        let sent = requests.lock().expect("not poisoned").len();
+        assert!(sent <= 20, "{sent} requests");
+    }
+}
+
+/// Guards against a second send of a request that the target may have run before it closed an
+/// idle connection.
+#[test]
+fn a_request_on_a_connection_that_closes_is_not_repeated() {
+    let scripts = vec![vec![OK.to_owned(), String::new()], vec![OK.to_owned()]];
+    let (address, requests) = target(scripts);
+    let (client, results) = target_client(LIMITS);
+
+    run_on_target(client, 1, address, "POST", BOUND);
+    let first = results.recv_timeout(BOUND).expect("a result");
+    run_on_target(client, 2, address, "POST", BOUND);
+    let second = results.recv_timeout(BOUND).expect("a result");
+    let third = results.recv_timeout(Duration::from_millis(300));
+
+    assert_eq!(text(first.result), "200 [content-length] ok");
+    assert_eq!(text(second.result), "broken");
+    assert!(third.is_err(), "a result came twice");
+    assert_eq!(requests.lock().expect("not poisoned").len(), 2);
+}
+
+/// Guards against an outcome that says "not sent" about a request that may run, or the reverse.
+#[test]
+fn refused_and_silent_targets_are_told_apart() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let silent_address = silent.local_addr().expect("an address");
+    let cases = [(free_address(), "not sent"), (silent_address, "timed out")];
+    for (address, expected) in cases {
+        let (client, results) = target_client(LIMITS);
+
+        run_on_target(client, 1, address, "GET", Duration::from_millis(300));
+        let event = results.recv_timeout(BOUND).expect("a result");
+
+        assert_eq!(text(event.result), expected);
+    }
+}
