--- a/crates/hemlockfall/src/edge/plugin.rs
+++ b/crates/hemlockfall/src/edge/plugin.rs
@@ -128,6 +128,11 @@
                 kind: MetricKind::Counter,
                 help: "messages of peers that could not be decoded; look for another program on the peer port or mixed versions",
             },
+            MetricSpec {
+                name: "hemlockfall_log_errors_total",
+                kind: MetricKind::Counter,
+                help: "log lines that could not be written; look for a full disk or a closed standard error",
+            },
             MetricSpec {
                 name: "hemlockfall_decisions_not_logged_total",
                 kind: MetricKind::Counter,
--- a/crates/hemlockfall/src/log.rs
+++ b/crates/hemlockfall/src/log.rs
@@ -39,6 +39,7 @@
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level(&options.level)))
         .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+        .error_handler(count_error)
         .build()
         .map_err(|error| error.to_string())?;
     let logger = Arc::new(logger);
@@ -47,18 +48,26 @@
     Ok(())
 }
 
+/// Counts a line that could not be written. The library's own handler writes text to standard
+/// error for each line, which is no JSON and as likely to fail.
+fn count_error(_: spdlog::Error) {
+    metrics::counter!("hemlockfall_log_errors_total").increment(1);
+}
+
 fn open(options: &LogOptions) -> spdlog::Result<Arc<dyn Sink>> {
     let formatter = JsonFormatter::new();
     if options.file == STANDARD_ERROR {
         let sink = StdStreamSink::builder()
             .stderr()
             .formatter(formatter)
+            .error_handler(count_error)
             .build()?;
         return Ok(Arc::new(sink));
     }
     let sink = FileSink::builder()
         .path(options.file.as_str())
         .formatter(formatter)
+        .error_handler(count_error)
         .build()?;
     Ok(Arc::new(sink))
 }
--- a/crates/hemlockfall/tests/edge/main.rs
+++ b/crates/hemlockfall/tests/edge/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod decoders;
 mod http_readers;
+mod local;
 
 mod support;
 mod targets;
