Add bench calls: latency, overload, leaf failure and faults with real processes

Measures the request path against direct calls of the same clients and against a baseline proxy (round robin, two retries after any failure, no budget, no admission queue). The target and the proxy are small blocking programs of the bench, because the target stand-in adds hundreds of microseconds itself.

--- /dev/null
+++ b/xtask/src/bench/calls/faults.rs
@@ -0,0 +1,173 @@
+//! Time until a silent connection, a frozen target and a crashed target are no longer used.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_core::units::duration_ms;
+
+use crate::bench::calls::wire;
+use crate::bench::calls::wire::Client;
+use crate::bench::calls::world::TargetOptions;
+use crate::bench::calls::world::World;
+use crate::errors::Result;
+use crate::harness::process::Signal;
+
+const SERVICE: &str = "filmstore";
+const TARGETS: usize = 3;
+const DEADLINE: Duration = Duration::from_secs(1);
+const DEADLINE_MS: &str = "1000";
+const SERVICE_TIME: Duration = Duration::from_millis(5);
+const CALLS_PER_S: u32 = 120;
+/// Enough for all requests of one deadline.
+const CALLERS: u32 = 96;
+/// A request that takes longer met the fault.
+const AFFECTED: Duration = Duration::from_millis(250);
+/// Time without an affected request after which the fault counts as avoided.
+const CALM: Duration = Duration::from_secs(1);
+const BEFORE: Duration = Duration::from_secs(1);
+const AFTER: Duration = Duration::from_secs(8);
+
+/// `Fault` is what happens to the first target or its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Connections stay open, but nothing arrives: the node of the target is frozen.
+    Silent,
+    /// The target is frozen, its node runs.
+    Frozen,
+    /// The target is killed, its node runs.
+    Crashed,
+}
+
+/// `Avoided` is the result for one fault.
+#[derive(Clone, Copy, Debug)]
+pub struct Avoided {
+    /// Time from the fault to the start of the last request that met it, before a calm second.
+    pub ms: u64,
+    /// Requests that met the fault, over the whole observation.
+    pub affected: usize,
+    /// Requests over the whole observation.
+    pub requests: usize,
+}
+
+/// `Faults` is the result: nodes and baseline for each fault.
+pub struct Faults {
+    /// Frozen peer.
+    pub silent: [Avoided; 2],
+    /// Frozen target.
+    pub frozen: [Avoided; 2],
+    /// Killed target.
+    pub crashed: [Avoided; 2],
+}
+
+/// `measure` injects each fault into processes of its own.
+pub fn measure() -> Result<Faults> {
+    Ok(Faults {
+        silent: inject(Fault::Silent)?,
+        frozen: inject(Fault::Frozen)?,
+        crashed: inject(Fault::Crashed)?,
+    })
+}
+
+fn inject(fault: Fault) -> Result<[Avoided; 2]> {
+    let mut world = World::new()?;
+    let entry = world.node("entry")?;
+    let mut upstreams = Vec::new();
+    for index in 1..=TARGETS {
+        let node = format!("node-{index}");
+        world.node(&node)?;
+        let mut options = TargetOptions {
+            node: Some(node),
+            service: SERVICE.to_owned(),
+            slots: 32,
+            service_time: SERVICE_TIME,
+            next: None,
+        };
+        world.target(&format!("target-{index}"), &options)?;
+        options.node = None;
+        let address = world.target(&format!("baseline-target-{index}"), &options)?;
+        upstreams.push((SERVICE.to_owned(), address));
+    }
+    let proxy = world.proxy("baseline", &upstreams)?;
+    world.apply("entry", &[SERVICE], Duration::from_secs(2))?;
+    for through in [entry, proxy] {
+        world.wait_ready(through, SERVICE)?;
+    }
+    world.wait_warm();
+    let started = Instant::now();
+    let loads = [entry, proxy].map(|through| start_load(through, started));
+    wire::sleep_until(started + BEFORE);
+    let at = Instant::now();
+    match fault {
+        Fault::Silent => world.signal("node-1", Signal::Stop)?,
+        Fault::Frozen => world.signal("target-1", Signal::Stop)?,
+        Fault::Crashed => world.signal("target-1", Signal::Kill)?,
+    }
+    match fault {
+        Fault::Silent | Fault::Frozen => world.signal("baseline-target-1", Signal::Stop)?,
+        Fault::Crashed => world.signal("baseline-target-1", Signal::Kill)?,
+    }
+    Ok(loads.map(|load| avoided(load, at)))
+}
+
+struct Record {
+    begun: Instant,
+    affected: bool,
+}
+
+type LoadThreads = Vec<std::thread::JoinHandle<Vec<Record>>>;
+
+fn start_load(through: SocketAddr, started: Instant) -> LoadThreads {
+    let next = Arc::new(AtomicU32::new(0));
+    (0..CALLERS)
+        .map(|_| {
+            let next = Arc::clone(&next);
+            std::thread::spawn(move || call(&next, through, started))
+        })
+        .collect()
+}
+
+fn call(next: &AtomicU32, through: SocketAddr, started: Instant) -> Vec<Record> {
+    let mut client = Client::new(through);
+    let mut records = Vec::new();
+    loop {
+        let due =
+            started + Duration::from_secs(1) / CALLS_PER_S * next.fetch_add(1, Ordering::Relaxed);
+        if due > started + BEFORE + AFTER {
+            return records;
+        }
+        wire::sleep_until(due);
+        let begun = Instant::now();
+        let headers = [("hemlockfall-deadline-ms", DEADLINE_MS)];
+        let answer = client.send(SERVICE, &headers, b"film", DEADLINE + AFFECTED);
+        let good = answer.is_ok_and(|answer| answer.status() == 200);
+        records.push(Record {
+            begun,
+            affected: !good || begun.elapsed() > AFFECTED,
+        });
+    }
+}
+
+fn avoided(load: LoadThreads, at: Instant) -> Avoided {
+    let mut records: Vec<Record> = load
+        .into_iter()
+        .flat_map(|thread| thread.join().unwrap_or_default())
+        .collect();
+    records.sort_by_key(|record| record.begun);
+    let affected: Vec<&Record> = records.iter().filter(|record| record.affected).collect();
+    let mut last = at;
+    for record in &affected {
+        if record.begun.saturating_duration_since(last) > CALM {
+            break;
+        }
+        last = last.max(record.begun);
+    }
+    Avoided {
+        ms: duration_ms(last.saturating_duration_since(at)),
+        affected: affected.len(),
+        requests: records.len(),
+    }
+}
--- /dev/null
+++ b/xtask/src/bench/calls/latency.rs
@@ -0,0 +1,172 @@
+//! Time that one and two hops add to a call, against direct calls of the same clients.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+
+use crate::bench::calls::wire;
+use crate::bench::calls::wire::Client;
+use crate::bench::calls::world::TargetOptions;
+use crate::bench::calls::world::World;
+use crate::errors::Error;
+use crate::errors::Result;
+
+const CLIENTS: u32 = 4;
+/// Planned load of one node: 550,000 calls per second over 9,000 nodes.
+const CALLS_PER_S: u32 = 61;
+const SERVICE: &str = "order-desk";
+const BODY_BYTES: usize = 200;
+const TIMEOUT: Duration = Duration::from_secs(2);
+const WARM_UP_CALLS: u32 = 200;
+const PATHS: usize = 4;
+const MAX_US: u64 = 10_000_000;
+
+/// `PathTimes` are the times of one path, in microseconds.
+#[derive(Clone, Debug)]
+pub struct PathTimes {
+    /// Name of the path.
+    pub name: &'static str,
+    /// Whole time of a call.
+    pub whole_us: Histogram<u64>,
+    /// Time beyond the direct call of the same turn, or 0 when it took less.
+    pub added_us: Histogram<u64>,
+}
+
+impl PathTimes {
+    fn new(name: &'static str) -> Result<Self> {
+        Ok(Self {
+            name,
+            whole_us: histogram()?,
+            added_us: histogram()?,
+        })
+    }
+
+    /// `line` describes the times.
+    pub fn line(&self) -> String {
+        format!(
+            "{:10} whole p50 {} p99 {} p99.9 {} us, added p50 {} p90 {} p99 {} us, {} calls",
+            self.name,
+            self.whole_us.value_at_quantile(0.5),
+            self.whole_us.value_at_quantile(0.99),
+            self.whole_us.value_at_quantile(0.999),
+            self.added_us.value_at_quantile(0.5),
+            self.added_us.value_at_quantile(0.9),
+            self.added_us.value_at_quantile(0.99),
+            self.whole_us.len(),
+        )
+    }
+}
+
+/// `Latency` is the result: paths in the order direct, one hop, two hops, baseline.
+pub struct Latency {
+    /// Each client sends its next call when the last one is answered.
+    pub closed: Vec<PathTimes>,
+    /// Calls begin at the planned load of a node.
+    pub paced: Vec<PathTimes>,
+}
+
+/// `measure` runs both loops for a time each.
+pub fn measure(time: Duration) -> Result<Latency> {
+    let mut world = World::new()?;
+    let near = world.node("node-1")?;
+    let far = world.node("node-2")?;
+    let options = TargetOptions {
+        node: Some("node-1".to_owned()),
+        service: SERVICE.to_owned(),
+        slots: 64,
+        ..TargetOptions::default()
+    };
+    let target = world.target("target-1", &options)?;
+    let proxy = world.proxy("baseline", &[(SERVICE.to_owned(), target)])?;
+    world.apply("node-1", &[SERVICE], TIMEOUT)?;
+    let paths = [target, near, far, proxy];
+    for through in paths {
+        world.wait_ready(through, SERVICE)?;
+    }
+    run_clients(paths, None, WARM_UP_CALLS, Duration::MAX)?;
+    let closed = run_clients(paths, None, u32::MAX, time)?;
+    let turn = Duration::from_secs(1) * CLIENTS / CALLS_PER_S;
+    let paced = run_clients(paths, Some(turn), u32::MAX, time)?;
+    Ok(Latency { closed, paced })
+}
+
+fn run_clients(
+    paths: [SocketAddr; PATHS],
+    turn: Option<Duration>,
+    calls: u32,
+    time: Duration,
+) -> Result<Vec<PathTimes>> {
+    let threads: Vec<_> = (0..CLIENTS)
+        .map(|index| {
+            let offset = turn.unwrap_or_default() * index / CLIENTS;
+            std::thread::spawn(move || client(paths, turn, offset, calls, time))
+        })
+        .collect();
+    let mut all = empty()?;
+    for thread in threads {
+        let times = thread
+            .join()
+            .map_err(|_| Error::resource("client", "it panicked"))??;
+        for (sum, part) in all.iter_mut().zip(times) {
+            let added = sum.whole_us.add(&part.whole_us);
+            added
+                .and_then(|()| sum.added_us.add(&part.added_us))
+                .map_err(|error| Error::resource("histogram", error))?;
+        }
+    }
+    Ok(all)
+}
+
+/// One call on each path is a turn; a paced client spreads the calls of a turn evenly.
+fn client(
+    paths: [SocketAddr; PATHS],
+    turn: Option<Duration>,
+    offset: Duration,
+    calls: u32,
+    time: Duration,
+) -> Result<Vec<PathTimes>> {
+    let mut clients = paths.map(Client::new);
+    let body = [b'x'; BODY_BYTES];
+    let mut times = empty()?;
+    let started = Instant::now();
+    let mut due = started + offset;
+    let mut turns = 0;
+    while turns < calls && started.elapsed() < time {
+        turns += 1;
+        let mut direct_us = 0;
+        for (index, client) in clients.iter_mut().enumerate() {
+            if let Some(turn) = turn {
+                wire::sleep_until(due);
+                due += turn / 4;
+            }
+            let begun = Instant::now();
+            let answer = client
+                .send(SERVICE, &[], &body, TIMEOUT)
+                .map_err(|error| Error::http(paths[index].to_string(), error))?;
+            let us = u64::try_from(begun.elapsed().as_micros()).unwrap_or(MAX_US);
+            if answer.status() != 200 || answer.body != body {
+                return Err(Error::http(paths[index].to_string(), answer.first_line));
+            }
+            if index == 0 {
+                direct_us = us;
+            }
+            times[index].whole_us.saturating_record(us);
+            let added_us = us.saturating_sub(direct_us);
+            times[index].added_us.saturating_record(added_us);
+        }
+    }
+    Ok(times)
+}
+
+fn empty() -> Result<Vec<PathTimes>> {
+    ["direct", "one hop", "two hops", "baseline"]
+        .into_iter()
+        .map(PathTimes::new)
+        .collect()
+}
+
+fn histogram() -> Result<Histogram<u64>> {
+    Histogram::new_with_bounds(1, MAX_US, 3).map_err(|error| Error::resource("histogram", error))
+}
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benches: each prints its figures as one JSON object on the last line.
 
+mod calls;
 mod moves;
 
 use gumdrop::Options;
@@ -15,6 +16,12 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "the request path with real processes, against a baseline proxy")]
+    Calls(calls::Arguments),
+    #[options(help = "serve the target of `bench calls`")]
+    Echo(calls::echo::Arguments),
+    #[options(help = "serve the baseline proxy of `bench calls`")]
+    Proxy(calls::proxy::Arguments),
     #[options(help = "many seeded moves, good and bad, on simulated time")]
     Moves(moves::Arguments),
 }
@@ -25,6 +32,9 @@
 /// A message for the operator.
 pub fn run(arguments: &Arguments) -> Result<(), String> {
     match &arguments.command {
+        Some(Command::Calls(arguments)) => calls::run(arguments),
+        Some(Command::Echo(arguments)) => calls::echo::run(arguments),
+        Some(Command::Proxy(arguments)) => calls::proxy::run(arguments),
         Some(Command::Moves(arguments)) => moves::run(arguments),
         None => Err(Arguments::usage().to_owned()),
     }
