bench calls: let the failing target break off and give the paced loop more samples

A whole answer with status 500 is passed on and not retried, so the first version measured one attempt per request whatever the budget; a target that closes the connection without an answer causes retries at every level.

--- a/xtask/src/bench/calls/echo.rs
+++ b/xtask/src/bench/calls/echo.rs
@@ -1,5 +1,8 @@
 //! A target with little jitter: a bounded number of requests run at once, the others wait in
 //! order of arrival; optionally it calls the next service of a chain.
+//!
+//! A failing target closes the connection without an answer, since nodes pass on a whole answer
+//! with a failure status and retry only requests that got none.
 
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -26,7 +29,6 @@
 
 const ANNOUNCE_BOUND: Duration = Duration::from_secs(15);
 const NEXT_TIMEOUT: Duration = Duration::from_secs(2);
-const FAILED: u16 = 500;
 
 /// `Arguments` are the options of the bench's target.
 #[derive(Clone, Debug, Options)]
@@ -116,55 +118,52 @@
     let mut reader = BufReader::new(stream);
     let mut next = state.arguments.next_through.map(Client::new);
     while let Ok(Some(message)) = wire::read(&mut reader) {
-        let (status, body) = answer(state, &message, next.as_mut());
+        let Some((status, body)) = answer(state, &message, next.as_mut()) else {
+            return;
+        };
         if wire::write_answer(&mut writer, status, &body).is_err() {
             return;
         }
     }
 }
 
-fn answer(state: &State, message: &Message, next: Option<&mut Client>) -> (u16, Vec<u8>) {
+fn answer(state: &State, message: &Message, next: Option<&mut Client>) -> Option<(u16, Vec<u8>)> {
     let path = message.first_line.split(' ').nth(1).unwrap_or_default();
     match path {
         "/control/fail" => {
             state.fails.store(true, Ordering::Relaxed);
-            (200, Vec::new())
+            Some((200, Vec::new()))
         }
         "/control/requests" => {
             let requests = state.requests.load(Ordering::Relaxed);
-            (200, requests.to_string().into_bytes())
+            Some((200, requests.to_string().into_bytes()))
         }
         "/work" => work(state, message, next),
-        _ => (404, Vec::new()),
+        _ => Some((404, Vec::new())),
     }
 }
 
-fn work(state: &State, message: &Message, next: Option<&mut Client>) -> (u16, Vec<u8>) {
+/// Returns no answer when the target, or the next service of the chain, fails.
+fn work(state: &State, message: &Message, next: Option<&mut Client>) -> Option<(u16, Vec<u8>)> {
     state.requests.fetch_add(1, Ordering::Relaxed);
     state.begin();
     if state.arguments.service_time_us > 0 {
         std::thread::sleep(Duration::from_micros(state.arguments.service_time_us));
     }
-    let status = match next {
-        Some(_) if state.fails.load(Ordering::Relaxed) => FAILED,
-        Some(next) => call_next(&state.arguments.next_service, message, next),
-        None if state.fails.load(Ordering::Relaxed) => FAILED,
-        None => 200,
-    };
+    let is_good = !state.fails.load(Ordering::Relaxed)
+        && next.is_none_or(|next| call_next(&state.arguments.next_service, message, next));
     state.end();
-    (status, message.body.clone())
+    is_good.then(|| (200, message.body.clone()))
 }
 
-fn call_next(service: &str, message: &Message, next: &mut Client) -> u16 {
+fn call_next(service: &str, message: &Message, next: &mut Client) -> bool {
     let kept = ["hemlockfall-deadline-ms", "hemlockfall-retry"];
     let headers: Vec<(&str, &str)> = kept
         .iter()
         .filter_map(|name| Some((*name, message.header(name)?)))
         .collect();
-    match next.send(service, &headers, &message.body, NEXT_TIMEOUT) {
-        Ok(answer) if answer.status() == 200 => 200,
-        _ => FAILED,
-    }
+    next.send(service, &headers, &message.body, NEXT_TIMEOUT)
+        .is_ok_and(|answer| answer.status() == 200)
 }
 
 impl State {
--- a/xtask/src/bench/calls/latency.rs
+++ b/xtask/src/bench/calls/latency.rs
@@ -21,6 +21,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const WARM_UP_CALLS: u32 = 200;
 const PATHS: usize = 4;
+/// The paced loop makes few calls per second; it runs longer so that its p99 has samples.
+const PACED_FACTOR: u32 = 5;
 const MAX_US: u64 = 10_000_000;
 
 /// `PathTimes` are the times of one path, in microseconds.
@@ -67,7 +69,7 @@
     pub paced: Vec<PathTimes>,
 }
 
-/// `measure` runs both loops for a time each.
+/// `measure` runs the closed loop for a time and the paced loop for five times as long.
 pub fn measure(time: Duration) -> Result<Latency> {
     let mut world = World::new()?;
     let near = world.node("node-1")?;
@@ -88,7 +90,7 @@
     run_clients(paths, None, WARM_UP_CALLS, Duration::MAX)?;
     let closed = run_clients(paths, None, u32::MAX, time)?;
     let turn = Duration::from_secs(1) * CLIENTS / CALLS_PER_S;
-    let paced = run_clients(paths, Some(turn), u32::MAX, time)?;
+    let paced = run_clients(paths, Some(turn), u32::MAX, time * PACED_FACTOR)?;
     Ok(Latency { closed, paced })
 }
 
