Leave joined nodes out of the keepers of keys that they cannot vouch for

Cause: a node that joined less than key_view_lag_ms before a key's time answers that it cannot know the key, but it took one of the three keepers' places at once. A failed node keeps its place as well, so with one failed and two joined nodes among six, half of the keys had two keepers that could not grant, and their requests ended as unknown.

A joined node now counts only for keys that it can vouch for, when the asking node has known the members since before the key's time. Ruled out: leaving out by the time of the target's announcement, because it changes with every announcement while grants of the same life stay; the start of the life in which the node was first heard of is used, and a restarted node keeps its place.

Also: a node whose target announces itself long after the node's start, or again after a loss, vouched for keys of the time when others did not count it; it now vouches from the announcement plus the lag on. The simulation of changing key nodes now uses start times as incarnations, so that it covers the new rule.

--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -271,7 +271,11 @@
             return;
         }
         let now = now_of(cx);
-        if self.local.is_leaving() {
+        // Keys of the time before this node was a member, or while it was out, have other
+        // keepers. A target that was lost for less than half the lag comes back before any key
+        // got other keepers.
+        let out_ms = u64::from(self.options.key_view_lag_ms / 2);
+        if self.local.joins(announcement, now.unix_ms, out_ms) {
             self.keys.rejoined(now);
         }
         self.local.announced(announcement, now.unix_ms);
--- a/crates/hemlockfall/src/node/calls/local.rs
+++ b/crates/hemlockfall/src/node/calls/local.rs
@@ -68,6 +68,8 @@
     announcement: Option<Announcement>,
     pub(super) ready_unix_ms: u64,
     is_leaving: bool,
+    /// The last service of the target, and when it was lost, until it announces itself again.
+    lost: Option<(ServiceName, u64)>,
     /// Sorted by attempt id.
     pub(super) attempts: Vec<LocalAttempt>,
     /// Runs on the target, sorted by run id.
@@ -83,8 +85,18 @@
         self.is_leaving || self.announcement.as_ref() != Some(announcement)
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving
+    /// Tells whether the node becomes a member of the service with this announcement, or was
+    /// out of it long enough for keys to have got other keepers.
+    pub(super) fn joins(&self, announcement: &Announcement, now_unix_ms: u64, out_ms: u64) -> bool {
+        if self.is_leaving {
+            return true;
+        }
+        match &self.lost {
+            Some((service, lost_unix_ms)) => {
+                *service != announcement.service || lost_unix_ms + out_ms <= now_unix_ms
+            }
+            None => self.service() != Some(&announcement.service),
+        }
     }
 
     pub(super) fn is_idle(&self) -> bool {
@@ -95,14 +107,17 @@
         self.announcement = Some(announcement.clone());
         self.ready_unix_ms = now_unix_ms;
         self.is_leaving = false;
+        self.lost = None;
     }
 
     pub(super) fn leave(&mut self) {
         self.is_leaving = true;
     }
 
-    pub(super) fn lost(&mut self) {
-        self.announcement = None;
+    pub(super) fn lost(&mut self, now_unix_ms: u64) {
+        if let Some(announcement) = self.announcement.take() {
+            self.lost = Some((announcement.service, now_unix_ms));
+        }
     }
 
     pub(super) fn address(&self) -> Option<SocketAddr> {
@@ -194,8 +209,11 @@
             return;
         };
         let key = Key::new(frame.service, call_key.text);
+        let has_history = self.keys.has_history(&key, now);
         let claim = ClaimRequest {
-            keepers: self.router.keepers(&key, call_key.is_generated, now),
+            keepers: self
+                .router
+                .keepers(&key, call_key.is_generated, has_history, now),
             key,
             claimant: attempt_id,
             voided: call_key.voided,
--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -206,7 +206,7 @@
         spdlog::warn!("target lost", kv: { service = service.as_str() });
         metrics::counter!("hemlockfall_targets_lost_total").increment(1);
         let ready_unix_ms = self.local.ready_unix_ms;
-        self.local.lost();
+        self.local.lost(now.unix_ms);
         self.health.set_target(false);
         call!([self.control], withdraw());
         let suspects = std::mem::take(&mut self.local.suspects);
--- a/crates/request/src/idempotency.rs
+++ b/crates/request/src/idempotency.rs
@@ -295,6 +295,13 @@
         self.records.restart(now, &self.options);
     }
 
+    /// `has_history` tells whether this node has known the members of its service since before
+    /// any use of a key.
+    #[must_use]
+    pub fn has_history(&self, key: &Key, now: Now) -> bool {
+        self.records.has_history(key, now, &self.options)
+    }
+
     /// `records` returns the records kept here.
     #[must_use]
     pub fn records(&self) -> &KeyRecords {
--- a/crates/request/src/key_records.rs
+++ b/crates/request/src/key_records.rs
@@ -86,6 +86,14 @@
         self.reaches_back_to_unix_ms = now.unix_ms + u64::from(options.key_view_lag_ms);
     }
 
+    /// `has_history` tells whether this node has known the members of its service since before
+    /// any use of the key: it vouches for the key even if the caller's clock is ahead.
+    #[must_use]
+    pub fn has_history(&self, key: &Key, now: Now, options: &Options) -> bool {
+        let key_unix_ms = key.time_unix_ms(now.unix_ms, options);
+        key_unix_ms >= self.reaches_back_to_unix_ms + MAX_CLOCK_LEAD_MS
+    }
+
     /// `claim` records a key for a claimant, unless another one has it. Claimants in `voided`
     /// surely have not run and count as absent.
     pub fn claim(
--- a/crates/request/src/placement.rs
+++ b/crates/request/src/placement.rs
@@ -21,6 +21,9 @@
 /// the future carries no usable time.
 pub const MAX_CLOCK_LEAD_MS: u64 = 3_000;
 
+/// Time by which refutations may have raised an incarnation above the start of its node.
+const REFUTATIONS_MS: u64 = 1_000;
+
 /// `Key` is the idempotency key of a request, scoped to its service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
@@ -82,6 +85,9 @@
     version: SmolStr,
     hash: u64,
     is_ready: bool,
+    /// Start of the life in which the node was first heard of as a member. It is kept over
+    /// restarts and announcements, since earlier lives may have recorded keys.
+    joined_unix_ms: u64,
     departure: Option<Departure>,
 }
 
@@ -114,7 +120,7 @@
             // A departure can be the first thing a node hears of a member; it must still count
             // as a keeper of keys from before.
             Err(index) if belongs => {
-                self.members.insert(index, new_member(&record.node));
+                self.members.insert(index, new_member(record));
                 index
             }
             Err(_) => return,
@@ -161,17 +167,28 @@
     /// `keepers` returns the nodes that keep the record of a key, highest rank first. They do
     /// not depend on versions, so that a move does not change them. A generated key has no
     /// history, so its keepers are chosen among the present members.
+    ///
+    /// A node that joined too late to vouch for the key is left out when `has_history`: the
+    /// asking node has known the members since before the key's time. It then knows that no
+    /// earlier life of the joined node recorded the key, and a keeper that cannot vouch would
+    /// only take the place of one that can. Without that history the joined node counts, which
+    /// can refuse a run but not cause a second one.
     #[must_use]
     pub fn keepers(
         &self,
         key: &Key,
         is_generated: bool,
+        has_history: bool,
         now_unix_ms: u64,
         options: &Options,
     ) -> Vec<NodeName> {
         let key_unix_ms = key.time_unix_ms(now_unix_ms, options);
         let lag_ms = u64::from(options.key_view_lag_ms);
         let was_member = |member: &&Member| {
+            let vouches = member.joined_unix_ms + lag_ms <= key_unix_ms;
+            if has_history && !is_generated && !vouches {
+                return false;
+            }
             member.departure.is_none_or(|departure| {
                 let counts_for_key =
                     !departure.is_planned || departure.at_unix_ms + lag_ms > key_unix_ms;
@@ -225,12 +242,15 @@
     crate::clock::millis(options.key_life_ms)
 }
 
-fn new_member(node: &NodeName) -> Member {
+/// The incarnation is the start of the node, and it rises by single milliseconds when the node
+/// refutes a failure; the time allowed for that makes the node a keeper slightly too early.
+fn new_member(record: &EndpointRecord) -> Member {
     Member {
-        node: node.clone(),
+        node: record.node.clone(),
         version: SmolStr::default(),
-        hash: rendezvous::score(b"key-node", node.as_bytes()),
+        hash: rendezvous::score(b"key-node", record.node.as_bytes()),
         is_ready: false,
+        joined_unix_ms: record.incarnation.saturating_sub(REFUTATIONS_MS),
         departure: None,
     }
 }
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -253,12 +253,19 @@
 
     /// `keepers` returns the nodes that keep the record of a key, in this node's view.
     #[must_use]
-    pub fn keepers(&self, key: &Key, is_generated: bool, now: Now) -> Vec<NodeName> {
+    pub fn keepers(
+        &self,
+        key: &Key,
+        is_generated: bool,
+        has_history: bool,
+        now: Now,
+    ) -> Vec<NodeName> {
         self.service_position(&key.service)
             .map_or(Vec::new(), |position| {
                 self.services[position].key_members.keepers(
                     key,
                     is_generated,
+                    has_history,
                     now.unix_ms,
                     &self.options,
                 )
--- a/crates/request/tests/common/network.rs
+++ b/crates/request/tests/common/network.rs
@@ -167,7 +167,7 @@
                 self.kill_victim();
             }
             if self.faults.joins && step == join_step {
-                self.join(JOINER, 1);
+                self.join(JOINER, self.now.unix_ms);
             }
             self.step();
         }
@@ -310,7 +310,10 @@
             deadline,
         };
         let wanted = attempt.key.clone().expect("orders have a key");
-        let keepers = node.router.keepers(&wanted.key, wanted.is_generated, now);
+        let has_history = node.keys.has_history(&wanted.key, now);
+        let keepers = node
+            .router
+            .keepers(&wanted.key, wanted.is_generated, has_history, now);
         node.entries.insert(attempt_id, (from.clone(), offer));
         let request = ClaimRequest {
             key: wanted.key,
@@ -513,7 +516,7 @@
 
     fn random_keeper(&mut self) -> NodeName {
         let key = hemlockfall_request::placement::Key::new("desk", self.key.as_str());
-        let keepers = self.routers[0].keepers(&key, false, self.now);
+        let keepers = self.routers[0].keepers(&key, false, false, self.now);
         keepers[self.random.random_range(0..keepers.len())].clone()
     }
 
@@ -522,7 +525,7 @@
         self.targets.remove(&victim);
         self.lose_link(&victim);
         if self.faults.restarts && self.percent(50) {
-            self.join(&victim, 2);
+            self.join(&victim, self.now.unix_ms);
             return;
         }
         let mut record = common::record(&victim, "desk", "east", "east-1");
--- a/crates/request/tests/keys.rs
+++ b/crates/request/tests/keys.rs
@@ -65,6 +65,51 @@
     })
 }
 
+/// Guards against keys that no majority can vouch for while nodes join: a node that joined too
+/// late to vouch takes no keeper's place, unless the asking node may have missed an earlier life.
+#[test]
+fn joined_node_keeps_only_keys_that_it_can_vouch_for() {
+    let started = common::start();
+    let joined_at = started.plus(Duration::from_mins(1));
+    let lag_ms = u64::from(Options::default().key_view_lag_ms);
+    let mut router = common::router_with("n9", 1, 3, started);
+    let early_key = key_at(joined_at.unix_ms + lag_ms - 2_000);
+    let late_key = key_at(joined_at.unix_ms + lag_ms);
+    let before = router.keepers(&early_key, false, true, joined_at);
+    for index in 10..40 {
+        let mut joined = common::record(&format!("n{index}"), "desk", "east", "east-1");
+        joined.incarnation = joined_at.unix_ms;
+        router.set_endpoint(&joined, joined_at);
+    }
+    let later = joined_at.plus(Duration::from_millis(lag_ms));
+
+    let of_early = router.keepers(&early_key, false, true, later);
+    let of_early_without_history = router.keepers(&early_key, false, false, later);
+    let of_late = router.keepers(&late_key, false, true, later);
+
+    assert_eq!(of_early, before);
+    assert_ne!(of_early_without_history, before);
+    assert_ne!(of_late, before);
+}
+
+/// Guards against a restarted node that is taken for a new one: what its earlier life granted
+/// must go on counting, so its place among the keepers stays taken.
+#[test]
+fn restarted_node_stays_a_keeper_of_earlier_keys() {
+    let started = common::start();
+    let restarted_at = started.plus(Duration::from_mins(1));
+    let mut router = common::router_with("n9", 1, 5, started);
+    let key = key_at(restarted_at.unix_ms - 1);
+    let before = router.keepers(&key, false, true, restarted_at);
+    let mut restarted = common::record(&before[0], "desk", "east", "east-1");
+    restarted.incarnation = restarted_at.unix_ms;
+    router.set_endpoint(&restarted, restarted_at);
+
+    let after = router.keepers(&key, false, true, restarted_at);
+
+    assert_eq!(after, before);
+}
+
 /// Guards against a second run after the first runner failed: its place among the keepers stays
 /// taken, so the next runner and a node without a record of the key are no majority.
 #[test]
@@ -73,13 +118,13 @@
     let now = started.plus(Duration::from_mins(1));
     let mut router = common::router_with("n9", 1, 5, started);
     let key = key_at(now.unix_ms);
-    let before = router.keepers(&key, false, now);
+    let before = router.keepers(&key, false, true, now);
     let mut failed = common::record(&before[0], "desk", "east", "east-1");
     failed.state = EndpointState::Failed;
     router.set_endpoint(&failed, now);
     let tried = Vec::new();
 
-    let after = router.keepers(&key, false, now);
+    let after = router.keepers(&key, false, true, now);
     let runner = router.runner(&key, "v1", &tried, now);
     let mut store = KeyStore::new(before[1].clone(), Options::default(), started);
     let own = store.begin(request(&key, attempt(1), after.clone(), now), now);
@@ -102,16 +147,16 @@
     let later = left_at.plus(Duration::from_mins(1));
     let new_key = key_at(later.unix_ms);
     let keeper_of_both = router
-        .keepers(&old_key, false, left_at)
+        .keepers(&old_key, false, true, left_at)
         .into_iter()
-        .find(|node| router.keepers(&new_key, false, later).contains(node))
+        .find(|node| router.keepers(&new_key, false, true, later).contains(node))
         .expect("3 of 5 and 3 of 5 intersect");
     let mut left = common::record(&keeper_of_both, "desk", "east", "east-1");
     left.state = EndpointState::Left;
     router.set_endpoint(&left, left_at);
 
-    let of_old = router.keepers(&old_key, false, later);
-    let of_new = router.keepers(&new_key, false, later);
+    let of_old = router.keepers(&old_key, false, true, later);
+    let of_new = router.keepers(&new_key, false, true, later);
 
     assert!(of_old.contains(&keeper_of_both));
     assert!(!of_new.contains(&keeper_of_both));
