--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -48,6 +48,10 @@
 /// Relays look for contacts of other data centres this often, so that groups that started
 /// apart find each other.
 const CONTACTS_INTERVAL: Duration = Duration::from_secs(10);
+/// In the first time after its start a relay looks this often: nodes that start at the same
+/// moment read the contact objects before any of them has written its own, and start alone.
+const EARLY_CONTACTS_INTERVAL: Duration = Duration::from_secs(1);
+const EARLY_CONTACTS_PERIOD: Duration = Duration::from_secs(15);
 /// Longest wait for the copies of an accepted change.
 const COPIES_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -114,6 +118,7 @@
     awaited: Vec<AwaitedCopies>,
     has_peers: bool,
     next_contacts: Instant,
+    early_until: Instant,
     sent_bytes: metrics::Counter,
 }
 
@@ -128,7 +133,8 @@
             parts,
             awaited: Vec::new(),
             has_peers: false,
-            next_contacts: cx.now() + CONTACTS_INTERVAL,
+            next_contacts: cx.now() + EARLY_CONTACTS_INTERVAL,
+            early_until: cx.now() + EARLY_CONTACTS_PERIOD,
             sent_bytes,
         })
     }
@@ -146,7 +152,12 @@
         self.answer_copies(now);
         self.update_board();
         if now >= self.next_contacts {
-            self.next_contacts = now + CONTACTS_INTERVAL;
+            self.next_contacts = now
+                + if now < self.early_until {
+                    EARLY_CONTACTS_INTERVAL
+                } else {
+                    CONTACTS_INTERVAL
+                };
             if self.parts.membership.roles().is_relay {
                 self.parts.store.read_all_contacts();
             }
--- a/xtask/src/harness/mod.rs
+++ b/xtask/src/harness/mod.rs
@@ -105,6 +105,16 @@
         })
     }
 
+    /// `add_setting` adds a line to a section of the settings of nodes that start later.
+    pub fn add_setting(&mut self, section: &str, line: &str) {
+        let header = format!("[{section}]\n");
+        if !self.extra_settings.contains(&header) {
+            self.extra_settings.push_str(&header);
+        }
+        let with_line = format!("{header}{line}\n");
+        self.extra_settings = self.extra_settings.replacen(&header, &with_line, 1);
+    }
+
     /// `directory` returns the directory of settings, logs and run records.
     #[must_use]
     pub fn directory(&self) -> &Path {
@@ -264,6 +274,41 @@
         http::post_json(self.target_address(name)?, "/control/fault", fault).map(|_| ())
     }
 
+    /// `leave_target` lets a target tell its node that it leaves, without ending it.
+    ///
+    /// # Errors
+    /// [`Error::Http`] when it does not answer.
+    pub fn leave_target(&self, name: &str) -> Result<()> {
+        let empty = serde_json::json!({});
+        http::post_json(self.target_address(name)?, "/control/leave", &empty).map(|_| ())
+    }
+
+    /// `log_contains` tells whether a text is in the log of a process.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when there is no such process.
+    pub fn log_contains(&mut self, name: &str, text: &str) -> Result<bool> {
+        let log = self.process(name)?.log_tail(usize::MAX);
+        Ok(log.contains(text))
+    }
+
+    /// `ended_targets` counts the target processes that have ended.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when there is no such process.
+    pub fn ended_targets(&mut self) -> Result<usize> {
+        let names: Vec<String> = self
+            .targets
+            .iter()
+            .map(|target| target.name.clone())
+            .collect();
+        let mut ended = 0;
+        for name in names {
+            ended += usize::from(!self.is_running(&name)?);
+        }
+        Ok(ended)
+    }
+
     /// `store_fault` switches faults of the store.
     ///
     /// # Errors
--- a/xtask/src/harness/node.rs
+++ b/xtask/src/harness/node.rs
@@ -90,6 +90,29 @@
         find_metric(&reply.text(), name)
     }
 
+    /// `metric_sum` reads a metric summed over its labels; `None` when the node is missing.
+    #[must_use]
+    pub fn metric_sum(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.local_address);
+        let agent = http::agent(OBSERVE_TIMEOUT);
+        let reply = http::exchange(&agent, "GET", &url, &[], b"").ok()?;
+        Some(sum_metric(&reply.text(), name))
+    }
+
+    /// `served_revision` reads the revision that a serving node serves; `None` when it does
+    /// not serve or does not answer.
+    #[must_use]
+    pub fn served_revision(&self) -> Option<Revision> {
+        let url = format!("http://{}/healthz", self.local_address);
+        let agent = http::agent(OBSERVE_TIMEOUT);
+        let reply = http::exchange(&agent, "GET", &url, &[], b"").ok()?;
+        if reply.status != 200 {
+            return None;
+        }
+        let page: serde_json::Value = serde_json::from_slice(&reply.body).ok()?;
+        page.get("revision")?.as_u64()
+    }
+
     /// `revision` reads the revision in force.
     #[must_use]
     pub fn revision(&self) -> Option<Revision> {
@@ -106,3 +129,14 @@
         .find(|(known, _)| *known == name)
         .and_then(|(_, value)| value.trim().parse().ok())
 }
+
+/// `sum_metric` sums a metric over its labels on a metrics page in the text format.
+#[must_use]
+pub fn sum_metric(page: &str, name: &str) -> f64 {
+    page.lines()
+        .filter_map(|line| line.strip_prefix(name))
+        .filter(|rest| rest.starts_with(' ') || rest.starts_with('{'))
+        .filter_map(|rest| rest.rsplit_once(' '))
+        .filter_map(|(_, value)| value.parse::<f64>().ok())
+        .sum()
+}
--- a/xtask/src/scenario/model.rs
+++ b/xtask/src/scenario/model.rs
@@ -47,6 +47,15 @@
 /// `Step` is one step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
+    /// Adds a setting to the nodes that start later.
+    Setting {
+        /// Section.
+        section: String,
+        /// Key and value, as in the settings file.
+        line: String,
+    },
+    /// Lets time pass.
+    Pause(Duration),
     /// Starts the store.
     StartStore(StoreLimits),
     /// Starts a node.
@@ -64,8 +73,8 @@
     Apply {
         /// File and node.
         edit: Edit,
-        /// Whether the command must report a refusal.
-        refused: bool,
+        /// What the command must report.
+        ending: EditEnding,
     },
     /// Applies two catalogue files at once; exactly one must be accepted.
     Race(Edit, Edit),
@@ -83,14 +92,16 @@
         /// Bound of the wait.
         within: Duration,
     },
-    /// Waits until a request without a key gets a whole answer.
+    /// Waits until requests get whole answers.
     WaitAnswers {
+        /// Whether the requests carry keys.
+        keyed: bool,
         /// Service.
         service: String,
         /// Path.
         path: String,
-        /// Node.
-        through: String,
+        /// Nodes.
+        through: Vec<String>,
         /// Bound of the wait.
         within: Duration,
     },
@@ -112,6 +123,10 @@
         /// The fault.
         fault: TargetFault,
     },
+    /// Tells a node that its target leaves, while the target goes on taking requests.
+    Leave(String),
+    /// Sends bytes that are no valid message.
+    Bytes(BytesStep),
     /// Checks an expectation.
     Expect(Expectation),
 }
@@ -125,6 +140,52 @@
     pub through: Option<String>,
 }
 
+/// `EditEnding` is how a catalogue command must end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EditEnding {
+    /// Accepted.
+    Accepted,
+    /// Refused, with this text in the message.
+    Refused(Option<String>),
+    /// The outcome is unknown.
+    Unknown,
+}
+
+/// `Port` is an address of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// For callers.
+    Caller,
+    /// For other nodes, TCP.
+    PeerTcp,
+    /// For other nodes, UDP.
+    PeerUdp,
+    /// For operators.
+    Operator,
+    /// For the target.
+    Local,
+}
+
+/// `BytesStep` are bytes to send to a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BytesStep {
+    /// Node.
+    pub node: String,
+    /// Address.
+    pub port: Port,
+    /// The bytes.
+    pub content: BytesContent,
+}
+
+/// `BytesContent` is what is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BytesContent {
+    /// This number of messages of random bytes, from the seed of the scenario.
+    Random(usize),
+    /// A text.
+    Text(String),
+}
+
 /// `Life` is a change in the life of processes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Life {
@@ -192,6 +253,17 @@
     NotRun,
     /// Writes that the store admitted.
     StoreWrites,
+    /// Target processes that have ended.
+    EndedTargets,
+}
+
+/// `MetricBound` is the bound of a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricBound {
+    /// Reaches the number within the time.
+    AtLeast(u64, Duration),
+    /// Does not exceed the number now.
+    AtMost(u64),
 }
 
 /// `Expectation` is what must hold at a step.
@@ -212,6 +284,51 @@
     NoWrongAnswers,
     /// No request ran that was reported as not run.
     NoFalseNotRun,
+    /// Lowest number of sends that were answered with this code.
+    AtLeastCode(usize, String),
+    /// Bound of a metric, summed over its labels.
+    Metric {
+        /// Name of the metric.
+        name: String,
+        /// Nodes.
+        scope: Scope,
+        /// Bound.
+        bound: MetricBound,
+    },
+    /// A text is in the log.
+    Log {
+        /// The text.
+        text: String,
+        /// Node.
+        node: String,
+        /// Bound of the wait.
+        within: Duration,
+    },
+    /// A text is not in the log.
+    NoLog {
+        /// The text.
+        text: String,
+        /// Node.
+        node: String,
+    },
+    /// Nodes run.
+    Running(Scope),
+    /// A target that was told to leave began no run later than this after it.
+    NoRunsAfterLeave {
+        /// Target.
+        target: String,
+        /// Time after the step that let it leave.
+        after: Duration,
+    },
+    /// A node never serves an older revision during a time.
+    NeverBelow {
+        /// Lowest revision.
+        revision: u64,
+        /// Node.
+        node: String,
+        /// Time of the observation.
+        time: Duration,
+    },
     /// Lowest number of requests with a whole answer.
     AtLeastAnswered(usize),
     /// Upper bound of a number.
--- a/xtask/src/scenario/parser.rs
+++ b/xtask/src/scenario/parser.rs
@@ -30,24 +30,22 @@
 use crate::errors::Result;
 use crate::harness::StoreLimits;
 use crate::harness::target::TargetSpec;
-use crate::scenario::model::Counted;
 use crate::scenario::model::Edit;
-use crate::scenario::model::Expectation;
+use crate::scenario::model::EditEnding;
 use crate::scenario::model::Life;
 use crate::scenario::model::Line;
 use crate::scenario::model::NumberedStep;
 use crate::scenario::model::Scenario;
-use crate::scenario::model::Scope;
 use crate::scenario::model::SendOptions;
 use crate::scenario::model::SendStep;
 use crate::scenario::model::Step;
-use crate::store::fault::Down;
-use crate::store::fault::FaultChange as StoreFault;
-use crate::target::fault::FaultChange as TargetFault;
+
+mod expect;
+mod faults;
 
 const DEFAULT_SEED: u64 = 1;
-const VERBS: &str = "a step (seed, long, start, apply, race, send, wait, kill, stop, restart, freeze, store, \
-     target or expect)";
+const VERBS: &str = "a step (seed, long, start, settings, apply, race, send, wait, pause, kill, stop, restart, \
+     freeze, leave, bytes, store, target or expect)";
 
 /// `read` reads and parses a scenario file.
 ///
@@ -207,6 +205,10 @@
     described(terminated(time, gap), "a time such as `3 s` or `250 ms`").parse_next(input)
 }
 
+fn names(list: &str) -> Vec<String> {
+    list.split(',').map(str::to_owned).collect()
+}
+
 fn per_s(input: &mut &str) -> ModalResult<u64> {
     terminated(number, keyword("per s")).parse_next(input)
 }
@@ -228,9 +230,19 @@
             .parse_next(input),
         "restart" => cut_err(restart).map(Line::Step).parse_next(input),
         "freeze" => cut_err(freeze).map(Line::Step).parse_next(input),
-        "store" => cut_err(store).map(Line::Step).parse_next(input),
-        "target" => cut_err(target_fault).map(Line::Step).parse_next(input),
-        "expect" => cut_err(expect).map(Line::Step).parse_next(input),
+        "settings" => cut_err((name, quoted))
+            .map(|(section, line)| Line::Step(Step::Setting { section, line }))
+            .parse_next(input),
+        "pause" => cut_err(duration)
+            .map(|time| Line::Step(Step::Pause(time)))
+            .parse_next(input),
+        "leave" => cut_err(name)
+            .map(|name| Line::Step(Step::Leave(name)))
+            .parse_next(input),
+        "bytes" => cut_err(faults::bytes).map(Line::Step).parse_next(input),
+        "store" => cut_err(faults::store).map(Line::Step).parse_next(input),
+        "target" => cut_err(faults::target).map(Line::Step).parse_next(input),
+        "expect" => cut_err(expect::expect).map(Line::Step).parse_next(input),
         _ => {
             // The verb is given back, so that the message shows it as what was found.
             *input = whole;
@@ -319,11 +331,13 @@
 }
 
 fn apply(input: &mut &str) -> ModalResult<Step> {
-    let expect_refused = opt(after("expect", keyword("refused")));
-    (after("catalogue", edit), expect_refused)
-        .map(|(edit, refused)| Step::Apply {
+    let refused = after("refused", opt(after("with", quoted))).map(EditEnding::Refused);
+    let ending = alt((refused, keyword("unknown").value(EditEnding::Unknown)));
+    let ending = opt(after("expect", described(ending, "`refused` or `unknown`")));
+    (after("catalogue", edit), ending)
+        .map(|(edit, ending)| Step::Apply {
             edit,
-            refused: refused.is_some(),
+            ending: ending.unwrap_or(EditEnding::Accepted),
         })
         .parse_next(input)
 }
@@ -369,7 +383,7 @@
         count,
         service,
         path,
-        through: through.split(',').map(str::to_owned).collect(),
+        through: names(&through),
         key,
         options,
     }))
@@ -402,6 +416,7 @@
 }
 
 fn wait(input: &mut &str) -> ModalResult<Step> {
+    let keyed = opt(keyword("keyed")).map(|keyed| keyed.is_some());
     let answers = (
         after("from", name),
         after("path", name),
@@ -410,18 +425,24 @@
     );
     let what = alt((
         after("sends", within).map(|within| Step::WaitSends { within }),
-        after("answers", answers).map(|(service, path, through, within)| Step::WaitAnswers {
-            service,
-            path,
-            through,
-            within,
-        }),
+        (terminated(keyed, keyword("answers")), cut_err(answers)).map(
+            |(keyed, (service, path, through, within))| Step::WaitAnswers {
+                keyed,
+                service,
+                path,
+                through: names(&through),
+                within,
+            },
+        ),
         (count, cut_err(after("runs", within)))
             .map(|(count, within)| Step::WaitRuns { count, within }),
     ));
     after(
         "for",
-        described(what, "`sends`, `answers` or a number of runs"),
+        described(
+            what,
+            "`sends`, `answers`, `keyed answers` or a number of runs",
+        ),
     )
     .parse_next(input)
 }
@@ -444,109 +465,3 @@
         .map(|(name, time)| Step::Freeze { name, time })
         .parse_next(input)
 }
-
-fn store(input: &mut &str) -> ModalResult<Step> {
-    let down = |how| {
-        move |time| StoreFault {
-            down: Some(how),
-            for_ms: Some(duration_ms(time)),
-            ..StoreFault::default()
-        }
-    };
-    let lost = delimited(
-        keyword("answer of next"),
-        number.try_map(u32::try_from),
-        alt((keyword("writes"), keyword("write"))),
-    );
-    let fault = alt((
-        after("down", after("for", duration)).map(down(Down::Refuse)),
-        after("closed", after("for", duration)).map(down(Down::Close)),
-        after("slow", (duration, after("for", duration))).map(|(slow, time)| StoreFault {
-            slow_ms: Some(duration_ms(slow)),
-            for_ms: Some(duration_ms(time)),
-            ..StoreFault::default()
-        }),
-        after("loses", lost).map(|count| StoreFault {
-            lose_write_answers: Some(count),
-            ..StoreFault::default()
-        }),
-        after("cuts", keyword("watches")).map(|()| StoreFault {
-            cut_watches: true,
-            ..StoreFault::default()
-        }),
-    ));
-    described(fault, "`down`, `closed`, `slow`, `loses` or `cuts`")
-        .map(Step::Store)
-        .parse_next(input)
-}
-
-fn target_fault(input: &mut &str) -> ModalResult<Step> {
-    let permille = described(
-        number.verify_map(|value| u16::try_from(value).ok().filter(|value| *value <= 1000)),
-        "a share from 0 to 1000 permille",
-    );
-    let kind = alt((
-        after("fails", terminated(permille, keyword("permille"))).map(|fail_permille| {
-            TargetFault {
-                fail_permille,
-                ..TargetFault::default()
-            }
-        }),
-        after("slow", duration).map(|time| TargetFault {
-            slow_ms: duration_ms(time),
-            ..TargetFault::default()
-        }),
-    ));
-    let (name, mut fault, path_prefix, above_running, delay) = (
-        name,
-        described(kind, "`fails` or `slow`"),
-        opt(after("path", name)),
-        opt(after("above", count)),
-        opt(after("after", duration)),
-    )
-        .parse_next(input)?;
-    fault.path_prefix = path_prefix;
-    fault.above_running = above_running;
-    fault.after_ms = delay.map_or(0, duration_ms);
-    Ok(Step::Target { name, fault })
-}
-
-fn expect(input: &mut &str) -> ModalResult<Step> {
-    let scope = alt((keyword("all").value(Scope::All), name.map(Scope::Node)));
-    let revision = (number, after("on", scope), within).map(|(revision, scope, within)| {
-        Expectation::Revision {
-            revision,
-            scope,
-            within,
-        }
-    });
-    let broken = alt((
-        keyword("double runs").value(Expectation::NoDoubleRuns),
-        keyword("wrong answers").value(Expectation::NoWrongAnswers),
-        keyword("false not-run").value(Expectation::NoFalseNotRun),
-    ));
-    let counted = alt((
-        keyword("unknown").value(Counted::Unknown),
-        keyword("not-run").value(Counted::NotRun),
-        keyword("store-writes").value(Counted::StoreWrites),
-    ));
-    let expectation = alt((
-        after("revision", revision),
-        after(
-            "no",
-            described(broken, "`double runs`, `wrong answers` or `false not-run`"),
-        ),
-        after("at least", terminated(count, keyword("answered"))).map(Expectation::AtLeastAnswered),
-        after(
-            "at most",
-            (
-                count,
-                described(counted, "`unknown`, `not-run` or `store-writes`"),
-            ),
-        )
-        .map(|(count, counted)| Expectation::AtMost(count, counted)),
-    ));
-    described(expectation, "`revision`, `no`, `at least` or `at most`")
-        .map(Step::Expect)
-        .parse_next(input)
-}
--- a/xtask/src/scenario/runner.rs
+++ b/xtask/src/scenario/runner.rs
@@ -1,9 +1,12 @@
 //! Runs a scenario against real processes.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use std::time::SystemTime;
+
+use hemlockfall_core::units::unix_ms;
 
-use crate::audit::Audit;
 use crate::caller;
 use crate::caller::CallerReport;
 use crate::caller::KeyMode;
@@ -16,20 +19,25 @@
 use crate::harness::process::Signal;
 use crate::harness::programs::Programs;
 use crate::harness::wait;
-use crate::scenario::model::Counted;
 use crate::scenario::model::Edit;
-use crate::scenario::model::Expectation;
+use crate::scenario::model::EditEnding;
 use crate::scenario::model::Life;
 use crate::scenario::model::NumberedStep;
 use crate::scenario::model::Scenario;
-use crate::scenario::model::Scope;
 use crate::scenario::model::SendStep;
 use crate::scenario::model::Step;
 
+mod expect;
+mod malformed;
+
 /// A caller that sends in the foreground may take this long.
 const SEND_BOUND: Duration = Duration::from_mins(1);
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 const LOG_LINES: usize = 5;
+/// Keys are kept by three nodes each, so one answered key shows little.
+const KEYED_PROBES: usize = 20;
+/// Probes do not count as runs.
+const PROBE_PREFIX: &str = "probe";
 
 /// `run` runs a scenario; `progress` is told every step before it begins.
 ///
@@ -46,6 +54,7 @@
         reports: Vec::new(),
         sending: Vec::new(),
         callers: 0,
+        left: Vec::new(),
     };
     for numbered in &scenario.steps {
         progress(numbered);
@@ -74,6 +83,8 @@
     reports: Vec<CallerReport>,
     sending: Vec<String>,
     callers: usize,
+    /// Targets that were told to leave, and when.
+    left: Vec<(String, u64)>,
 }
 
 impl Runner<'_> {
@@ -86,17 +97,30 @@
                 data_centre,
             } => self.cluster.start_node(name, region, data_centre),
             Step::StartTarget(spec) => self.cluster.start_target(spec.clone()),
-            Step::Apply { edit, refused } => self.apply(edit, *refused),
+            Step::Apply { edit, ending } => self.apply(edit, ending),
+            Step::Setting { section, line } => {
+                self.cluster.add_setting(section, line);
+                Ok(())
+            }
+            Step::Pause(time) => {
+                std::thread::sleep(*time);
+                Ok(())
+            }
+            Step::Leave(target) => self.leave(target),
+            Step::Bytes(bytes) => {
+                malformed::send(self.cluster.node(&bytes.node)?, bytes, self.scenario.seed)
+            }
             Step::Race(first, second) => self.race(first, second),
             Step::Send(send) => self.send(send),
             Step::WaitRuns { count, within } => self.wait_runs(*count, *within),
             Step::WaitSends { within } => self.wait_sends(*within),
             Step::WaitAnswers {
+                keyed,
                 service,
                 path,
                 through,
                 within,
-            } => self.wait_answers(service, path, through, *within),
+            } => self.wait_answers(*keyed, service, path, through, *within),
             Step::Life(life) => self.life(life),
             Step::Freeze { name, time } => self.cluster.freeze_for(name, *time),
             Step::Store(fault) => self.cluster.store_fault(fault),
@@ -117,14 +141,27 @@
         self.cluster.apply_catalogue(&file, node)
     }
 
-    fn apply(&self, edit: &Edit, refused: bool) -> Result<()> {
+    fn apply(&self, edit: &Edit, ending: &EditEnding) -> Result<()> {
         let applied = self.apply_edit(edit)?;
-        if applied.accepted == refused {
-            return Err(Error::unmet(format!(
-                "accepted: {}, output: {}",
-                applied.accepted, applied.output
-            )));
+        let as_expected = match ending {
+            EditEnding::Accepted => applied.accepted,
+            EditEnding::Refused(None) => !applied.accepted,
+            EditEnding::Refused(Some(text)) => !applied.accepted && applied.output.contains(text),
+            EditEnding::Unknown => !applied.accepted && applied.output.contains("unknown"),
+        };
+        if as_expected {
+            return Ok(());
         }
+        Err(Error::unmet(format!(
+            "accepted: {}, output: {}",
+            applied.accepted, applied.output
+        )))
+    }
+
+    fn leave(&mut self, target: &str) -> Result<()> {
+        let left_unix_ms = unix_ms(SystemTime::now());
+        self.cluster.leave_target(target)?;
+        self.left.push((target.to_owned(), left_unix_ms));
         Ok(())
     }
 
@@ -147,11 +184,7 @@
     }
 
     fn send(&mut self, send: &SendStep) -> Result<()> {
-        let through = send
-            .through
-            .iter()
-            .map(|name| self.cluster.node(name).map(|node| node.caller_address))
-            .collect::<Result<Vec<_>>>()?;
+        let through = self.caller_addresses(&send.through)?;
         let kind = RequestKind {
             service: send.service.clone(),
             path: send.path.clone(),
@@ -190,30 +223,49 @@
 
     fn wait_runs(&self, count: usize, within: Duration) -> Result<()> {
         wait::until(&format!("{count} runs"), within, || {
-            let runs = self.cluster.runs().map_err(|error| error.to_string())?;
+            let mut runs = self.cluster.runs().map_err(|error| error.to_string())?;
+            runs.retain(|run| !run.request_id.starts_with(PROBE_PREFIX));
             (runs.len() >= count)
                 .then_some(())
                 .ok_or_else(|| format!("{} runs", runs.len()))
         })
     }
 
-    fn wait_answers(&self, service: &str, path: &str, node: &str, within: Duration) -> Result<()> {
-        let through = self.cluster.node(node)?.caller_address;
+    fn wait_answers(
+        &self,
+        keyed: bool,
+        service: &str,
+        path: &str,
+        nodes: &[String],
+        within: Duration,
+    ) -> Result<()> {
         let kind = RequestKind {
             service: service.to_owned(),
             path: path.to_owned(),
-            key: KeyMode::None,
+            key: if keyed {
+                KeyMode::Unique
+            } else {
+                KeyMode::None
+            },
         };
-        let mut options = calls::options(vec![through], vec![kind], 1);
-        "probe".clone_into(&mut options.prefix);
+        let probes = if keyed { KEYED_PROBES } else { nodes.len() };
+        let mut options = calls::options(self.caller_addresses(nodes)?, vec![kind], probes);
+        PROBE_PREFIX.clone_into(&mut options.prefix);
         options.timeout_ms = PROBE_TIMEOUT_MS;
         wait::until(&format!("answers from {service}"), within, || {
             let report = caller::send_all(options.clone()).map_err(|error| error.to_string())?;
-            let whole = report.sends.iter().any(|send| send.whole);
-            whole.then_some(()).ok_or_else(|| format!("{report:?}"))
+            let failed = report.sends.iter().find(|send| !send.whole);
+            failed.map_or(Ok(()), |send| Err(format!("{send:?}")))
         })
     }
 
+    fn caller_addresses(&self, nodes: &[String]) -> Result<Vec<SocketAddr>> {
+        nodes
+            .iter()
+            .map(|name| self.cluster.node(name).map(|node| node.caller_address))
+            .collect()
+    }
+
     fn life(&mut self, life: &Life) -> Result<()> {
         match life {
             Life::Kill(name) => self.cluster.signal(name, Signal::Kill),
@@ -245,91 +297,4 @@
         }
         Ok(())
     }
-
-    fn expect(&mut self, expectation: &Expectation) -> Result<()> {
-        match expectation {
-            Expectation::Revision {
-                revision,
-                scope,
-                within,
-            } => self.expect_revision(*revision, scope, *within),
-            Expectation::NoDoubleRuns => {
-                let audit = self.audit()?;
-                at_most("double runs", audit.double_runs, 0, &audit)
-            }
-            Expectation::NoWrongAnswers => {
-                let audit = self.audit()?;
-                at_most("wrong answers", audit.wrong_answers, 0, &audit)
-            }
-            Expectation::NoFalseNotRun => {
-                let audit = self.audit()?;
-                at_most("false not-run", audit.told_not_run_but_ran, 0, &audit)
-            }
-            Expectation::AtLeastAnswered(count) => {
-                let audit = self.audit()?;
-                if audit.answered_whole >= *count {
-                    return Ok(());
-                }
-                Err(Error::unmet(format!(
-                    "{count} answered, measured {audit:?}"
-                )))
-            }
-            Expectation::AtMost(count, counted) => {
-                let audit = self.audit()?;
-                match counted {
-                    Counted::Unknown => at_most("unknown", audit.unknown, *count, &audit),
-                    Counted::NotRun => at_most("not-run", audit.not_run, *count, &audit),
-                    Counted::StoreWrites => {
-                        let writes = self.cluster.counters()?.writes;
-                        let writes = usize::try_from(writes).unwrap_or(usize::MAX);
-                        at_most("store writes", writes, *count, &audit)
-                    }
-                }
-            }
-        }
-    }
-
-    fn audit(&self) -> Result<Audit> {
-        if !self.sending.is_empty() {
-            return Err(Error::unmet("`wait for sends` before this expectation"));
-        }
-        Ok(Audit::of(&self.reports, &self.cluster.runs()?))
-    }
-
-    fn expect_revision(&mut self, revision: u64, scope: &Scope, within: Duration) -> Result<()> {
-        let names: Vec<String> = match scope {
-            Scope::Node(name) => vec![name.clone()],
-            Scope::All => self
-                .cluster
-                .nodes()
-                .iter()
-                .map(|node| node.name.clone())
-                .collect(),
-        };
-        let mut nodes = Vec::new();
-        for name in names {
-            let running = self.cluster.is_running(&name)?;
-            if running || *scope != Scope::All {
-                nodes.push(self.cluster.node(&name)?.clone());
-            }
-        }
-        wait::until(&format!("revision {revision}"), within, || {
-            let behind: Vec<String> = nodes
-                .iter()
-                .map(|node| (node, node.revision()))
-                .filter(|(_, held)| held.is_none_or(|held| held < revision))
-                .map(|(node, held)| format!("{} holds {held:?}", node.name))
-                .collect();
-            behind.is_empty().then_some(()).ok_or(behind.join(", "))
-        })
-    }
-}
-
-fn at_most(what: &str, measured: usize, bound: usize, audit: &Audit) -> Result<()> {
-    if measured <= bound {
-        return Ok(());
-    }
-    Err(Error::unmet(format!(
-        "at most {bound} {what}, measured {measured}: {audit:?}"
-    )))
 }
--- /dev/null
+++ b/xtask/src/scenario/runner/malformed.rs
@@ -0,0 +1,68 @@
+//! Bytes that are no valid message.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::harness::node::NodeSpec;
+use crate::scenario::model::BytesContent;
+use crate::scenario::model::BytesStep;
+use crate::scenario::model::Port;
+
+/// Datagrams between nodes carry at most this.
+const MAX_BYTES: usize = 1_200;
+/// The other side may answer or close in this time before the connection is closed.
+const LISTEN: Duration = Duration::from_millis(20);
+
+/// `send` sends the bytes; the other side may close the connection at any time.
+///
+/// # Errors
+/// [`Error::Resource`] when the address does not take a connection.
+pub fn send(node: &NodeSpec, step: &BytesStep, seed: u64) -> Result<()> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let messages: Vec<Vec<u8>> = match &step.content {
+        BytesContent::Text(text) => vec![text.replace("\\r\\n", "\r\n").into_bytes()],
+        BytesContent::Random(count) => (0..*count).map(|_| message(&mut random)).collect(),
+    };
+    let address = match step.port {
+        Port::Caller => node.caller_address,
+        Port::PeerTcp | Port::PeerUdp => node.peer_address,
+        Port::Operator => node.operator_address,
+        Port::Local => node.local_address,
+    };
+    let failed = |error| Error::resource(address.to_string(), error);
+    if step.port == Port::PeerUdp {
+        let socket = UdpSocket::bind("127.0.0.1:0").map_err(failed)?;
+        for message in messages {
+            socket.send_to(&message, address).map_err(failed)?;
+        }
+        return Ok(());
+    }
+    messages
+        .iter()
+        .try_for_each(|message| send_tcp(address, message).map_err(failed))
+}
+
+fn message(random: &mut StdRng) -> Vec<u8> {
+    let mut bytes = vec![0; random.random_range(1..=MAX_BYTES)];
+    random.fill_bytes(&mut bytes);
+    bytes
+}
+
+fn send_tcp(address: SocketAddr, message: &[u8]) -> std::io::Result<()> {
+    let mut connection = TcpStream::connect(address)?;
+    connection.set_read_timeout(Some(LISTEN))?;
+    let _ = connection.write_all(message);
+    let _ = connection.read(&mut [0; 64]);
+    Ok(())
+}
--- a/xtask/src/store/fault.rs
+++ b/xtask/src/store/fault.rs
@@ -30,6 +30,8 @@
     pub for_ms: Option<u64>,
     /// Loses the answers of the next writes that take effect.
     pub lose_write_answers: Option<u32>,
+    /// After a lost answer the store breaks every connection for this time, in milliseconds.
+    pub close_after_lost_ms: Option<u64>,
     /// Cuts the watches that wait now.
     pub cut_watches: bool,
 }
@@ -43,6 +45,8 @@
     pub slow_ms: u64,
     /// Writes whose answer is still to be lost.
     pub lose_write_answers: u32,
+    /// How long the store is down after a lost answer, in milliseconds.
+    pub close_after_lost_ms: Option<u64>,
     ends: Option<Instant>,
 }
 
@@ -78,6 +82,23 @@
         faults.lose_write_answers = change
             .lose_write_answers
             .unwrap_or(faults.lose_write_answers);
+        if change.lose_write_answers.is_some() {
+            faults.close_after_lost_ms = change.close_after_lost_ms;
+        }
         faults
     }
+
+    /// `lose_answer` takes one answer to lose, if there is one, and takes the store down when
+    /// that was asked for.
+    pub fn lose_answer(&mut self, now: Instant) -> bool {
+        if self.lose_write_answers == 0 {
+            return false;
+        }
+        self.lose_write_answers -= 1;
+        if let Some(close_ms) = self.close_after_lost_ms {
+            self.down = Some(Down::Close);
+            self.ends = Some(now + Duration::from_millis(close_ms));
+        }
+        true
+    }
 }
--- a/xtask/src/store/state.rs
+++ b/xtask/src/store/state.rs
@@ -271,9 +271,8 @@
         object.version += 1;
         object.body = body;
         let version = object.version;
-        let lost = inner.faults.lose_write_answers > 0;
+        let lost = inner.faults.lose_answer(Instant::now());
         if lost {
-            inner.faults.lose_write_answers -= 1;
             inner.counters.lost_answers += 1;
         }
         self.changed.notify_all();
--- a/xtask/src/target/announce.rs
+++ b/xtask/src/target/announce.rs
@@ -3,8 +3,6 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -52,34 +50,34 @@
 pub fn start(state: &Arc<State>, address: SocketAddr) -> Result<()> {
     let mut signals =
         Signals::new([SIGTERM]).map_err(|error| Error::resource("SIGTERM handler", error))?;
-    let leaving = Arc::new(AtomicBool::new(false));
     let draining = Arc::clone(state);
-    let leaves = Arc::clone(&leaving);
     std::thread::spawn(move || {
         if signals.forever().next().is_some() {
-            leaves.store(true, Ordering::Relaxed);
-            leave(&draining);
+            leave_without_end(&draining);
+            draining.drain(DRAIN_BOUND);
             std::process::exit(0);
         }
     });
     if let Some(node) = state.options().node {
         let state = Arc::clone(state);
-        std::thread::spawn(move || announce_and_report(&state, node, address, &leaving));
+        std::thread::spawn(move || announce_and_report(&state, node, address));
     }
     Ok(())
 }
 
-fn leave(state: &State) {
+/// `leave_without_end` tells the node that the target leaves. The target itself goes on taking
+/// requests, so that a request sent to a leaving target shows as a run.
+pub fn leave_without_end(state: &State) {
+    state.set_leaving();
     if let Some(node) = state.options().node {
         let _ = http::post_json(node, "/v1/leave", &serde_json::json!({}));
     }
-    state.drain(DRAIN_BOUND);
 }
 
 /// The announcement is repeated until the node accepts it. A report that fails means that the
 /// node was replaced, so the target announces itself again. A leaving target says nothing
 /// more, since an announcement would undo its leaving.
-fn announce_and_report(state: &State, node: SocketAddr, address: SocketAddr, leaving: &AtomicBool) {
+fn announce_and_report(state: &State, node: SocketAddr, address: SocketAddr) {
     let announcement = Announcement {
         service: state.options().service.clone(),
         version: state.options().version.clone(),
@@ -89,7 +87,7 @@
     };
     let mut lagging = VecDeque::new();
     let mut accepted = false;
-    while !leaving.load(Ordering::Relaxed) {
+    while !state.is_leaving() {
         let sent = if accepted {
             let report = next_report(state, &mut lagging);
             http::post_json(node, "/v1/report", &report)
--- a/xtask/src/target/fault.rs
+++ b/xtask/src/target/fault.rs
@@ -9,6 +9,8 @@
 pub struct FaultChange {
     /// Requests that fail with status 500, in permille.
     pub fail_permille: u16,
+    /// Ends the process halfway through an answer.
+    pub dies_in_answer: bool,
     /// Additional service time, in milliseconds.
     pub slow_ms: u64,
     /// Only on paths with this prefix.
--- a/xtask/src/target/mod.rs
+++ b/xtask/src/target/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a target: announces itself to its node, runs requests in slots, sheds load,
 //! drains on SIGTERM and shows switchable faults.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -159,6 +160,10 @@
     match (request.method(), path) {
         (Method::Get, "/control/runs") => http::answer_json(request, &state.runs()),
         (Method::Get, "/control/state") => http::answer_json(request, &state.summary()),
+        (Method::Post, "/control/leave") => {
+            announce::leave_without_end(state);
+            http::answer(request, 200, &[], Vec::new());
+        }
         (Method::Post, "/control/fault") => {
             let body = http::read_body(&mut request, MAX_BODY_BYTES).unwrap_or_default();
             match serde_json::from_slice::<FaultChange>(&body) {
@@ -203,6 +208,10 @@
         digest: request_digest(&run.request_id, &body),
         padding: "x".repeat(state.options().padding_bytes),
     };
+    let body = serde_json::to_vec(&echo).unwrap_or_default();
+    if plan.dies {
+        die_in_answer(request, &body);
+    }
     let status = match ended {
         Ended::Finished if plan.fails => 500,
         Ended::Finished => 200,
@@ -213,11 +222,21 @@
         request,
         status,
         &[("content-type", "application/json")],
-        serde_json::to_vec(&echo).unwrap_or_default(),
+        body,
     );
     state.finish(slot);
 }
 
+/// Sends the head and half of the body, and ends the process.
+fn die_in_answer(request: Request, body: &[u8]) -> ! {
+    let mut writer = request.into_writer();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    let _ = writer.write_all(head.as_bytes());
+    let _ = writer.write_all(&body[..body.len() / 2]);
+    let _ = writer.flush();
+    std::process::exit(CRASH_STATUS)
+}
+
 fn crashes(options: &TargetOptions, body: &[u8]) -> bool {
     let Some(marker) = &options.crash_marker else {
         return false;
--- a/xtask/src/target/state.rs
+++ b/xtask/src/target/state.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -68,6 +70,8 @@
     pub duration: Duration,
     /// Whether it ends with a failure.
     pub fails: bool,
+    /// Whether the process ends halfway through the answer.
+    pub dies: bool,
 }
 
 /// `Admitted` tells whether a request got a slot.
@@ -119,6 +123,7 @@
 pub struct State {
     options: TargetOptions,
     started: Instant,
+    leaving: AtomicBool,
     inner: Mutex<Inner>,
     changed: Condvar,
 }
@@ -144,6 +149,7 @@
         Ok(Self {
             options,
             started: now,
+            leaving: AtomicBool::new(false),
             inner: Mutex::new(Inner {
                 running: Vec::new(),
                 runs: Vec::new(),
@@ -257,6 +263,17 @@
         self.lock().summary.accepted = accepted;
     }
 
+    /// `set_leaving` notes that the target says nothing more to its node.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// `is_leaving` tells whether the target has told its node that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// `drain` stops taking requests and waits, at most `bound`, for those that run.
     pub fn drain(&self, bound: Duration) {
         let ends = Instant::now() + bound;
@@ -297,6 +314,7 @@
         RunPlan {
             duration: Duration::from_millis(self.options.service_time_ms * factor + slow_ms),
             fails: faulty && drawn < inner.fault.fail_permille,
+            dies: faulty && inner.fault.dies_in_answer,
         }
     }
 
