--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -34,6 +34,7 @@
 use crate::edge::message::CallerEvent;
 use crate::edge::message::LocalEvent;
 use crate::edge::target_client::TargetClient;
+use crate::node::calls::suspected::Suspected;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
 use crate::node::decisions::DecisionLog;
@@ -45,6 +46,7 @@
 mod fingerprints;
 mod keys;
 mod local;
+mod suspected;
 mod target;
 
 use entry::EntryCalls;
@@ -91,6 +93,7 @@
     admission: Admission,
     entry: EntryCalls,
     local: LocalTarget,
+    suspected: Suspected,
     /// Peer addresses, sorted by node.
     addresses: Vec<NodeAddress>,
     is_serving: bool,
@@ -131,6 +134,7 @@
             decisions: parts.decisions,
             entry: EntryCalls::default(),
             local: LocalTarget::default(),
+            suspected: Suspected::default(),
             addresses: Vec::new(),
             is_serving: false,
             ticks: 0,
@@ -143,6 +147,9 @@
         let actions = self.keys.tick(now);
         self.perform_keys(cx, actions);
         self.advance_admission(cx);
+        for node in self.suspected.take_ended(now.at) {
+            self.router.set_suspected(&node, false);
+        }
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY) {
             self.router.expire(now);
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -384,6 +384,8 @@
         let Some(current) = entry.attempt.clone() else {
             return;
         };
+        self.suspected.add(&current.node, cx.now());
+        self.router.set_suspected(&current.node, true);
         let result = AttemptResult::refused(Reason::NotSent, None);
         self.end_attempt(cx, entry.caller, current.attempt_id, result);
     }
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -169,6 +169,8 @@
     voided: Vec<AttemptId>,
     /// Reason of the first attempt that may have run.
     doubt: Option<Reason>,
+    /// The key's nodes were asked and the key was new.
+    is_key_new: bool,
     state: State,
 }
 
@@ -383,6 +385,7 @@
             tried: Vec::new(),
             voided: Vec::new(),
             doubt: None,
+            is_key_new: false,
             state: State::Done,
         };
         if !call.is_repeatable {
@@ -480,6 +483,7 @@
                 retry_after_ms,
             } => {
                 self.voided.push(attempt_id);
+                self.is_key_new |= follows_claim(reason);
                 if !(helps_to_retry(reason) && self.retry(router, now)) {
                     self.answer(reason, retry_after_ms, &mut actions);
                 }
@@ -546,7 +550,14 @@
         });
     }
 
-    /// Answers the caller. "Not run" holds for the request only when it holds for every attempt.
+    /// Whether an earlier request under the caller's key can have run. A refusal that comes
+    /// before the key's nodes were asked tells nothing about earlier requests.
+    fn may_have_run_earlier(&self) -> bool {
+        self.key.is_some() && !self.is_generated && !self.is_key_new
+    }
+
+    /// Answers the caller. "Not run" holds for the request only when it holds for every attempt
+    /// and for every earlier request under its key.
     fn answer(
         &mut self,
         reason: Reason,
@@ -556,6 +567,9 @@
         self.state = State::Done;
         let (outcome, reason) = match (reason.outcome(), self.doubt) {
             (Outcome::NotRun, Some(doubt)) => (Outcome::Unknown, doubt),
+            (Outcome::NotRun, None) if self.may_have_run_earlier() => {
+                (Outcome::Unknown, Reason::KeyCannotKnow)
+            }
             (outcome, _) => (outcome, reason),
         };
         let retry_after_ms = match outcome {
@@ -576,6 +590,15 @@
     }
 }
 
+/// Whether the target's node decides on this reason only after the key's nodes agreed that the
+/// key is new.
+fn follows_claim(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::DeadlinePassed | Reason::TargetShed | Reason::NoWitness
+    )
+}
+
 /// Whether another target could do better. A request whose target vanished is not retried: if it
 /// was the cause, each retry would take down one more target before its fingerprint is known.
 fn helps_to_retry(reason: Reason) -> bool {
--- a/crates/request/tests/retries.rs
+++ b/crates/request/tests/retries.rs
@@ -203,6 +203,41 @@
     );
 }
 
+/// Guards against "not run" for a request that ran under the same key before: a refusal that
+/// comes before the key's nodes were asked tells nothing about earlier sends, while one that
+/// comes after they agreed does.
+#[test]
+fn refusal_without_a_check_of_the_key_is_reported_as_unknown() {
+    let rows = [
+        (None, Reason::NotSent, Outcome::NotRun),
+        (Some("order-1"), Reason::NotSent, Outcome::Unknown),
+        (Some("order-1"), Reason::EarlierLife, Outcome::Unknown),
+        (Some("order-1"), Reason::QueueFull, Outcome::NotRun),
+        (Some("order-1"), Reason::TargetShed, Outcome::NotRun),
+    ];
+
+    for (key, reason, expected) in rows {
+        let now = common::start();
+        let mut router = common::router_with("e0", SEED, 4, now);
+        // A retry is not retried again, so the first refusal is final.
+        let keyed = CallRequest {
+            key,
+            ..request("/orders", 1, true)
+        };
+        let (mut call, actions) =
+            Call::start(&keyed, &mut router, |_, _, _| 1_000, now).expect("the route exists");
+        let attempt = sent(&actions).expect("an attempt is sent");
+        let refused = AttemptResult::refused(reason, None);
+
+        let actions = call.attempt_ended(attempt.attempt_id, refused, &mut router, now);
+
+        let Some(Answer::Generated { outcome, .. }) = answered(&actions) else {
+            panic!("{key:?} {reason:?}: {actions:?}");
+        };
+        assert_eq!(outcome, expected, "{key:?} {reason:?}");
+    }
+}
+
 /// Guards against an answer that is held back for a request that is given up.
 #[test]
 fn time_up_answers_at_once_and_cancels() {
--- a/xtask/src/audit.rs
+++ b/xtask/src/audit.rs
@@ -60,8 +60,15 @@
         let mut runs_so_far = 0;
         let mut false_not_run = false;
         for send in sends {
-            runs_so_far += count(run_ids, &send.request_id);
-            false_not_run |= send.outcome == Outcome::NotRun && runs_so_far > 0;
+            let own_runs = count(run_ids, &send.request_id);
+            runs_so_far += own_runs;
+            // With a key a repeated send is the same request; without one it is a new request.
+            let runs = if send.key.is_some() {
+                runs_so_far
+            } else {
+                own_runs
+            };
+            false_not_run |= send.outcome == Outcome::NotRun && runs > 0;
             if send.wrong {
                 self.wrong_answers += 1;
                 self.find(format!("wrong answer to {}", send.request_id));
@@ -74,7 +81,7 @@
         };
         if false_not_run {
             self.told_not_run_but_ran += 1;
-            self.find(format!("told not-run, but ran: {}", base(last)));
+            self.find(format!("told not-run, but ran: {}", describe(sends)));
         }
         // Without a key a repeated send is a new request, so only its own runs count.
         let most = if last.key.is_some() {
@@ -88,7 +95,7 @@
         };
         if last.once && most > 1 {
             self.double_runs += 1;
-            self.find(format!("{most} runs of {}", base(last)));
+            self.find(format!("{most} runs of {}", describe(sends)));
         }
         match last.outcome {
             Outcome::Ran => {}
@@ -123,6 +130,14 @@
         .collect()
 }
 
+fn describe(sends: &[SendRecord]) -> String {
+    let sends = sends.iter().map(|send| {
+        let code = send.code.as_deref().unwrap_or("-");
+        format!("{} {:?} {code}", send.request_id, send.outcome)
+    });
+    sends.collect::<Vec<_>>().join(", ")
+}
+
 fn base(send: &SendRecord) -> &str {
     send.request_id
         .rsplit_once('.')
--- a/xtask/src/caller.rs
+++ b/xtask/src/caller.rs
@@ -133,6 +133,14 @@
         help = "repeated sends with the same key"
     )]
     pub resends: usize,
+    /// Pause before every repeated send, in milliseconds.
+    #[options(
+        no_short,
+        default = "0",
+        meta = "MS",
+        help = "pause before a repeated send"
+    )]
+    pub resend_pause_ms: u64,
     /// Text at the start of every body.
     #[options(
         default = "body",
@@ -280,6 +288,9 @@
     let body = format!("{} {}-{index}", options.body, options.prefix);
     let mut sends: Vec<SendRecord> = Vec::new();
     for send in 0..=options.resends {
+        if send > 0 {
+            std::thread::sleep(Duration::from_millis(options.resend_pause_ms));
+        }
         let request_id = format!("{}-{index}.{send}", options.prefix);
         let through = options.through[(index + send) % options.through.len()];
         let mut earlier: Vec<&str> = sends.iter().map(|send| send.request_id.as_str()).collect();
--- a/xtask/src/harness/calls.rs
+++ b/xtask/src/harness/calls.rs
@@ -20,6 +20,7 @@
         prefix: "r".to_owned(),
         timeout_ms: 5_000,
         resends: 0,
+        resend_pause_ms: 0,
         body: "body".to_owned(),
         seed: 1,
     }
@@ -36,6 +37,7 @@
         format!("--prefix={}", options.prefix),
         format!("--timeout-ms={}", options.timeout_ms),
         format!("--resends={}", options.resends),
+        format!("--resend-pause-ms={}", options.resend_pause_ms),
         format!("--body={}", options.body),
         format!("--seed={}", options.seed),
     ];
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -13,7 +13,7 @@
 //! apply catalogue "FILE" [through NODE] [expect refused [with "TEXT"]|unknown]
 //! race catalogue "FILE" through NODE with "FILE" through NODE
 //! send N requests to SERVICE path PATH through NODE[,NODE...] key unique|once|none
-//!     [body "TEXT"] [rate N per s] [concurrency N] [timeout T] [resend N] [in background]
+//!     [body "TEXT"] [rate N per s] [concurrency N] [timeout T] [resend N [every T]] [in background]
 //! wait for N runs within T
 //! wait for sends within T
 //! wait for [keyed] answers from SERVICE path PATH through NODE[,NODE...] within T
--- a/xtask/src/scenario/model.rs
+++ b/xtask/src/scenario/model.rs
@@ -231,6 +231,8 @@
     pub timeout: Option<Duration>,
     /// Repeated sends with the same key.
     pub resends: Option<usize>,
+    /// Pause before a repeated send.
+    pub resend_pause: Option<Duration>,
     /// Whether the scenario goes on while requests are sent.
     pub background: bool,
 }
--- a/xtask/src/scenario/parser.rs
+++ b/xtask/src/scenario/parser.rs
@@ -375,7 +375,10 @@
             SendOption::Rate(rate_per_s) => options.rate_per_s = Some(rate_per_s),
             SendOption::Concurrency(count) => options.concurrency = Some(count),
             SendOption::Timeout(timeout) => options.timeout = Some(timeout),
-            SendOption::Resend(count) => options.resends = Some(count),
+            SendOption::Resend(count, pause) => {
+                options.resends = Some(count);
+                options.resend_pause = pause;
+            }
             SendOption::Background => options.background = true,
         }
     }
@@ -395,7 +398,7 @@
     Rate(u64),
     Concurrency(usize),
     Timeout(Duration),
-    Resend(usize),
+    Resend(usize, Option<Duration>),
     Background,
 }
 
@@ -405,7 +408,8 @@
         after("rate", per_s).map(SendOption::Rate),
         after("concurrency", count).map(SendOption::Concurrency),
         after("timeout", duration).map(SendOption::Timeout),
-        after("resend", count).map(SendOption::Resend),
+        after("resend", (count, opt(after("every", duration))))
+            .map(|(count, pause)| SendOption::Resend(count, pause)),
         after("in", keyword("background")).value(SendOption::Background),
     ))
     .parse_next(input)
--- a/xtask/src/scenario/runner.rs
+++ b/xtask/src/scenario/runner.rs
@@ -199,6 +199,9 @@
         options.rate_per_s = given.rate_per_s.unwrap_or(options.rate_per_s);
         options.concurrency = given.concurrency.unwrap_or(options.concurrency);
         options.resends = given.resends.unwrap_or(options.resends);
+        if let Some(pause) = given.resend_pause {
+            options.resend_pause_ms = hemlockfall_core::units::duration_ms(pause);
+        }
         if let Some(timeout) = given.timeout {
             options.timeout_ms = hemlockfall_core::units::duration_ms(timeout);
         }
--- a/xtask/src/scenario/runner/expect.rs
+++ b/xtask/src/scenario/runner/expect.rs
@@ -60,7 +60,8 @@
                     return Ok(());
                 }
                 Err(Error::unmet(format!(
-                    "{count} answered, measured {audit:?}"
+                    "{count} answered, measured {audit:?}; {}",
+                    self.describe_sends()
                 )))
             }
             Expectation::AtMost(count, counted) => {
@@ -82,6 +83,22 @@
         }
     }
 
+    /// Number of sends per outcome and code, for failure messages.
+    fn describe_sends(&self) -> String {
+        let sends = self.reports.iter().flat_map(|report| &report.sends);
+        let mut endings: Vec<String> = sends
+            .map(|send| {
+                let code = send.code.as_deref().unwrap_or("without code");
+                format!("{:?} {} {code}", send.outcome, send.status)
+            })
+            .collect();
+        endings.sort_unstable();
+        let counted = endings
+            .chunk_by(|a, b| a == b)
+            .map(|same| format!("{} sends {}", same.len(), same[0]));
+        counted.collect::<Vec<_>>().join(", ")
+    }
+
     fn audit(&self) -> Result<Audit> {
         if !self.sending.is_empty() {
             return Err(Error::unmet("`wait for sends` before this expectation"));
@@ -126,7 +143,8 @@
             return Ok(());
         }
         Err(Error::unmet(format!(
-            "at least {count} answers with {code}, measured {measured}"
+            "at least {count} answers with {code}, measured {measured}; {}",
+            self.describe_sends()
         )))
     }
 
--- a/xtask/tests/audit.rs
+++ b/xtask/tests/audit.rs
@@ -64,6 +64,8 @@
         Row(None, true, &[Unknown, Ran], &["r-1.0", "r-1.1"], 0, 0),
         Row(None, false, &[Ran], &["r-1.0", "r-1.0"], 0, 0),
         Row(None, false, &[NotRun], &["r-1.0"], 0, 1),
+        Row(None, false, &[Unknown, NotRun], &["r-1.0"], 0, 0),
+        Row(None, false, &[Unknown, NotRun], &["r-1.1"], 0, 1),
     ];
 
     for (number, Row(key, once, outcomes, ran, double_runs, false_not_run)) in
