--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -36,6 +36,7 @@
 use crate::edge::message::CallerEvent;
 use crate::edge::message::LocalEvent;
 use crate::edge::target_client::TargetClient;
+use crate::node::calls::suspected::Suspected;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
 use crate::node::decisions::DecisionLog;
@@ -49,6 +50,7 @@
 mod keys;
 mod local;
 mod moving;
+mod suspected;
 mod target;
 
 use entry::EntryCalls;
@@ -101,6 +103,7 @@
     admission: Admission,
     entry: EntryCalls,
     local: LocalTarget,
+    suspected: Suspected,
     /// Peer addresses, sorted by node.
     addresses: Vec<NodeAddress>,
     is_serving: bool,
@@ -143,6 +146,7 @@
             moves: parts.moves,
             entry: EntryCalls::default(),
             local: LocalTarget::default(),
+            suspected: Suspected::default(),
             addresses: Vec::new(),
             is_serving: false,
             ticks: 0,
@@ -155,6 +159,9 @@
         let actions = self.keys.tick(now);
         self.perform_keys(cx, actions);
         self.advance_admission(cx);
+        for node in self.suspected.take_ended(now.at) {
+            self.router.set_suspected(&node, false);
+        }
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY) {
             self.router.expire(now);
