Show evidence, summary and times in the HTML report

Read as text, the page had one wide table without any time, a plot without a unit for its axis, and said "0.000 s from fault to stop" when the judge saw the fault and sent the stop in one verdict. It now begins with a count by outcome, and each move has a section with its times, plot and evidence by route and region. No browser was at hand to look at it as a picture.

--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod stats;
 pub mod window;
 
+mod page;
 mod plot;
 mod plugin;
 mod tracked;
--- a/crates/moves/src/report.rs
+++ b/crates/moves/src/report.rs
@@ -2,8 +2,6 @@
 //!
 //! Every line names the revisions and decision ids that prove it.
 
-use std::fmt::Write;
-
 use hemlockfall_core::catalogue::ChangeRecord;
 use hemlockfall_core::catalogue::MoveState;
 use hemlockfall_core::catalogue::MoveStatus;
@@ -20,7 +18,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::judge::HOLD_PREFIX;
-use crate::plot;
+use crate::page;
 use crate::record::CellRecord;
 use crate::record::MoveResult;
 use crate::record::Point;
@@ -148,30 +146,11 @@
     /// # Errors
     /// [`Error::ReportFailed`] when a plot cannot be drawn.
     pub fn to_html(&self) -> Result<String> {
-        let mut rows = String::new();
-        let mut plots = String::new();
-        for line in &self.lines {
-            let cells = line.cells().map(|cell| escape(&cell)).join("</td><td>");
-            // Writing to a string cannot fail.
-            let _ = writeln!(rows, "<tr><td>{cells}</td></tr>");
-            if !line.points.is_empty() {
-                let title = format!("{} {} to {}", line.service, line.from, line.to);
-                let svg = plot::svg(&line.points)?;
-                let _ = writeln!(plots, "<h2>{}</h2>\n{svg}", escape(&title));
-            }
-        }
-        let headings = HEADINGS.join("</th><th>");
-        Ok(format!(
-            "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Moves</title>\
-             <style>body{{font-family:sans-serif}}td,th{{padding:2px 8px;text-align:left}}</style>\
-             </head><body>\n<h1>Moves at revision {}</h1>\n<table><tr><th>{headings}</th></tr>\n{rows}</table>\n\
-             {plots}</body></html>\n",
-            self.revision
-        ))
+        page::render(self)
     }
 }
 
-const HEADINGS: [&str; 6] = [
+pub(crate) const HEADINGS: [&str; 6] = [
     "service",
     "versions",
     "outcome",
@@ -181,7 +160,11 @@
 ];
 
 impl Line {
-    fn cells(&self) -> [String; 6] {
+    pub(crate) fn outcome_text(&self) -> String {
+        self.outcome.text()
+    }
+
+    pub(crate) fn cells(&self) -> [String; 6] {
         let join = |items: Vec<String>| items.join(" ");
         [
             self.service.to_string(),
@@ -206,9 +189,12 @@
                 fault_to_stop_ms,
                 faulty_requests,
             } => {
-                let stop = fault_to_stop_ms.map_or_else(String::new, |ms| {
-                    format!(", {} from fault to stop", seconds(ms))
-                });
+                // The judge often sees the fault and sends the stop in the same verdict.
+                let stop = match fault_to_stop_ms {
+                    None => String::new(),
+                    Some(0) => ", stopped as soon as the evidence showed the fault".to_owned(),
+                    Some(ms) => format!(", {} from fault to stop", seconds(*ms)),
+                };
                 let requests = faulty_requests.map_or_else(
                     || ", no decision record yet".to_owned(),
                     |count| format!(", {count} requests met the fault"),
@@ -375,10 +361,3 @@
         .collect();
     format!("{}\n", padded.join("  ").trim_end())
 }
-
-fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
-        .replace('"', "&quot;")
-}
--- a/crates/moves/tests/owner.rs
+++ b/crates/moves/tests/owner.rs
@@ -16,7 +16,9 @@
 use hemlockfall_moves::owner::Input;
 use hemlockfall_moves::owner::Owner;
 use hemlockfall_moves::owner::ReadBackAnswer;
+use hemlockfall_moves::record::CellRecord;
 use hemlockfall_moves::report::Report;
+use hemlockfall_moves::window::Counts;
 use quickcheck::QuickCheck;
 
 use common::START_UNIX_MS;
@@ -412,7 +414,7 @@
     let mut store = Store::with_move();
     let mut judge = owner("node-1", &store, 0);
     run(&mut judge, &mut store, 0, 115_000);
-    let results: Vec<_> = store
+    let mut results: Vec<_> = store
         .log
         .iter()
         .filter_map(|action| match action {
@@ -422,6 +424,14 @@
         .take(1)
         .collect();
 
+    results[0].evidence.push(CellRecord {
+        route: "orders".into(),
+        region: "<east>".into(),
+        old: Counts::default(),
+        new: Counts::default(),
+        guards_tripped: 7,
+    });
+
     let report = Report::build(&store.catalogue, &results, START_UNIX_MS + 120_000);
 
     let line = report.lines.first().expect("one move");
@@ -435,5 +445,7 @@
         report.to_table()
     );
     assert!(page.contains("<svg") && !page.contains("<script"));
+    assert!(page.contains("1 completed on time") && page.contains("attempts, new"));
+    assert!(page.contains("<td>&lt;east&gt;</td>") && page.contains("\"number\">7<"));
     assert!(json.contains("\"on-time\""), "{json}");
 }
