Confirm a failure on a route with little traffic by a few more requests

The judge needs three failures for a verdict.

After a failure of the new version on a route with less than one request a second, the next two requests of that route and proxy go to the new version beyond its share, at most four per move. They never come before the first evidence. The request path tells the guard whether the plan gives the request to the new version; a cap above all shares sends a confirmation.

A larger first share and trial requests before any failure were ruled out, as they break the bound of 20 permille before the first evidence.

--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -31,6 +31,7 @@
 use crate::node::calls::Calls;
 use crate::node::calls::answer;
 use crate::node::calls::local::Origin;
+use crate::node::calls::moving;
 use crate::node::calls::now_of;
 use crate::wire::AnswerFrame;
 use crate::wire::AttemptEnd;
@@ -198,8 +199,9 @@
         let proxy = self.proxy.rw(cx);
         self.router
             .set_store_down_since(proxy.store_down_since_unix_ms());
-        let cap = |service: &str, route: &str, _: &str| {
-            proxy.permitted_permille(service, route, now.unix_ms)
+        let cap = |service: &str, route: &str, in_share| {
+            let choice = proxy.permit(service, route, in_share, now.unix_ms);
+            moving::cap_permille(choice, in_share)
         };
         Call::start(&call_request, &mut self.router, cap, now)
     }
--- a/crates/hemlockfall/src/node/calls/moving.rs
+++ b/crates/hemlockfall/src/node/calls/moving.rs
@@ -1,10 +1,13 @@
 //! What the moves learn of attempts.
 
+use hemlockfall_core::units::FULL_PERMILLE;
 use hemlockfall_core::units::duration_ms;
 use hemlockfall_moves::guard;
+use hemlockfall_moves::guard::Choice;
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::outcome::AttemptResult;
 use hemlockfall_request::outcome::Reason;
+use hemlockfall_request::route::CONFIRM_PERMILLE;
 use stakker::CX;
 use stakker::call;
 
@@ -43,6 +46,15 @@
     }
 }
 
+/// The cap that makes the request path follow the guard's choice.
+pub fn cap_permille(choice: Choice, in_share: bool) -> u16 {
+    match choice {
+        Choice::Old => 0,
+        Choice::New | Choice::Trial if in_share => FULL_PERMILLE,
+        Choice::New | Choice::Trial => CONFIRM_PERMILLE,
+    }
+}
+
 /// What an attempt says about the version that ran it; `None` when it did not run or when only
 /// the way to it failed.
 fn outcome_of(result: AttemptResult) -> Option<guard::Outcome> {
--- a/crates/moves/examples/timing.rs
+++ b/crates/moves/examples/timing.rs
@@ -32,7 +32,7 @@
     let at = |number: u32| START_UNIX_MS + u64::from(number / 1_000);
     let service = |number: u32| names[number as usize % SERVICES].as_str();
     measure("permission of the guard", |number| {
-        black_box(proxy.permitted_permille(service(number), "orders", at(number)));
+        black_box(proxy.permit(service(number), "orders", true, at(number)));
     });
     measure("side of the version", |number| {
         black_box(proxy.side(service(number), "orders", "v2"));
--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -23,6 +23,13 @@
 pub const TRIAL_INTERVAL_MS: u64 = 1_000;
 /// Successful trial requests in a row that lift a cut.
 const TRIALS_TO_HEAL: u32 = 5;
+/// Attempts in the window below which a route has little traffic: one a second.
+const LITTLE_TRAFFIC_ATTEMPTS: u32 = 10;
+/// Confirmations after one failure; with it they make the three failures of a verdict.
+const CONFIRMATIONS: u32 = 2;
+/// Most confirmations per move, route and proxy, so that a bad version gets few of them while no
+/// judge is in reach.
+const MAX_CONFIRMATIONS: u32 = 4;
 /// Longest time from a failed trial to the next one; bounds the requests that a bad version gets.
 const MAX_CUT_MS: u64 = 40_000;
 
@@ -108,6 +115,10 @@
     old: Window,
     new: Window,
     permit: Permit,
+    /// Requests beyond the share that the new version gets next.
+    confirmations: u32,
+    /// Confirmations that the move may still use.
+    confirmations_left: u32,
 }
 
 /// `Guard` watches one move on one proxy.
@@ -136,6 +147,8 @@
                 old: Window::default(),
                 new: Window::default(),
                 permit: Permit::Open,
+                confirmations: 0,
+                confirmations_left: MAX_CONFIRMATIONS,
             })
             .collect();
         Some(Self {
@@ -196,12 +209,16 @@
         hash_permille: u16,
         now_unix_ms: u64,
     ) -> Choice {
-        if self.stopped || hash_permille >= share_permille {
+        if self.stopped || share_permille == 0 {
             return Choice::Old;
         }
+        let in_share = hash_permille < share_permille;
         let Some(guard) = self.find_mut(route) else {
-            return Choice::New;
+            return if in_share { Choice::New } else { Choice::Old };
         };
+        if !in_share {
+            return guard.confirm();
+        }
         match &mut guard.permit {
             Permit::Open => Choice::New,
             Permit::Cut {
@@ -275,6 +292,26 @@
 pub const HEALED: &str = "guard-healed";
 
 impl RouteGuard {
+    /// Chooses the version of a request that the plan gives to the old version.
+    fn confirm(&mut self) -> Choice {
+        if self.permit != Permit::Open || self.confirmations == 0 {
+            return Choice::Old;
+        }
+        self.confirmations -= 1;
+        Choice::New
+    }
+
+    /// Asks for confirmations after a failure on a route with little traffic: at the first step's
+    /// share, the judge would wait minutes there for the failures that a verdict needs.
+    fn note_failure(&mut self, now_unix_ms: u64) {
+        let attempts = self.old.total(now_unix_ms).attempts + self.new.total(now_unix_ms).attempts;
+        if attempts < LITTLE_TRAFFIC_ATTEMPTS {
+            let granted = CONFIRMATIONS.min(self.confirmations_left);
+            self.confirmations_left -= granted;
+            self.confirmations += granted;
+        }
+    }
+
     fn on_new(
         &mut self,
         result: &AttemptResult,
@@ -287,6 +324,9 @@
         match self.permit {
             Permit::Open => {
                 self.new.add(counts, now_unix_ms);
+                if result.outcome == Outcome::Failed {
+                    self.note_failure(now_unix_ms);
+                }
                 let reason = self.fault(limit_permille, min_attempts, now_unix_ms)?;
                 self.permit = Permit::Cut {
                     next_trial_unix_ms: now_unix_ms + cut_ms,
--- a/crates/moves/src/proxy.rs
+++ b/crates/moves/src/proxy.rs
@@ -126,17 +126,24 @@
         }
     }
 
-    /// `permitted_permille` is the share that the guard permits for one request that the plan
-    /// gives to the new version: everything, for trial requests as well, or nothing. Each call
-    /// takes up a trial that is due, so it is made once per request.
-    pub fn permitted_permille(&mut self, service: &str, route: &str, now_unix_ms: u64) -> u16 {
+    /// `permit` picks the version of a request that the plan gives to the new version
+    /// (`in_share`) or to the old one. Each call takes up a trial or a confirmation that is due,
+    /// so it is made once per request.
+    pub fn permit(
+        &mut self,
+        service: &str,
+        route: &str,
+        in_share: bool,
+        now_unix_ms: u64,
+    ) -> Choice {
         let full = hemlockfall_core::units::FULL_PERMILLE;
-        let Some(moving) = self.find(service) else {
-            return full;
-        };
-        match moving.guard.choose(route, full, 0, now_unix_ms) {
-            Choice::Old => 0,
-            Choice::New | Choice::Trial => full,
+        match self.find(service) {
+            Some(moving) => {
+                let hash_permille = if in_share { 0 } else { full };
+                moving.guard.choose(route, full, hash_permille, now_unix_ms)
+            }
+            None if in_share => Choice::New,
+            None => Choice::Old,
         }
     }
 
--- a/crates/moves/tests/guard.rs
+++ b/crates/moves/tests/guard.rs
@@ -257,14 +257,14 @@
     let permitted: Vec<u64> = (0..8_000)
         .step_by(100)
         .filter(|after_ms| {
-            proxy.permitted_permille("order-desk", "orders", cut_ms + after_ms) == 1_000
+            proxy.permit("order-desk", "orders", true, cut_ms + after_ms) == Choice::Trial
         })
         .collect();
 
     assert_eq!(permitted, vec![5_000, 6_000, 7_000]);
     assert_eq!(
-        proxy.permitted_permille("order-desk", "lookup", cut_ms),
-        1_000
+        proxy.permit("order-desk", "lookup", true, cut_ms),
+        Choice::New
     );
 }
 
@@ -292,3 +292,27 @@
         );
     }
 }
+
+/// Guards against a failure on a route with little traffic that the judge can confirm only after
+/// minutes, and against more than a few requests beyond the share, or any on a busy route.
+#[test]
+fn failure_with_little_traffic_is_confirmed_by_few_requests() {
+    for (busy, confirmations) in [(false, 4), (true, 0)] {
+        let (entry, start_ms) = entry_with_move(120_000);
+        let mut proxy = proxy_with(&entry);
+        let mut sent = 0;
+
+        for now_ms in (start_ms..start_ms + 60_000).step_by(3_000) {
+            for _ in 0..if busy { 20 } else { 1 } {
+                let old = attempt("orders", Side::Old, Outcome::Succeeded, 20);
+                proxy.handle(Input::Attempt(old), now_ms);
+            }
+            let failed = attempt("orders", Side::New, Outcome::Failed, 20);
+            proxy.handle(Input::Attempt(failed), now_ms);
+            let choice = proxy.permit("order-desk", "orders", false, now_ms);
+            sent += u32::from(choice == Choice::New);
+        }
+
+        assert_eq!(sent, confirmations, "busy: {busy}");
+    }
+}
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -186,8 +186,8 @@
 impl Call {
     /// `start` routes a request and sends its first attempt.
     ///
-    /// `cap` is the local guard's limit of a version's share (service, route, version), in
-    /// permille.
+    /// `cap` is the local guard's limit of a new version's share, as in
+    /// [`route::choose_version`].
     ///
     /// # Errors
     /// [`Reason::NoService`], [`Reason::NoRoute`] and [`Reason::FingerprintRefused`]: answer the
@@ -199,7 +199,7 @@
         now: Now,
     ) -> Result<(Self, Vec<CallAction>), Reason>
     where
-        F: FnMut(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, bool) -> u16,
     {
         let mut call = Self::route(request, router, cap, now)?;
         if call.is_refused(router, now) {
@@ -357,7 +357,7 @@
         now: Now,
     ) -> Result<Self, Reason>
     where
-        F: FnMut(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, bool) -> u16,
     {
         let found = router.routes().find(request.host, request.path)?;
         let entry = router.routes().entry(found);
--- a/crates/request/src/route.rs
+++ b/crates/request/src/route.rs
@@ -13,6 +13,9 @@
 use crate::outcome::Result;
 use crate::placement::mix;
 
+/// `CONFIRM_PERMILLE` is the cap of a request that confirms a failure of the new version.
+pub const CONFIRM_PERMILLE: u16 = u16::MAX;
+
 /// `RouteTable` is a configuration with its routes in matching order.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
@@ -101,9 +104,10 @@
 /// `choose_version` returns the version that serves a request. The choice depends on the request
 /// id, so retries stay with one version, and a growing share only moves requests to the new one.
 ///
-/// `cap` is the limit that the local guard sets on the share of a new version, in permille. It is
-/// asked once, and only for a request that the plan gives to the new version, so that a guard can
-/// count the trial requests that it permits.
+/// `cap` is the limit that the local guard sets on the share of a new version, in permille; it is
+/// told the service, the route and whether the plan gives the request to the new version. It is
+/// asked once per request of a move, so that a guard can count the requests that it permits.
+/// [`CONFIRM_PERMILLE`] gives the request to the new version whatever the plan says.
 #[must_use]
 pub fn choose_version<'a, F>(
     entry: &'a ServiceEntry,
@@ -112,7 +116,7 @@
     mut cap: F,
 ) -> &'a VersionName
 where
-    F: FnMut(&str, &str, &str) -> u16,
+    F: FnMut(&str, &str, bool) -> u16,
 {
     if let Some(version) = &route.version {
         return version;
@@ -125,12 +129,14 @@
         return &entry.active_version;
     };
     let planned_permille = entry.share_permille(share.now_unix_ms, share.store_down_since_unix_ms);
-    let position = request_position(share.request_id, state.move_id);
-    if position >= u64::from(planned_permille) {
+    if planned_permille == 0 {
         return &state.from;
     }
-    let cap_permille = cap(&entry.service, &route.name, &state.to);
-    if position < u64::from(cap_permille) {
+    let position = request_position(share.request_id, state.move_id);
+    let in_share = position < u64::from(planned_permille);
+    let cap_permille = cap(&entry.service, &route.name, in_share);
+    let within_cap = in_share && position < u64::from(cap_permille);
+    if within_cap || cap_permille == CONFIRM_PERMILLE {
         &state.to
     } else {
         &state.from
--- a/crates/request/tests/routing.rs
+++ b/crates/request/tests/routing.rs
@@ -234,20 +234,28 @@
 }
 
 /// Guards against a guard that counts trial requests for traffic that stays with the old version
-/// anyway, and so never sends one.
+/// anyway, and against a confirmation that the request path does not send.
 #[test]
-fn guard_is_asked_only_for_the_share_of_the_plan() {
+fn guard_is_told_the_share_of_the_plan() {
     let entry = entry_with_move(100);
-    let mut asked = 0;
+    let route = &entry.routes[1];
+    let mut in_share = 0;
 
     for request in 0..10_000 {
-        let cap = |_: &str, _: &str, _: &str| {
-            asked += 1;
+        let mut told = false;
+        let refuse = |_: &str, _: &str, planned| {
+            told = planned;
             0
         };
-        let version = route::choose_version(&entry, &entry.routes[1], share(request), cap);
-        assert_eq!(version, "v1");
+        let refused = route::choose_version(&entry, route, share(request), refuse);
+        let confirm = |_: &str, _: &str, _| route::CONFIRM_PERMILLE;
+        let confirmed = route::choose_version(&entry, route, share(request), confirm);
+        let open = |_: &str, _: &str, _| 1_000;
+        let planned = route::choose_version(&entry, route, share(request), open);
+        assert_eq!((refused.as_str(), confirmed.as_str()), ("v1", "v2"));
+        assert_eq!(told, planned == "v2");
+        in_share += u32::from(told);
     }
 
-    assert!((800..1_200).contains(&asked), "{asked} of 10000");
+    assert!((800..1_200).contains(&in_share), "{in_share} of 10000");
 }
