--- a/crates/hemlockfall/src/node/dispatch.rs
+++ b/crates/hemlockfall/src/node/dispatch.rs
@@ -106,7 +106,11 @@
         } = event
         {
             let peer = peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
-            self.malformed(now, &peer, "the link carried what cannot be decoded; it is closed");
+            self.malformed(
+                now,
+                &peer,
+                "the link carried what cannot be decoded; it is closed",
+            );
         }
     }
 
