--- a/crates/hemlockfall/src/node/dispatch.rs
+++ b/crates/hemlockfall/src/node/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::node::calls::Calls;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
+use crate::node::moves::Moves;
 use crate::wire::ControlMessage;
 use crate::wire::LinkMessage;
 
@@ -31,6 +32,8 @@
     pub control: Actor<Control>,
     /// Request path.
     pub calls: Actor<Calls>,
+    /// Moves.
+    pub moves: Actor<Moves>,
     /// TCP links.
     pub links: Actor<Links>,
 }
@@ -60,7 +63,7 @@
     )]
     pub fn datagram(&mut self, cx: CX![], received: Received) {
         match ControlMessage::decode(&received.content) {
-            Ok(message) => self.control(received.from, Box::new(message)),
+            Ok(message) => self.control(cx.now(), received.from, message),
             Err(error) => {
                 let from = received.from.to_string();
                 self.malformed(cx.now(), &from, &error.to_string());
@@ -75,7 +78,7 @@
                 link,
                 peer,
                 content,
-            } => self.link_message(link, peer, &content),
+            } => self.link_message(cx.now(), link, peer, &content),
             event @ (LinkEvent::Lost { .. } | LinkEvent::Refused { .. }) => {
                 self.note_malformed_link(cx.now(), &event);
                 call!([self.receivers.calls], link_event(event));
@@ -83,9 +86,9 @@
         }
     }
 
-    fn link_message(&mut self, link: LinkId, peer: SocketAddr, content: &[u8]) {
+    fn link_message(&mut self, now: Instant, link: LinkId, peer: SocketAddr, content: &[u8]) {
         match LinkMessage::decode(content) {
-            Ok(LinkMessage::Control(message)) => self.control(peer, message),
+            Ok(LinkMessage::Control(message)) => self.control(now, peer, *message),
             Ok(message) => call!([self.receivers.calls], link_message(link, message)),
             Err(error) => {
                 let peer = peer.to_string();
@@ -114,12 +117,22 @@
         }
     }
 
-    fn control(&mut self, from: SocketAddr, message: Box<ControlMessage>) {
-        call!([self.receivers.control], receive(from, message));
+    fn control(&mut self, now: Instant, from: SocketAddr, message: ControlMessage) {
+        match message {
+            ControlMessage::Evidence { to, message } => match message.check() {
+                Ok(()) => call!([self.receivers.moves], evidence(to, Box::new(message))),
+                Err(error) => {
+                    metrics::counter!("hemlockfall_evidence_refused_total").increment(1);
+                    self.malformed(now, &from.to_string(), &error.to_string());
+                }
+            },
+            other => call!([self.receivers.control], receive(from, Box::new(other))),
+        }
     }
 
     /// `control_output` passes news of membership and distribution on.
     pub fn control_output(&mut self, _: CX![], output: ControlOutput) {
+        call!([self.receivers.moves], control_output(output.clone()));
         call!([self.receivers.calls], control_output(output));
     }
 
