Tell all nodes of a store outage, and add the distribution bench

A node that does not read the store did not learn that it is down, so `on_outage = "freeze"` had no effect there. Watchers and relays of a region now spread a notice while their reads fail; it lives for 15 s and is renewed every 6 s. The router gets the begin of the outage. The watch restarts from version 0 after a failure: a watch that found the catalogue unchanged did not report that the store answers again.

`cargo xtask bench distribute` starts real nodes in 3 regions and 7 data centres, with a hidden settings section `emulation` for the distances, and measures them against nodes that all watch the store. Control bytes are counted by distance, with packet headers.

--- a/crates/hemlockfall/src/edge/datagrams.rs
+++ b/crates/hemlockfall/src/edge/datagrams.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use stakker::CX;
 use stakker::Fwd;
+use stakker::after;
 use stakker::fwd;
 use stakker::fwd_to;
 use stakker_mio::MioPoll;
@@ -13,6 +15,8 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::UdpSocket;
 
+use crate::edge::emulation::Emulation;
+
 /// `DATAGRAM_LIMIT_BYTES` is the largest datagram sent; it fits the usual Ethernet MTU.
 pub const DATAGRAM_LIMIT_BYTES: usize = 1200;
 
@@ -31,15 +35,25 @@
 /// `Datagrams` is the actor that owns the UDP socket.
 pub struct Datagrams {
     queue: UdpServerQueue,
+    emulation: Option<Emulation>,
     received: Fwd<Received>,
 }
 
 impl Datagrams {
     /// `init` binds the socket and starts to receive.
-    pub fn init(cx: CX![], address: SocketAddr, received: Fwd<Received>) -> Option<Self> {
+    pub fn init(
+        cx: CX![],
+        address: SocketAddr,
+        emulation: Option<Emulation>,
+        received: Fwd<Received>,
+    ) -> Option<Self> {
         match Self::open(cx, address) {
             Ok(queue) => {
-                let mut datagrams = Self { queue, received };
+                let mut datagrams = Self {
+                    queue,
+                    emulation,
+                    received,
+                };
                 datagrams.receive_all();
                 Some(datagrams)
             }
@@ -83,7 +97,18 @@
     }
 
     /// `send` sends one datagram; losses are tolerated by the protocols above.
-    pub fn send(&mut self, _: CX![], to: SocketAddr, content: Vec<u8>) {
+    pub fn send(&mut self, cx: CX![], to: SocketAddr, content: Vec<u8>) {
+        let now = cx.now();
+        match &mut self.emulation {
+            None => self.transmit(cx, to, content),
+            Some(emulation) => {
+                let delay = emulation.delay(to, content.len(), now);
+                after!(delay, [cx], transmit(to, content));
+            }
+        }
+    }
+
+    fn transmit(&mut self, _: CX![], to: SocketAddr, content: Vec<u8>) {
         self.queue.push(to, content);
         if let Err(error) = self.queue.flush() {
             spdlog::debug!("UDP send failed", kv: { to = to.to_string(), error = error.to_string() });
--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -22,6 +22,7 @@
 use stakker_mio::mio::net::TcpListener;
 use stakker_mio::mio::net::TcpStream;
 
+use crate::edge::emulation::Emulation;
 use crate::edge::links::link::Link;
 use crate::edge::links::link::LinkState;
 
@@ -52,6 +53,8 @@
     pub queue_limit_bytes: usize,
     /// Links that peers may open.
     pub max_incoming: usize,
+    /// Emulation of distance, for measurements.
+    pub emulation: Option<Emulation>,
 }
 
 /// `LossReason` tells why a link ended.
@@ -194,6 +197,17 @@
 
     /// `send` queues a message for a peer, opening a link when there is none.
     pub fn send(&mut self, cx: CX![], peer: SocketAddr, tag: Tag, content: Vec<u8>) {
+        let now = cx.now();
+        match &mut self.options.emulation {
+            None => self.enqueue(cx, peer, tag, content),
+            Some(emulation) => {
+                let delay = emulation.delay(peer, content.len(), now);
+                after!(delay, [cx], enqueue(peer, tag, content));
+            }
+        }
+    }
+
+    fn enqueue(&mut self, cx: CX![], peer: SocketAddr, tag: Tag, content: Vec<u8>) {
         let Some(id) = self.usable(peer).or_else(|| self.connect(cx, peer)) else {
             fwd!([self.events], LinkEvent::Refused { peer, tag });
             return;
@@ -214,6 +228,18 @@
     /// `reply` sends a message back on the link that a message came on; it is dropped when the
     /// link is gone, since the peer then asks again.
     pub fn reply(&mut self, cx: CX![], link: LinkId, content: Vec<u8>) {
+        let now = cx.now();
+        let peer = self.link_mut(link).and_then(|found| found.peer);
+        match (&mut self.options.emulation, peer) {
+            (Some(emulation), Some(peer)) => {
+                let delay = emulation.delay(peer, content.len(), now);
+                after!(delay, [cx], answer(link, content));
+            }
+            _ => self.answer(cx, link, content),
+        }
+    }
+
+    fn answer(&mut self, cx: CX![], link: LinkId, content: Vec<u8>) {
         let now = cx.now();
         let Some(found) = self.link_mut(link) else {
             return;
--- a/crates/hemlockfall/src/edge/mod.rs
+++ b/crates/hemlockfall/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller_server;
 pub mod callers;
 pub mod datagrams;
+pub mod emulation;
 pub mod frame;
 pub mod http;
 pub mod http1;
--- a/crates/hemlockfall/src/edge/plugin.rs
+++ b/crates/hemlockfall/src/edge/plugin.rs
@@ -121,7 +121,22 @@
             MetricSpec {
                 name: "hemlockfall_control_sent_bytes_total",
                 kind: MetricKind::Counter,
-                help: "bytes of control messages sent to other nodes",
+                help: "bytes of control messages sent to other nodes, with packet headers",
+            },
+            MetricSpec {
+                name: "hemlockfall_control_sent_to_data_centres_bytes_total",
+                kind: MetricKind::Counter,
+                help: "of these, bytes sent to other data centres of the region",
+            },
+            MetricSpec {
+                name: "hemlockfall_control_sent_to_regions_bytes_total",
+                kind: MetricKind::Counter,
+                help: "of these, bytes sent to other regions, over the link billed by volume",
+            },
+            MetricSpec {
+                name: "hemlockfall_members",
+                kind: MetricKind::Gauge,
+                help: "live nodes that this node knows, with itself",
             },
             MetricSpec {
                 name: "hemlockfall_malformed_messages_total",
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -169,7 +169,10 @@
                 }
             }
             ControlOutput::Item { item, lifetime_ms } => self.item(&item, lifetime_ms, now),
-            ControlOutput::Roles(_) | ControlOutput::StoreReachable(_) => {}
+            ControlOutput::StoreDownSince(since_unix_ms) => {
+                self.router.set_store_down_since(since_unix_ms);
+            }
+            ControlOutput::Roles(_) => {}
         }
     }
 
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -35,10 +35,13 @@
 use crate::edge::datagrams::Datagrams;
 use crate::edge::links::Links;
 use crate::node::health::Health;
+use crate::node::sent_bytes::SentBytes;
 use crate::node::status;
 use crate::node::status::StatusBoard;
 use crate::node::store_io::StoreEvent;
 use crate::node::store_io::StoreIo;
+use crate::node::store_outage::NOTICE_LIFETIME;
+use crate::node::store_outage::StoreOutage;
 use crate::wire::ControlMessage;
 use crate::wire::LinkMessage;
 
@@ -69,8 +72,8 @@
     },
     /// Member lists and roles changed.
     Roles(Arc<Roles>),
-    /// The store answered or did not answer this node.
-    StoreReachable(bool),
+    /// Since when the store does not answer, in unix milliseconds; `None` when it answers.
+    StoreDownSince(Option<u64>),
 }
 
 /// `Accepted` is a change that an operator's call just made.
@@ -104,6 +107,8 @@
     pub health: Arc<Health>,
     /// State as operators see it.
     pub board: StatusBoard,
+    /// Whether the node watches the store itself and exchanges nothing, for measurements.
+    pub is_baseline: bool,
     /// Receives the outputs.
     pub outputs: Fwd<ControlOutput>,
 }
@@ -114,7 +119,10 @@
     awaited: Vec<AwaitedCopies>,
     has_peers: bool,
     next_contacts: Instant,
-    sent_bytes: metrics::Counter,
+    sent_bytes: SentBytes,
+    members_gauge: metrics::Gauge,
+    store_outage: StoreOutage,
+    store_down_since_unix_ms: Option<u64>,
 }
 
 impl Control {
@@ -123,19 +131,28 @@
         after!(TICK, [cx], tick());
         let own = parts.membership.own().clone();
         fwd!([parts.outputs], ControlOutput::Endpoint(own));
-        let sent_bytes = metrics::counter!("hemlockfall_control_sent_bytes_total");
+        let mut parts = parts;
+        if parts.is_baseline {
+            parts.store.watch();
+        }
         Some(Self {
             parts,
             awaited: Vec::new(),
             has_peers: false,
             next_contacts: cx.now() + CONTACTS_INTERVAL,
-            sent_bytes,
+            sent_bytes: SentBytes::default(),
+            members_gauge: metrics::gauge!("hemlockfall_members"),
+            store_outage: StoreOutage::default(),
+            store_down_since_unix_ms: None,
         })
     }
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now = cx.now();
+        if self.parts.is_baseline {
+            return;
+        }
         let actions = self.parts.membership.tick(now);
         self.perform_membership(actions);
         if !self.has_peers && self.parts.membership.is_joined() {
@@ -144,6 +161,8 @@
         let actions = self.parts.distribution.tick(now);
         self.perform_distribution(actions);
         self.answer_copies(now);
+        self.store_outage.expire(now);
+        self.publish_store_outage();
         self.update_board();
         if now >= self.next_contacts {
             self.next_contacts = now + CONTACTS_INTERVAL;
@@ -156,6 +175,8 @@
     fn update_board(&self) {
         let membership = &self.parts.membership;
         let members = membership.table().live_records().count() + 1;
+        self.members_gauge
+            .set(f64::from(u32::try_from(members).unwrap_or(u32::MAX)));
         let state = format!("{:?}", membership.own().state).to_lowercase();
         self.parts.board.update(|status| {
             status.members = members;
@@ -185,27 +206,67 @@
         match event {
             StoreEvent::Contacts(contacts) => self.parts.membership.handle_contacts(&contacts),
             StoreEvent::Catalogue(result) => {
-                let is_reachable = result != StoreResult::Unreachable;
-                self.note_store(is_reachable);
-                let actions = self.parts.distribution.handle_store(result, cx.now());
+                let now = cx.now();
+                if self.parts.is_baseline {
+                    return self.apply_as_baseline(result);
+                }
+                self.note_store(result != StoreResult::Unreachable, now);
+                let actions = self.parts.distribution.handle_store(result, now);
                 self.perform_distribution(actions);
             }
         }
     }
 
-    fn note_store(&mut self, is_reachable: bool) {
-        let now_unix_ms = units::unix_ms(SystemTime::now());
-        self.parts.board.update(|status| {
-            status.store_down_since_unix_ms = match (is_reachable, status.store_down_since_unix_ms)
-            {
-                (true, _) => None,
-                (false, None) => Some(now_unix_ms),
-                (false, since) => since,
-            };
-        });
+    fn apply_as_baseline(&mut self, result: StoreResult) {
+        let StoreResult::Read(stored) = result else {
+            return;
+        };
+        if stored.configuration.revision <= self.parts.health.revision() {
+            return;
+        }
+        match Snapshot::new(stored.configuration) {
+            Ok(snapshot) => self.put_in_force(Arc::new(snapshot)),
+            Err(error) => {
+                spdlog::error!("content refused", kv: { error = error.to_string() });
+            }
+        }
+    }
+
+    /// Nodes that read the store regularly tell the others, which do not notice its outage.
+    fn note_store(&mut self, is_reachable: bool, now: Instant) {
+        if is_reachable {
+            self.store_outage.answered();
+        } else {
+            let now_unix_ms = units::unix_ms(SystemTime::now());
+            self.store_outage.failed(now_unix_ms, now);
+            let roles = self.parts.membership.roles();
+            let is_reader = roles.is_watcher || roles.region_relay_rank.is_some();
+            if is_reader && let Some(since_unix_ms) = self.store_outage.take_notice(now) {
+                let lifetime_ms = u32::try_from(NOTICE_LIFETIME.as_millis()).unwrap_or(0);
+                let item = GossipItem::StoreDown { since_unix_ms };
+                self.parts.membership.spread_item(item, lifetime_ms, now);
+            }
+        }
+        self.publish_store_outage();
+    }
+
+    fn publish_store_outage(&mut self) {
+        let since_unix_ms = self.store_outage.since_unix_ms();
+        if since_unix_ms == self.store_down_since_unix_ms {
+            return;
+        }
+        self.store_down_since_unix_ms = since_unix_ms;
+        if let Some(since) = since_unix_ms {
+            spdlog::warn!("the store does not answer", kv: { since_unix_ms = since });
+        } else {
+            spdlog::info!("the store answers again");
+        }
+        self.parts
+            .board
+            .update(|status| status.store_down_since_unix_ms = since_unix_ms);
         fwd!(
             [self.parts.outputs],
-            ControlOutput::StoreReachable(is_reachable)
+            ControlOutput::StoreDownSince(since_unix_ms)
         );
     }
 
@@ -290,11 +351,24 @@
                 }
                 Action::Learned(record) => {
                     log_placement(&record);
+                    self.sent_bytes.learn(self.parts.membership.own(), &record);
                     fwd!([self.parts.outputs], ControlOutput::Endpoint(record));
                 }
                 Action::Forgotten(node) => {
+                    let membership = &self.parts.membership;
+                    self.sent_bytes
+                        .rebuild(membership.own(), membership.table().records());
                     fwd!([self.parts.outputs], ControlOutput::Forgotten(node));
                 }
+                Action::Item {
+                    item: GossipItem::StoreDown { since_unix_ms },
+                    lifetime_ms,
+                } => {
+                    let lifetime = Duration::from_millis(u64::from(lifetime_ms));
+                    self.store_outage
+                        .heard(since_unix_ms, lifetime, Instant::now());
+                    self.publish_store_outage();
+                }
                 Action::Item { item, lifetime_ms } => {
                     fwd!(
                         [self.parts.outputs],
@@ -379,7 +453,7 @@
     fn send(&mut self, to: SocketAddr, message: ControlMessage) {
         match message.encode() {
             Ok(content) if content.len() <= DATAGRAM_LIMIT_BYTES => {
-                self.sent_bytes.increment(content.len() as u64);
+                self.sent_bytes.datagram(to, content.len());
                 call!([self.parts.datagrams], send(to, content));
             }
             Ok(_) => self.send_bulk(to, message),
@@ -392,7 +466,7 @@
     fn send_bulk(&mut self, to: SocketAddr, message: ControlMessage) {
         match LinkMessage::Control(Box::new(message)).encode() {
             Ok(content) => {
-                self.sent_bytes.increment(content.len() as u64);
+                self.sent_bytes.link(to, content.len());
                 call!([self.parts.links], send(to, 0, content));
             }
             Err(error) => {
--- a/crates/hemlockfall/src/node/mod.rs
+++ b/crates/hemlockfall/src/node/mod.rs
@@ -9,10 +9,12 @@
 pub mod dispatch;
 pub mod health;
 pub mod options;
+pub mod sent_bytes;
 pub mod signals;
 pub mod status;
 pub mod stopping;
 pub mod store_io;
+pub mod store_outage;
 
 mod run;
 
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -38,6 +38,8 @@
 use crate::edge::caller_server::CallerServer;
 use crate::edge::datagrams::Datagrams;
 use crate::edge::datagrams::Received;
+use crate::edge::emulation::Emulation;
+use crate::edge::emulation::EmulationOptions;
 use crate::edge::links::LinkEvent;
 use crate::edge::links::LinkOptions;
 use crate::edge::links::Links;
@@ -127,6 +129,7 @@
     request: hemlockfall_request::options::Options,
     operator: operator::Options,
     edge: EdgeOptions,
+    emulation: EmulationOptions,
 }
 
 impl Sections {
@@ -147,6 +150,7 @@
             request: settings.section("request")?,
             operator: settings.section("operator")?,
             edge: settings.section("edge")?,
+            emulation: settings.section("emulation")?,
         })
     }
 }
@@ -267,6 +271,7 @@
     let link_options = link_options(options);
     let received = fwd_to!([dispatch], datagram() as (Received));
     let address = options.node.peer_address;
+    let emulation = Emulation::new(&options.emulation);
     let caller_events = fwd_to!([calls], caller_event() as (CallerEvent));
     let caller_options = CallerOptions::new(options.node.caller_address, &options.edge);
     let results = fwd_to!([calls], target_event() as (TargetEvent));
@@ -278,7 +283,7 @@
         ),
         datagrams: actor!(
             stakker,
-            Datagrams::init(address, received),
+            Datagrams::init(address, emulation, received),
             ret_shutdown!(stakker)
         ),
         callers: actor!(
@@ -331,6 +336,7 @@
         store: StoreIo::start(shared.client.clone(), data_centre, store_events),
         health: Arc::clone(&shared.health),
         board: shared.board.clone(),
+        is_baseline: options.emulation.baseline,
         outputs,
     }
 }
@@ -345,6 +351,7 @@
         idle_timeout: options.edge.idle_timeout(),
         queue_limit_bytes: options.edge.link_queue_bytes,
         max_incoming: options.edge.max_incoming_links,
+        emulation: Emulation::new(&options.emulation),
     }
 }
 
--- a/crates/hemlockfall/src/node/store_io.rs
+++ b/crates/hemlockfall/src/node/store_io.rs
@@ -138,6 +138,11 @@
             Err(_) => StoreResult::Unreachable,
         };
         let changed = matches!(result, StoreResult::Read(_));
+        if result == StoreResult::Unreachable {
+            // The next watch answers at once, so that the end of the outage shows without a
+            // change of the catalogue.
+            version = 0;
+        }
         if !events.send(StoreEvent::Catalogue(result)) {
             return;
         }
--- a/crates/membership/src/items.rs
+++ b/crates/membership/src/items.rs
@@ -51,6 +51,11 @@
         /// Why.
         reason: SmolStr,
     },
+    /// The store does not answer the nodes that read it.
+    StoreDown {
+        /// When the first read failed, in unix milliseconds.
+        since_unix_ms: u64,
+    },
 }
 
 impl GossipItem {
@@ -60,6 +65,7 @@
             Self::StopMove {
                 service, reason, ..
             } => (service, reason.as_str()),
+            Self::StoreDown { .. } => return true,
         };
         hemlockfall_core::catalogue::validate::is_name(service) && reason.len() <= MAX_REASON_BYTES
     }
@@ -77,6 +83,7 @@
                     ..
                 },
             ) => service == other_service && move_id == other_move,
+            (Self::StoreDown { .. }, Self::StoreDown { .. }) => true,
             _ => self == other,
         }
     }
--- /dev/null
+++ b/xtask/src/bench/distribute.rs
@@ -0,0 +1,76 @@
+//! `bench distribute`: real nodes in 3 regions and 7 data centres on one machine, with emulated
+//! distances, against a baseline in which every node watches the store.
+
+mod catalogue;
+mod figures;
+mod fleet;
+mod herd;
+mod measure;
+mod observe;
+mod plot;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gumdrop::Options;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::harness::programs::Programs;
+
+use self::fleet::Mode;
+use self::measure::Plan;
+
+const DEFAULT_CHANGES: u32 = 10;
+/// 23,000 changes per day are one in 3.75 s.
+const DEFAULT_INTERVAL_MS: u64 = 3_750;
+const DEFAULT_IDLE_S: u64 = 15;
+
+/// `Arguments` of `bench distribute`.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, meta = "N", help = "number of nodes")]
+    nodes: usize,
+    #[options(meta = "K", help = "number of changes (default 10)")]
+    changes: Option<u32>,
+    #[options(meta = "MS", help = "time between changes (default 3750)")]
+    interval_ms: Option<u64>,
+    #[options(meta = "S", help = "time without changes (default 15)")]
+    idle_s: Option<u64>,
+    #[options(meta = "DIR", help = "directory for a plot of the convergence times")]
+    plot: Option<PathBuf>,
+    #[options(help = "measure the restart of a data centre and of all nodes instead")]
+    herd: bool,
+}
+
+/// `run` runs the bench and prints the figures.
+///
+/// # Errors
+/// A message when processes cannot be started or do not come up.
+pub fn run(arguments: &Arguments) -> Result<(), String> {
+    let programs = Programs::locate().map_err(|error| error.to_string())?;
+    if arguments.herd {
+        let figures = herd::run(&programs, arguments.nodes)?;
+        println!("{}", Value::Object(figures));
+        return Ok(());
+    }
+    let plan = Plan {
+        nodes: arguments.nodes,
+        changes: arguments.changes.unwrap_or(DEFAULT_CHANGES),
+        interval: Duration::from_millis(arguments.interval_ms.unwrap_or(DEFAULT_INTERVAL_MS)),
+        idle: Duration::from_secs(arguments.idle_s.unwrap_or(DEFAULT_IDLE_S)),
+    };
+    let product = measure::run(&programs, &plan, Mode::Product)?;
+    let baseline = measure::run(&programs, &plan, Mode::Baseline)?;
+    if let Some(directory) = &arguments.plot {
+        plot::write(directory, &product.convergence_ms, &baseline.convergence_ms)?;
+    }
+    let mut figures = Map::new();
+    figures.insert("nodes".to_owned(), plan.nodes.into());
+    product.write("", &mut figures);
+    baseline.write("baseline_", &mut figures);
+    println!("{}", Value::Object(figures));
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/bench/distribute/fleet.rs
@@ -0,0 +1,226 @@
+//! The processes of one run: the store stand-in and the nodes.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hemlockfall_store::Client;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::harness::node::NodeSpec;
+use crate::harness::ports;
+use crate::harness::process::Process;
+use crate::harness::programs::Programs;
+use crate::harness::wait;
+use crate::http;
+use crate::store::state::Counters;
+
+/// `STORE_REGION` is the region of the store.
+pub const STORE_REGION: &str = "region-a";
+
+/// Regions with their data centres.
+const PLACES: [(&str, &str); 7] = [
+    ("region-a", "a1"),
+    ("region-b", "b1"),
+    ("region-c", "c1"),
+    ("region-a", "a2"),
+    ("region-b", "b2"),
+    ("region-c", "c2"),
+    ("region-a", "a3"),
+];
+const DATA_CENTRE_DELAY_US: u32 = 1_500;
+const REGION_DELAY_US: u32 = 12_000;
+const REGION_KBIT_PER_S: u32 = 30_000;
+const START_BOUND: Duration = Duration::from_secs(30);
+/// Time between two starts, so that starting does not distort the figures.
+const STAGGER: Duration = Duration::from_millis(60);
+
+/// `Mode` is what the nodes do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// The product.
+    Product,
+    /// Every node watches the store.
+    Baseline,
+}
+
+/// `Fleet` is a set of running processes; dropping it kills them and removes its directory.
+pub struct Fleet {
+    directory: PathBuf,
+    store_address: SocketAddr,
+    /// The nodes, in the order of their processes.
+    pub nodes: Vec<NodeSpec>,
+    processes: Vec<Process>,
+    _store: Process,
+}
+
+impl Fleet {
+    /// `start` starts the store, and writes the settings of the nodes, which are not started.
+    ///
+    /// # Errors
+    /// Any error of start, or [`Error::NotReached`] when the store does not answer.
+    pub fn start(programs: &Programs, count: usize, mode: Mode) -> Result<Self> {
+        let name = format!("hemlockfall-distribute-{}-{mode:?}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)
+            .map_err(|error| Error::resource(directory.display().to_string(), error))?;
+        let store_address = ports::free_address()?;
+        let arguments = ["store".to_owned(), format!("--listen={store_address}")];
+        let arguments = arguments.map(Into::into).to_vec();
+        let store = Process::start("store", &programs.xtask, arguments, &directory)?;
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            let (region, data_centre) = PLACES[index % PLACES.len()];
+            nodes.push(NodeSpec::new(
+                &format!("node-{index:03}"),
+                region,
+                data_centre,
+            )?);
+        }
+        let fleet = Self {
+            directory,
+            store_address,
+            nodes,
+            processes: Vec::new(),
+            _store: store,
+        };
+        wait::until("store answers", START_BOUND, || {
+            fleet.counters().map_err(|error| error.to_string())
+        })?;
+        for node in &fleet.nodes {
+            fleet.write_settings(node, mode)?;
+        }
+        Ok(fleet)
+    }
+
+    /// `start_nodes` starts all nodes one after the other. The first one has time to write its
+    /// contact object, so that the others find it.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when a node cannot be started.
+    pub fn start_nodes(&mut self, programs: &Programs) -> Result<()> {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let settings = self.directory.join(format!("{}.toml", node.name));
+            let arguments = vec!["node".into(), "--settings".into(), settings.into()];
+            let process = Process::start(
+                &node.name,
+                &programs.hemlockfall,
+                arguments,
+                &self.directory,
+            )?;
+            self.processes.push(process);
+            std::thread::sleep(if index == 0 { STAGGER * 50 } else { STAGGER });
+        }
+        Ok(())
+    }
+
+    /// `client` returns a client of the store.
+    #[must_use]
+    pub fn client(&self) -> Client {
+        let options = hemlockfall_store::Options {
+            address: self.store_address,
+            region: STORE_REGION.into(),
+            ..hemlockfall_store::Options::default()
+        };
+        Client::new(options, rand::random())
+    }
+
+    /// `counters` reads the counters of the store.
+    ///
+    /// # Errors
+    /// [`Error::Http`] when it does not answer.
+    pub fn counters(&self) -> Result<Counters> {
+        http::get_json(self.store_address, "/control/counters")
+    }
+
+    /// `store_address` returns the address of the store.
+    #[must_use]
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_address
+    }
+
+    /// `log` returns what a node has logged.
+    #[must_use]
+    pub fn log(&self, index: usize) -> String {
+        let path = self
+            .directory
+            .join(format!("{}.err", self.nodes[index].name));
+        let bytes = std::fs::read(path).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// `check_running` fails when a node has ended.
+    ///
+    /// # Errors
+    /// [`Error::Process`] with the last lines of its log.
+    pub fn check_running(&mut self) -> Result<()> {
+        for process in &mut self.processes {
+            if let Some(status) = process.exited() {
+                let log = process.log_tail(3);
+                return Err(Error::process(
+                    process.name(),
+                    format!("ended with {status}: {log}"),
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// `process_id` returns the process id of a node.
+    #[must_use]
+    pub fn process_id(&self, index: usize) -> u32 {
+        self.processes[index].id()
+    }
+
+    /// `kill` kills nodes at once.
+    pub fn kill(&mut self, indices: &[usize]) {
+        for index in indices {
+            self.processes[*index].end();
+        }
+    }
+
+    /// `restart` starts nodes again at once.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when a node cannot be started.
+    pub fn restart(&mut self, indices: &[usize]) -> Result<()> {
+        indices
+            .iter()
+            .try_for_each(|index| self.processes[*index].restart())
+    }
+
+    fn write_settings(&self, node: &NodeSpec, mode: Mode) -> Result<()> {
+        let near = self.peers(|other| other.data_centre == node.data_centre);
+        let region = self
+            .peers(|other| other.region == node.region && other.data_centre != node.data_centre);
+        let mut extra = String::from("[emulation]\nenabled = true\n");
+        let _ = write!(
+            extra,
+            "data_centre_delay_us = {DATA_CENTRE_DELAY_US}\n\
+             region_delay_us = {REGION_DELAY_US}\n\
+             region_kbit_per_s = {REGION_KBIT_PER_S}\n\
+             data_centre_peers = {near:?}\n\
+             region_peers = {region:?}\n\
+             baseline = {}\n",
+            mode == Mode::Baseline
+        );
+        let path = self.directory.join(format!("{}.toml", node.name));
+        let text = node.settings(self.store_address, STORE_REGION, &extra);
+        std::fs::write(&path, text)
+            .map_err(|error| Error::resource(path.display().to_string(), error))
+    }
+
+    fn peers(&self, is_listed: impl Fn(&NodeSpec) -> bool) -> Vec<String> {
+        let listed = self.nodes.iter().filter(|node| is_listed(node));
+        listed.map(|node| node.peer_address.to_string()).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
--- /dev/null
+++ b/xtask/src/bench/distribute/measure.rs
@@ -0,0 +1,218 @@
+//! One run: start, a window without changes, a window with changes, evaluation.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use hemlockfall_core::units;
+
+use crate::bench::distribute::catalogue;
+use crate::bench::distribute::figures::Figures;
+use crate::bench::distribute::figures::Usage;
+use crate::bench::distribute::fleet::Fleet;
+use crate::bench::distribute::fleet::Mode;
+use crate::bench::distribute::fleet::STORE_REGION;
+use crate::bench::distribute::observe;
+use crate::bench::distribute::observe::Role;
+use crate::bench::distribute::observe::Sample;
+use crate::harness::programs::Programs;
+use crate::harness::wait;
+use crate::store::state::Counters;
+
+const UP_BOUND: Duration = Duration::from_mins(2);
+/// Joining leaves records to be spread; they are before the first window.
+const SETTLE: Duration = Duration::from_secs(12);
+/// A change may take up to 7 s.
+const LAST_CHANGE: Duration = Duration::from_secs(8);
+/// Store calls that the bench makes for one change: a read and a write.
+const OWN_CALLS_PER_CHANGE: f64 = 2.0;
+
+/// `Plan` is the size of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Nodes.
+    pub nodes: usize,
+    /// Changes.
+    pub changes: u32,
+    /// Time between changes.
+    pub interval: Duration,
+    /// Time without changes.
+    pub idle: Duration,
+}
+
+struct Change {
+    revision: u64,
+    begun_unix_ms: u64,
+}
+
+struct Window {
+    first: Vec<Sample>,
+    last: Vec<Sample>,
+    store_first: Counters,
+    store_last: Counters,
+    elapsed_s: f64,
+}
+
+impl Window {
+    fn usages(&self) -> Vec<Usage> {
+        let pairs = self.first.iter().zip(&self.last);
+        pairs
+            .map(|(first, last)| Usage::between(first, last))
+            .collect()
+    }
+
+    fn store_calls(&self) -> f64 {
+        let calls = |counters: &Counters| counters.reads + counters.writes;
+        count(calls(&self.store_last) - calls(&self.store_first))
+    }
+
+    fn store_bytes(&self) -> f64 {
+        count(self.store_last.body_bytes - self.store_first.body_bytes)
+    }
+}
+
+/// `run` measures one mode.
+///
+/// # Errors
+/// A message when processes cannot be started or do not come up.
+pub fn run(programs: &Programs, plan: &Plan, mode: Mode) -> Result<Figures, String> {
+    let fleet = up(programs, plan.nodes, mode)?;
+    std::thread::sleep(SETTLE);
+    let idle = window(&fleet, || {
+        std::thread::sleep(plan.idle);
+        Ok(())
+    })?;
+    let client = fleet.client();
+    let mut changes = Vec::new();
+    let changing = window(&fleet, || {
+        for number in 1..=plan.changes {
+            let next = Instant::now() + plan.interval;
+            let begun_unix_ms = units::unix_ms(SystemTime::now());
+            let revision = catalogue::change(&client, number)?;
+            changes.push(Change {
+                revision,
+                begun_unix_ms,
+            });
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        }
+        Ok(())
+    })?;
+    std::thread::sleep(LAST_CHANGE);
+    Ok(evaluate(&fleet, plan, mode, &idle, &changing, &changes))
+}
+
+/// `up` starts a fleet with a catalogue and waits until every node serves it and knows all
+/// others.
+///
+/// # Errors
+/// A message when processes cannot be started or do not come up.
+pub fn up(programs: &Programs, nodes: usize, mode: Mode) -> Result<Fleet, String> {
+    let mut fleet = Fleet::start(programs, nodes, mode).map_err(|error| error.to_string())?;
+    let revision = catalogue::write_first(&fleet.client())?;
+    let begun = Instant::now();
+    fleet
+        .start_nodes(programs)
+        .map_err(|error| error.to_string())?;
+    fleet.check_running().map_err(|error| error.to_string())?;
+    for node in &fleet.nodes {
+        let what = format!("{} is up", node.name);
+        let check = || {
+            let held = node.revision().unwrap_or(0);
+            let members = observe::members(node);
+            let is_up = held >= revision && (mode == Mode::Baseline || members == nodes);
+            let seen = format!("revision {held}, {members} members");
+            is_up.then_some(()).ok_or(seen)
+        };
+        wait::until(&what, UP_BOUND, check).map_err(|error| error.to_string())?;
+    }
+    eprintln!("{mode:?}: {nodes} nodes up after {:?}", begun.elapsed());
+    Ok(fleet)
+}
+
+fn window(fleet: &Fleet, during: impl FnOnce() -> Result<(), String>) -> Result<Window, String> {
+    let counters = || fleet.counters().map_err(|error| error.to_string());
+    let first = observe::samples(fleet);
+    let store_first = counters()?;
+    let begun = Instant::now();
+    during()?;
+    let elapsed_s = begun.elapsed().as_secs_f64();
+    let store_last = counters()?;
+    Ok(Window {
+        first,
+        last: observe::samples(fleet),
+        store_first,
+        store_last,
+        elapsed_s,
+    })
+}
+
+fn evaluate(
+    fleet: &Fleet,
+    plan: &Plan,
+    mode: Mode,
+    idle: &Window,
+    changing: &Window,
+    changes: &[Change],
+) -> Figures {
+    let mut figures = Figures::default();
+    for index in 0..fleet.nodes.len() {
+        let in_force = observe::in_force(&fleet.log(index));
+        for change in changes {
+            let reached = in_force
+                .iter()
+                .filter(|(revision, _)| *revision >= change.revision)
+                .map(|(_, at_unix_ms)| at_unix_ms.saturating_sub(change.begun_unix_ms))
+                .min();
+            match reached {
+                Some(time_ms) => figures.convergence_ms.push(count(time_ms)),
+                None => figures.missing += 1,
+            }
+        }
+    }
+    figures.convergence_ms.sort_unstable_by(f64::total_cmp);
+    let usages = changing.usages();
+    let idle_usages = idle.usages();
+    figures.idle = Usage::mean(idle_usages.iter());
+    figures.changing = Usage::mean(usages.iter());
+    figures.max_bytes_per_s = usages.iter().map(|u| u.bytes_per_s).fold(0.0, f64::max);
+    let change_count = f64::from(plan.changes);
+    let own_calls = change_count * OWN_CALLS_PER_CHANGE;
+    figures.store_calls_per_s = (changing.store_calls() - own_calls) / changing.elapsed_s;
+    figures.idle_store_calls_per_s = idle.store_calls() / idle.elapsed_s;
+    let nodes = count(u64::try_from(fleet.nodes.len()).unwrap_or(u64::MAX));
+    match mode {
+        Mode::Product => {
+            let more_per_s = figures.changing.region_bytes_per_s - figures.idle.region_bytes_per_s;
+            figures.link_bytes_per_change = more_per_s * nodes * changing.elapsed_s / change_count;
+            figures.roles = by_role(&observe::roles_of(&fleet.nodes), &usages);
+        }
+        Mode::Baseline => {
+            // The bench itself reads the catalogue once per change.
+            let per_change = changing.store_bytes() / change_count * nodes / (nodes + 1.0);
+            let is_far = |node: &&crate::harness::node::NodeSpec| node.region != STORE_REGION;
+            let far = fleet.nodes.iter().filter(is_far).count();
+            let far = count(u64::try_from(far).unwrap_or(u64::MAX));
+            figures.link_bytes_per_change = per_change * far / nodes;
+            figures.changing.bytes_per_s = per_change * change_count / nodes / changing.elapsed_s;
+        }
+    }
+    figures
+}
+
+fn by_role(roles: &[Role], usages: &[Usage]) -> Vec<(Role, Usage)> {
+    [Role::Member, Role::Watcher, Role::Relay, Role::RegionRelay]
+        .into_iter()
+        .map(|role| {
+            let pairs = roles.iter().zip(usages);
+            let held = pairs.filter(|(held, _)| **held == role);
+            (role, Usage::mean(held.map(|(_, usage)| usage)))
+        })
+        .collect()
+}
+
+/// Counts of a run are far below the 2^53 that a float holds exactly.
+fn count(number: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    let number = number as f64;
+    number
+}
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benches: each prints its figures as one JSON object on the last line.
 
+mod distribute;
 mod moves;
 
 use gumdrop::Options;
@@ -15,6 +16,8 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "configuration distribution with real nodes on one machine")]
+    Distribute(distribute::Arguments),
     #[options(help = "many seeded moves, good and bad, on simulated time")]
     Moves(moves::Arguments),
 }
@@ -25,6 +28,7 @@
 /// A message for the operator.
 pub fn run(arguments: &Arguments) -> Result<(), String> {
     match &arguments.command {
+        Some(Command::Distribute(arguments)) => distribute::run(arguments),
         Some(Command::Moves(arguments)) => moves::run(arguments),
         None => Err(Arguments::usage().to_owned()),
     }
--- a/xtask/src/harness/ports.rs
+++ b/xtask/src/harness/ports.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use rand::RngExt;
 
@@ -16,16 +18,24 @@
 const LAST_PORT: u16 = 30_000;
 const TRIES: usize = 1_000;
 
+/// Ports handed out by this process. They are not bound yet, so they would be found free again.
+static TAKEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// `free_address` finds a loopback address whose port is free for TCP and UDP.
 ///
 /// # Errors
 /// [`Error::Resource`] when no free port was found.
 pub fn free_address() -> Result<SocketAddr> {
     let mut random = rand::rng();
+    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..TRIES {
         let port = random.random_range(FIRST_PORT..LAST_PORT);
+        if taken.contains(&port) {
+            continue;
+        }
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            taken.push(port);
             return Ok(address);
         }
     }
--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -87,6 +87,12 @@
         &self.name
     }
 
+    /// `id` returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        lock(&self.child).id()
+    }
+
     /// `output` returns what the process has written to its standard output.
     #[must_use]
     pub fn output(&self) -> String {
@@ -154,7 +160,8 @@
         Ok(())
     }
 
-    fn end(&mut self) {
+    /// `end` kills the process and waits for its end.
+    pub fn end(&mut self) {
         let mut child = lock(&self.child);
         let _ = child.kill();
         let _ = child.wait();
