Notice the loss of a data centre, and keep tables equal across revisions

The revision in force was part of a node's own record without a new sequence, so after each catalogue change all tables differed and were pulled whole by comparison. It now travels with the next announcement.

A relay reached a relay of another data centre only once per round of probes, in as many seconds as its own data centre has members, and roles passed from one dead member to the next. Relays now probe one far relay each second, and a relay that finds a far relay failed probes all members of that data centre, 200 per second.

After a cut, reports that members of the own data centre have failed are checked by a probe instead of being believed: only the own data centre can tell which of its members live.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -18,3 +18,4 @@
 
 mod plugin;
 mod spread;
+mod sweep;
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -32,6 +32,7 @@
 use crate::probe::Prober;
 use crate::roles;
 use crate::roles::Roles;
+use crate::sweep::Swept;
 use crate::table::Merge;
 use crate::table::Source;
 use crate::table::Table;
@@ -64,6 +65,7 @@
     pub(crate) urgent: GossipQueue,
     pub(crate) to_data_centres: GossipQueue,
     pub(crate) to_regions: GossipQueue,
+    pub(crate) swept: Vec<Swept>,
     pub(crate) next_compare: Instant,
     admission: Admission,
     roles_changed: bool,
@@ -71,6 +73,8 @@
     next_expiry: Instant,
     next_contacts: Instant,
     written_contacts: Vec<SocketAddr>,
+    /// Revision in force, for the next announcement.
+    revision: Revision,
 }
 
 impl Membership {
@@ -91,6 +95,7 @@
             urgent: GossipQueue::default(),
             to_data_centres: GossipQueue::default(),
             to_regions: GossipQueue::default(),
+            swept: Vec::new(),
             next_compare: now,
             admission: Admission::new(options.joins_per_s, now),
             roles_changed: true,
@@ -98,6 +103,7 @@
             next_expiry: now,
             next_contacts: now,
             written_contacts: Vec::new(),
+            revision: 0,
             options,
             own,
         }
@@ -128,9 +134,11 @@
         self.joiner.is_joined()
     }
 
-    /// `set_revision` notes the revision in force; it travels with the next announcement.
+    /// `set_revision` notes the revision in force; it travels with the next announcement. The
+    /// record itself does not change before: a record that changed with every revision would
+    /// make all tables differ after each catalogue change, and be pulled whole by comparison.
     pub fn set_revision(&mut self, revision: Revision) {
-        self.own.revision = revision;
+        self.revision = revision;
     }
 
     /// `announce` announces the target. After a departure it begins the next life, since a
@@ -174,9 +182,9 @@
     pub fn handle(&mut self, from: SocketAddr, message: Message, now: Instant) -> Vec<Action> {
         match message {
             Message::Probe { id, news } => self.on_probe(from, id, news, now),
-            Message::ProbeAck { id, node, news } => self.on_probe_ack(id, &node, news, now),
+            Message::ProbeAck { id, node, news } => self.on_probe_ack(from, id, &node, news, now),
             Message::ProbeFor { id, target } => self.on_probe_for(from, id, target, now),
-            Message::Records { news } => self.learn_news(news, now),
+            Message::Records { news } => self.learn_news(from, news, now),
             Message::Join { record } => self.on_join(from, &record, now),
             Message::Joined { records } => self.on_joined(&records, now),
             Message::JoinRefused {
@@ -194,7 +202,7 @@
             Message::Buckets { digests } => self.on_buckets(from, &digests),
             Message::BucketsRequest { buckets } => self.on_buckets_request(from, buckets),
             Message::BucketsReply { buckets, records } => {
-                self.on_buckets_reply(from, buckets, &records, now)
+                self.on_buckets_reply(from, buckets, records, now)
             }
         }
     }
@@ -216,6 +224,7 @@
         actions.extend(self.expire(now));
         actions.extend(self.update_roles(now));
         actions.extend(self.update_contacts(now));
+        actions.extend(self.sweep(now));
         actions.extend(self.probe(now));
         actions.extend(self.push_changes(now));
         actions.extend(self.compare_tables(now));
@@ -224,6 +233,7 @@
 
     fn change_own(&mut self, state: EndpointState) -> Vec<Action> {
         self.own.state = state;
+        self.own.revision = self.revision;
         self.own.sequence = self.own.sequence.saturating_add(1);
         self.queue_own()
     }
@@ -235,8 +245,14 @@
         vec![Action::Learned(own)]
     }
 
-    pub(crate) fn learn_news(&mut self, news: News, now: Instant) -> Vec<Action> {
+    pub(crate) fn learn_news(
+        &mut self,
+        from: SocketAddr,
+        mut news: News,
+        now: Instant,
+    ) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.contest_reports(from, &mut news.records);
         for record in &news.records {
             actions.extend(self.learn(record, Source::News, now));
         }
@@ -444,6 +460,7 @@
             return Vec::new();
         };
         let mut failed = record.clone();
+        self.sweep_data_centre(&failed);
         failed.state = EndpointState::Failed;
         let mut actions = self.learn(&failed, Source::News, now);
         actions.push(Action::Count {
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -86,7 +86,7 @@
     next_probe: Instant,
     next_id: u32,
     order: Vec<NodeName>,
-    open: Option<Open>,
+    open: Vec<Open>,
     suspects: Vec<Suspect>,
     relayed: Vec<Relayed>,
 }
@@ -102,7 +102,7 @@
             next_probe: now,
             next_id: 0,
             order: Vec::new(),
-            open: None,
+            open: Vec::new(),
             suspects: Vec::new(),
             relayed: Vec::new(),
         }
@@ -134,7 +134,8 @@
     /// `start` begins a probe of a member that is expected to answer.
     pub fn start(&mut self, target: Target, now: Instant) -> ProbeStep {
         let id = self.fresh_id();
-        self.open = Some(Open {
+        self.open.retain(|open| open.target.node != target.node);
+        self.open.push(Open {
             id,
             target: target.clone(),
             sent: now,
@@ -173,13 +174,7 @@
     /// `answered` processes an answer of a node, which clears its suspicion; when the probe was
     /// made for another node, its address and number are returned.
     pub fn answered(&mut self, id: u32, node: &str) -> Option<(SocketAddr, u32)> {
-        if self
-            .open
-            .as_ref()
-            .is_some_and(|open| open.target.node == node)
-        {
-            self.open = None;
-        }
+        self.open.retain(|open| open.target.node != node);
         self.suspects.retain(|suspect| suspect.target.node != node);
         let index = self.relayed.iter().position(|relayed| relayed.id == id)?;
         let relayed = self.relayed.swap_remove(index);
@@ -194,29 +189,27 @@
         };
         self.suspects
             .retain(|suspect| !is_outdated(&suspect.target));
-        if self
-            .open
-            .as_ref()
-            .is_some_and(|open| is_outdated(&open.target))
-        {
-            self.open = None;
-        }
+        self.open.retain(|open| !is_outdated(&open.target));
     }
 
     /// `steps` returns what is due for open probes and suspected members.
     pub fn steps(&mut self, now: Instant) -> Vec<ProbeStep> {
         let mut steps = Vec::new();
-        if let Some(open) = &mut self.open {
-            let suspect_after = self.interval * SUSPECT_AFTER_TENTHS / 10;
-            if now >= open.sent + suspect_after.max(self.timeout) {
-                let target = open.target.clone();
-                self.open = None;
-                self.suspect(target, now);
-            } else if !open.is_indirect && now >= open.sent + self.timeout {
+        let suspect_after = self.interval * SUSPECT_AFTER_TENTHS / 10;
+        let silent_since = |open: &Open| open.sent + suspect_after.max(self.timeout);
+        let (silent, mut waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|open| now >= silent_since(open));
+        for open in &mut waiting {
+            if !open.is_indirect && now >= open.sent + self.timeout {
                 open.is_indirect = true;
                 steps.push(ProbeStep::Indirect(open.id, open.target.clone()));
             }
         }
+        self.open = waiting;
+        for open in silent {
+            self.suspect(open.target, now);
+        }
         let (failed, mut suspects): (Vec<_>, Vec<_>) = std::mem::take(&mut self.suspects)
             .into_iter()
             .partition(|suspect| now >= suspect.until);
@@ -229,7 +222,8 @@
         steps
     }
 
-    fn suspect(&mut self, target: Target, now: Instant) {
+    /// `suspect` begins the time in which a member must answer or fails.
+    pub fn suspect(&mut self, target: Target, now: Instant) {
         if self.suspects.iter().any(|s| s.target.node == target.node) {
             return;
         }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -65,7 +65,7 @@
         if !self.joiner.is_joined() {
             self.joiner.add(&[from]);
         }
-        let mut actions = self.learn_news(news, now);
+        let mut actions = self.learn_news(from, news, now);
         let message = Message::ProbeAck {
             id,
             node: self.own.node.clone(),
@@ -80,12 +80,13 @@
 
     pub(crate) fn on_probe_ack(
         &mut self,
+        from: SocketAddr,
         id: u32,
         node: &NodeName,
         news: News,
         now: Instant,
     ) -> Vec<Action> {
-        let mut actions = self.learn_news(news, now);
+        let mut actions = self.learn_news(from, news, now);
         if let Some((to, id)) = self.prober.answered(id, node) {
             let message = Message::ProbeAck {
                 id,
@@ -124,6 +125,7 @@
         if self.prober.is_due(now) {
             self.prober.scheduled(now);
             steps.extend(self.next_probe(now));
+            steps.extend(self.next_far_probe(now));
             actions.extend(self.probe_stranger(now));
         }
         for step in steps {
@@ -287,16 +289,17 @@
         &mut self,
         from: SocketAddr,
         buckets: u64,
-        records: &[EndpointRecord],
+        mut records: Vec<EndpointRecord>,
         now: Instant,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        for record in records {
+        self.contest_reports(from, &mut records);
+        for record in &records {
             actions.extend(self.learn(record, Source::Compared, now));
         }
         let mut lacking = self.in_buckets(buckets);
         lacking.retain(|record| !records.contains(record));
-        for correction in self.table.corrections(records) {
+        for correction in self.table.corrections(&records) {
             if !lacking.contains(&correction) {
                 lacking.push(correction);
             }
--- /dev/null
+++ b/crates/membership/src/sweep.rs
@@ -0,0 +1,116 @@
+//! Probing of a whole data centre, at a bounded rate.
+//!
+//! A round of probes covers the own data centre and takes one second per member, and nobody is
+//! left to probe a data centre that is lost as a whole. When a relay of another data centre
+//! fails, the relay that found it therefore probes all members of that data centre.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::EndpointState;
+use hemlockfall_core::ids::NodeName;
+use rand::seq::IndexedRandom;
+
+use crate::action::Action;
+use crate::message::Message;
+use crate::message::News;
+use crate::node::Membership;
+use crate::probe::ProbeStep;
+use crate::probe::Target;
+use crate::table::is_departed;
+
+/// Members that one tick begins to probe: 200 per second, so that a data centre of 1,300 nodes
+/// is covered in 7 s.
+const PER_TICK: usize = 20;
+/// Bounds the queue; what does not fit is found by the next failing relay.
+const MAX_SWEPT: usize = 4_096;
+
+/// `Swept` is a member that waits to be probed.
+pub(crate) struct Swept {
+    node: NodeName,
+    /// Report of another data centre that the member has failed.
+    report: Option<EndpointRecord>,
+}
+
+impl Membership {
+    /// Probes a relay of another data centre of the region. The usual round would reach it once
+    /// in as many seconds as the data centre has members.
+    pub(crate) fn next_far_probe(&mut self, now: Instant) -> Option<ProbeStep> {
+        let to = *self.roles.data_centre_relays.choose(&mut self.rng)?;
+        let record = self.table.live_records().find(|r| r.peer_address == to)?;
+        let target = Target::of(record);
+        Some(self.prober.start(target, now))
+    }
+
+    /// Begins to probe the data centre of a relay that this node found failed.
+    pub(crate) fn sweep_data_centre(&mut self, failed: &EndpointRecord) {
+        if !self.roles.data_centre_relays.contains(&failed.peer_address) {
+            return;
+        }
+        let is_near = |record: &&EndpointRecord| {
+            record.region == failed.region && record.data_centre == failed.data_centre
+        };
+        let members = self.table.live_records().filter(is_near);
+        let names: Vec<NodeName> = members.map(|record| record.node.clone()).collect();
+        for node in names {
+            self.add_swept(node, None);
+        }
+    }
+
+    /// Takes reports of another data centre that members of the own one have failed out of
+    /// `records`, and has these members probed. After a cut both sides take each other for
+    /// failed; only the own data centre can tell which of its members live.
+    pub(crate) fn contest_reports(&mut self, from: SocketAddr, records: &mut Vec<EndpointRecord>) {
+        let is_contested = |record: &EndpointRecord| {
+            let known = self.table.get(&record.node);
+            record.state == EndpointState::Failed
+                && record.region == self.own.region
+                && record.data_centre == self.own.data_centre
+                && known.is_some_and(|known| !is_departed(known))
+        };
+        let is_near = || self.roles.members.contains(&from);
+        if !records.iter().any(is_contested) || is_near() {
+            return;
+        }
+        let contested = |record: &mut EndpointRecord| is_contested(record);
+        let contested: Vec<EndpointRecord> = records.extract_if(.., contested).collect();
+        for report in contested {
+            self.add_swept(report.node.clone(), Some(report));
+        }
+    }
+
+    /// Begins the probes of this tick. A probe with a report makes the member refute it.
+    pub(crate) fn sweep(&mut self, now: Instant) -> Vec<Action> {
+        let count = self.swept.len().min(PER_TICK);
+        let due: Vec<Swept> = self.swept.drain(..count).collect();
+        let mut actions = Vec::new();
+        for swept in due {
+            let known = self.table.get(&swept.node);
+            let Some(record) = known.filter(|record| !is_departed(record)) else {
+                continue;
+            };
+            let target = Target::of(record);
+            if let Some(report) = swept.report {
+                let news = News {
+                    records: vec![report],
+                    items: Vec::new(),
+                };
+                let id = self.prober.fresh_id();
+                actions.push(Action::Send {
+                    to: target.address,
+                    message: Message::Probe { id, news },
+                });
+            }
+            self.prober.suspect(target, now);
+        }
+        actions
+    }
+
+    fn add_swept(&mut self, node: NodeName, report: Option<EndpointRecord>) {
+        let is_queued = self.swept.iter().any(|swept| swept.node == node);
+        if !is_queued && self.swept.len() < MAX_SWEPT {
+            self.swept.push(Swept { node, report });
+        }
+    }
+}
--- a/crates/membership/tests/group.rs
+++ b/crates/membership/tests/group.rs
@@ -147,6 +147,55 @@
     assert!((0..12).all(|index| network.all_see(index, EndpointRecord::takes_requests)));
 }
 
+/// Guards against a lost data centre whose members are found failed a few at a time, as the
+/// roles pass from one dead member to the next.
+#[test]
+fn lost_large_data_centre_is_noticed_within_20_s() {
+    let places = [("west", "west-1"), ("west", "west-2"), ("east", "east-1")];
+    let large = (0..120).map(|index| {
+        let (region, data_centre) = places[index % places.len()];
+        record(index, region, data_centre)
+    });
+    let mut network = Network::new(29, large.collect());
+    network.run(300);
+    let was_complete = network.is_complete();
+
+    for index in (1..120).step_by(3) {
+        network.nodes[index].is_up = false;
+    }
+    network.run(200);
+
+    let missed: Vec<usize> = (1..120)
+        .step_by(3)
+        .filter(|index| !network.all_see(*index, |r| r.state == EndpointState::Failed))
+        .collect();
+    assert!(was_complete);
+    assert!(missed.is_empty(), "{} nodes: {missed:?}", missed.len());
+}
+
+/// Guards against a data centre that, after a cut, believes the other side that its own members
+/// have failed, and so refuses them work.
+#[test]
+fn reports_from_the_other_side_of_a_cut_do_not_fail_own_members() {
+    let mut network = ready_group(31);
+    network.cut = Some("west-2");
+    network.run(900);
+    network.cut = None;
+
+    let mut wrongly_failed = 0;
+    for _ in 0..300 {
+        network.run(1);
+        for (observer, subject) in [(1, 4), (4, 7), (7, 10), (10, 1)] {
+            let subject = network.nodes[subject].state.own().node.clone();
+            let known = network.nodes[observer].state.table().get(&subject);
+            wrongly_failed += usize::from(known.is_some_and(|r| r.state == EndpointState::Failed));
+        }
+    }
+
+    assert_eq!(wrongly_failed, 0);
+    assert!(network.is_complete());
+}
+
 /// Guards against two sides of a cut that take each other for failed and stay apart.
 #[test]
 fn cut_data_centre_rejoins() {
@@ -220,6 +269,29 @@
     }
 }
 
+/// Guards against nodes that do not learn that the store is down, or that take every renewed
+/// notice for another outage.
+#[test]
+fn notice_of_a_store_outage_is_renewed_as_one_item() {
+    let mut network = ready_group(37);
+    let notice = |since_unix_ms| GossipItem::StoreDown { since_unix_ms };
+
+    for since_unix_ms in [500, 600, 700] {
+        let now = network.now;
+        network.nodes[2]
+            .state
+            .spread_item(notice(since_unix_ms), 15_000, now);
+        network.run(80);
+    }
+
+    let others = network.nodes.iter().enumerate().filter(|(i, _)| *i != 2);
+    for (index, node) in others {
+        assert_eq!(node.items.first(), Some(&notice(500)), "node {index}");
+        assert_eq!(node.items.last(), Some(&notice(700)), "node {index}");
+        assert_eq!(node.items.len(), 3, "node {index}: {:?}", node.items);
+    }
+}
+
 /// Guards against table exchange over the billed link by nodes that are no relays.
 #[test]
 fn only_relays_exchange_tables_with_other_data_centres() {
@@ -231,6 +303,21 @@
     assert_eq!(network.stray_exchanges, 0);
 }
 
+/// Guards against tables that differ, and are pulled whole, after every catalogue change.
+#[test]
+fn new_revision_does_not_make_tables_differ() {
+    let mut network = ready_group(13);
+    network.run(300);
+    let before = network.bucket_requests;
+
+    for node in &mut network.nodes {
+        node.state.set_revision(7);
+    }
+    network.run(100);
+
+    assert_eq!(network.bucket_requests, before);
+}
+
 /// Guards against a contact object that several nodes write, or one writes too often.
 #[test]
 fn contacts_are_written_by_one_node_at_a_bounded_rate() {
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -42,6 +42,8 @@
     pub cut: Option<&'static str>,
     /// Table exchanges sent to another data centre by a node that is no relay.
     pub stray_exchanges: usize,
+    /// Requests for buckets that differed between two tables.
+    pub bucket_requests: usize,
     contacts: Vec<Contacts>,
     rng: StdRng,
     queue: Vec<Envelope>,
@@ -63,6 +65,7 @@
             store_up: true,
             cut: None,
             stray_exchanges: 0,
+            bucket_requests: 0,
             contacts: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             queue: Vec::new(),
@@ -160,6 +163,7 @@
     fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
         let to = usize::from(to.port()) - 7000;
         self.count_stray(from, to, message);
+        self.bucket_requests += usize::from(matches!(message, Message::BucketsRequest { .. }));
         let is_doubled = self.rng.random_range(0..10) == 0;
         for _ in 0..=usize::from(is_doubled) {
             let is_lost = self.rng.random_range(0..1000) < self.loss_permille;
