--- a/crates/membership/src/items.rs
+++ b/crates/membership/src/items.rs
@@ -51,9 +51,10 @@
         /// Why.
         reason: SmolStr,
     },
-    /// The store does not answer; moves that freeze in an outage hold their share.
+    /// The store does not answer the nodes that read it; moves that freeze in an outage hold
+    /// their share.
     StoreDown {
-        /// Since when, in unix milliseconds.
+        /// When the first read failed, in unix milliseconds.
         since_unix_ms: u64,
     },
 }
