Find silent links under calls with short deadlines; keep one rule of suspicion

Cause: the link's clock of silence started with its oldest outstanding call, so a hanging link was never pinged while every call on it was given up after less than 300 ms. The rule moved to hemlockfall_request::suspicion::Silence, which the links use now; PeerLink, which was not wired, is gone. The steps of its test about fresh connections are the links' own (one connection per peer, backoff), and are tested there with a peer that never greets.

--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_request::suspicion::Silence;
+use hemlockfall_request::suspicion::SilenceAction;
 use stakker::CX;
 use stakker::Fwd;
 use stakker::after;
@@ -42,10 +44,8 @@
     pub address: SocketAddr,
     /// Time for a connection to become usable.
     pub connect_timeout: Duration,
-    /// Silence with a call outstanding after which a ping is sent.
-    pub ping_after: Duration,
-    /// Further silence after which the link is given up.
-    pub lost_after: Duration,
+    /// Suspicion of a silent link, as a new link starts with.
+    pub silence: Silence,
     /// Idle time after which an outgoing link is closed.
     pub idle_timeout: Duration,
     /// Bytes that may wait on one link.
@@ -188,7 +188,7 @@
         let source = poll.add(stream, interest, SOCKET_PRIORITY, ready)?;
         self.next_id += 1;
         self.open
-            .push(Link::new(id, source, peer, self.options.address, cx.now()));
+            .push(Link::new(id, source, peer, &self.options, cx.now()));
         Ok(id)
     }
 
@@ -394,8 +394,12 @@
         for link in &mut self.open {
             if let Some(reason) = link.overdue(now, &self.options) {
                 lost.push((link.id, reason));
-            } else if link.ping_if_silent(now, &self.options) {
-                pinged.push(link.id);
+                continue;
+            }
+            match link.silence_action(now) {
+                Some(SilenceAction::Ping) => pinged.push(link.id),
+                Some(SilenceAction::GiveUp) => lost.push((link.id, LossReason::Silent)),
+                None => {}
             }
         }
         for (id, reason) in lost {
--- a/crates/hemlockfall/src/edge/links/link.rs
+++ b/crates/hemlockfall/src/edge/links/link.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use hemlockfall_core::codec;
+use hemlockfall_request::suspicion::Silence;
+use hemlockfall_request::suspicion::SilenceAction;
 use serde::Deserialize;
 use serde::Serialize;
 use stakker_mio::MioSource;
@@ -63,12 +65,6 @@
     sent_bytes: usize,
 }
 
-#[derive(Debug)]
-struct Outstanding {
-    tag: Tag,
-    since: Instant,
-}
-
 /// `Link` is one connection.
 pub(super) struct Link {
     pub(super) id: LinkId,
@@ -80,12 +76,12 @@
     queue: VecDeque<Queued>,
     queued_bytes: usize,
     /// Tagged messages that were at least partly sent and are not settled.
-    outstanding: Vec<Outstanding>,
+    outstanding: Vec<Tag>,
+    silence: Silence,
     next_stream: u32,
     opened: Instant,
     last_received: Instant,
     last_used: Instant,
-    pinged: Option<Instant>,
     greeted: bool,
 }
 
@@ -94,7 +90,7 @@
         id: LinkId,
         stream: MioSource<TcpStream>,
         peer: Option<SocketAddr>,
-        own_address: SocketAddr,
+        options: &LinkOptions,
         now: Instant,
     ) -> Self {
         let outgoing = peer.is_some();
@@ -119,12 +115,12 @@
             opened: now,
             last_received: now,
             last_used: now,
-            pinged: None,
+            silence: options.silence.clone(),
             greeted: false,
         };
         link.write_service(&Service::Hello {
             protocol: PROTOCOL,
-            peer_address: own_address,
+            peer_address: options.address,
         });
         link
     }
@@ -146,17 +142,13 @@
             content,
             sent_bytes: 0,
         });
-        if self.outstanding.is_empty() {
-            // Silence is counted from the first outstanding call, not from the last use.
-            self.last_received = self.last_received.max(now);
-        }
     }
 
     pub(super) fn settle(&mut self, tag: Tag) -> bool {
         let Some(index) = self
             .outstanding
             .iter()
-            .position(|message| message.tag == tag)
+            .position(|outstanding| *outstanding == tag)
         else {
             return false;
         };
@@ -197,10 +189,8 @@
             return false;
         };
         if message.sent_bytes == 0 && message.tag != 0 {
-            self.outstanding.push(Outstanding {
-                tag: message.tag,
-                since: self.last_used,
-            });
+            self.outstanding.push(message.tag);
+            self.silence.call_sent(self.last_used);
         }
         let end = message
             .content
@@ -233,7 +223,7 @@
             let status = self.buffer.read(READ_BYTES);
             if matches!(status, ReadStatus::NewData) {
                 self.last_received = now;
-                self.pinged = None;
+                self.silence.received(!self.outstanding.is_empty(), now);
             }
             if !self.parse(&mut messages) {
                 return (messages, Some(LossReason::Malformed));
@@ -318,29 +308,19 @@
             let late = now.duration_since(self.opened) >= options.connect_timeout;
             return late.then_some(LossReason::Unreachable);
         }
-        if let Some(pinged) = self.pinged
-            && now.duration_since(pinged) >= options.lost_after
-        {
-            return Some(LossReason::Silent);
-        }
         let idle = self.outstanding.is_empty()
             && self.queue.is_empty()
             && now.duration_since(self.last_used.max(self.last_received)) >= options.idle_timeout;
         (self.outgoing && idle).then_some(LossReason::Closed)
     }
 
-    /// Sends a ping when a call is outstanding and nothing has arrived for a while.
-    pub(super) fn ping_if_silent(&mut self, now: Instant, options: &LinkOptions) -> bool {
-        let Some(oldest) = self.outstanding.iter().map(|message| message.since).min() else {
-            return false;
-        };
-        let silent = now.duration_since(self.last_received.max(oldest)) >= options.ping_after;
-        if !silent || self.pinged.is_some() {
-            return false;
+    /// Returns what the silence of the link asks for; a ping is written here.
+    pub(super) fn silence_action(&mut self, now: Instant) -> Option<SilenceAction> {
+        let action = self.silence.tick(now);
+        if action == Some(SilenceAction::Ping) {
+            self.write_service(&Service::Ping);
         }
-        self.pinged = Some(now);
-        self.write_service(&Service::Ping);
-        true
+        action
     }
 
     /// Returns the tags that were never sent, and those that may have been.
@@ -349,10 +329,7 @@
             .queue
             .iter()
             .filter(|m| m.sent_bytes == 0 && m.tag != 0);
-        let unsettled = self.outstanding.iter().map(|message| message.tag);
-        (
-            unsent.map(|message| message.tag).collect(),
-            unsettled.collect(),
-        )
+        let unsettled = self.outstanding.clone();
+        (unsent.map(|message| message.tag).collect(), unsettled)
     }
 }
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -263,6 +263,7 @@
         self.entry.next_tag += 1;
         let tag = self.entry.next_tag;
         let attempt_id = attempt.attempt_id;
+        let key = self.call_key(attempt, now_of(cx));
         let Some(entry) = self.entry.get_mut(caller) else {
             return;
         };
@@ -272,7 +273,7 @@
             node: attempt.to.node.clone(),
             tag,
         });
-        let frame = call_frame(entry, attempt);
+        let frame = call_frame(entry, attempt, key);
         if let Some(earlier) = earlier {
             self.entry.remove_attempt(earlier.attempt_id);
             call!([self.links], settle(earlier.tag));
@@ -286,6 +287,22 @@
         }
     }
 
+    fn call_key(&self, attempt: &Attempt, now: Now) -> Option<CallKey> {
+        let key = attempt.key.as_ref()?;
+        let has_history = !key.is_generated && self.keys.has_history(&key.key, now);
+        let keepers = if has_history {
+            self.router.keepers(&key.key, false, true, now)
+        } else {
+            Vec::new()
+        };
+        Some(CallKey {
+            text: key.key.text.clone(),
+            is_generated: key.is_generated,
+            voided: key.voided.clone(),
+            keepers,
+        })
+    }
+
     fn send_fence(&mut self, to: &Target, attempt_id: AttemptId) {
         let message = LinkMessage::Fence {
             attempt_id,
@@ -421,12 +438,7 @@
         .and_then(|text| Uuid::try_parse(text).ok())
 }
 
-fn call_frame(entry: &EntryCall, attempt: &Attempt) -> CallFrame {
-    let key = attempt.key.as_ref().map(|key| CallKey {
-        text: key.key.text.clone(),
-        is_generated: key.is_generated,
-        voided: key.voided.clone(),
-    });
+fn call_frame(entry: &EntryCall, attempt: &Attempt, key: Option<CallKey>) -> CallFrame {
     let request = HttpRequest::clone(&entry.request);
     CallFrame {
         attempt_id: attempt.attempt_id,
--- a/crates/hemlockfall/src/node/calls/local.rs
+++ b/crates/hemlockfall/src/node/calls/local.rs
@@ -8,6 +8,7 @@
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::ids::Digest;
 use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::ServiceName;
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_request::admission::Admission;
@@ -36,6 +37,7 @@
 use crate::wire::AnswerFrame;
 use crate::wire::AttemptEnd;
 use crate::wire::CallFrame;
+use crate::wire::CallKey;
 use crate::wire::LinkMessage;
 
 /// `Origin` is where an attempt came from.
@@ -208,12 +210,9 @@
             self.offer(cx, attempt_id);
             return;
         };
-        let key = Key::new(frame.service, call_key.text);
-        let has_history = self.keys.has_history(&key, now);
+        let key = Key::new(frame.service, call_key.text.clone());
         let claim = ClaimRequest {
-            keepers: self
-                .router
-                .keepers(&key, call_key.is_generated, has_history, now),
+            keepers: self.keepers(&key, &call_key, now),
             key,
             claimant: attempt_id,
             voided: call_key.voided,
@@ -224,6 +223,18 @@
         self.perform_keys(cx, actions);
     }
 
+    /// A runner that joined too late to know the members of the key's time asks the keepers that
+    /// the entry node named; otherwise the targets of a new version could not run keyed requests
+    /// until they had been members for a while.
+    fn keepers(&self, key: &Key, call_key: &CallKey, now: clock::Now) -> Vec<NodeName> {
+        let has_history = self.keys.has_history(key, now);
+        if !has_history && !call_key.keepers.is_empty() {
+            return call_key.keepers.clone();
+        }
+        self.router
+            .keepers(key, call_key.is_generated, has_history, now)
+    }
+
     fn reason_against(&self, frame: &CallFrame, now: clock::Now) -> Option<Reason> {
         if !self.local.serves(&frame.service, &frame.version) {
             return Some(Reason::NoTarget);
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -16,6 +16,7 @@
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_membership::node::Membership;
 use hemlockfall_request::balance::Place;
+use hemlockfall_request::suspicion::Silence;
 use hemlockfall_store::Client;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -336,12 +337,10 @@
 }
 
 fn link_options(options: &Sections) -> LinkOptions {
-    let silence = Duration::from_millis(u64::from(options.request.link_silence_ms));
     LinkOptions {
         address: options.node.peer_address,
         connect_timeout: options.edge.link_connect_timeout(),
-        ping_after: silence,
-        lost_after: silence,
+        silence: Silence::new(&options.request),
         idle_timeout: options.edge.idle_timeout(),
         queue_limit_bytes: options.edge.link_queue_bytes,
         max_incoming: options.edge.max_incoming_links,
--- a/crates/hemlockfall/src/wire.rs
+++ b/crates/hemlockfall/src/wire.rs
@@ -73,6 +73,9 @@
     pub is_generated: bool,
     /// Earlier attempts of the same request that surely have not run.
     pub voided: Vec<AttemptId>,
+    /// Keepers of the key as the entry node knows them, or none when it has not known the members
+    /// of the service since before the key's time.
+    pub keepers: Vec<NodeName>,
 }
 
 /// `AnswerFrame` is the end of an attempt on its way back.
--- /dev/null
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -0,0 +1,34 @@
+//! A link whose peer never greets.
+
+mod links;
+
+use std::net::Ipv4Addr;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall::edge::links::LossReason;
+
+/// Guards against a frozen peer that counts as reached because its kernel accepts connections:
+/// what waited for its greeting was surely not sent, and the next attempt is held back.
+#[test]
+fn peer_without_greeting_gets_nothing_and_is_not_called_again_at_once() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let peer = listener.local_addr().expect("an address");
+    let mut fixture = fixture();
+
+    fixture.send(peer, 1);
+    fixture.send(peer, 2);
+    let deadline = Instant::now() + Duration::from_secs(3);
+    while fixture.lost(&LossReason::Unreachable).is_none() && Instant::now() < deadline {
+        fixture.run_for(POLL);
+    }
+    fixture.send(peer, 3);
+    listener.set_nonblocking(true).expect("to switch");
+    let connections = std::iter::from_fn(|| listener.accept().ok()).count();
+
+    let lost = fixture.lost(&LossReason::Unreachable);
+    assert_eq!(lost, Some((vec![1, 2], Vec::new())));
+    assert_eq!(fixture.refused(), 1);
+    assert_eq!(connections, 1);
+}
--- /dev/null
+++ b/crates/hemlockfall/tests/link_silence.rs
@@ -0,0 +1,54 @@
+//! A link whose peer goes silent.
+
+mod links;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall::edge::links::LossReason;
+use stakker::call;
+
+/// A peer that returns the greeting, which is the same in both directions, and then only reads.
+fn greeting_peer() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a link");
+        let mut bytes = [0; 4096];
+        let greeting = stream.read(&mut bytes).expect("a greeting");
+        stream.write_all(&bytes[..greeting]).expect("to greet");
+        while stream.read(&mut bytes).is_ok_and(|read| read > 0) {}
+    });
+    address
+}
+
+/// Guards against calls that wait for their whole deadline on a link that hangs: it is given up
+/// after twice the silence, although every call is given up and followed by another one sooner.
+#[test]
+fn silent_link_is_given_up_although_calls_are_short() {
+    let peer = greeting_peer();
+    let mut fixture = fixture();
+    let started = Instant::now();
+    let mut tag = 0;
+
+    while fixture.lost(&LossReason::Silent).is_none() && started.elapsed() < Duration::from_secs(3)
+    {
+        tag += 1;
+        fixture.send(peer, tag);
+        fixture.run_for(Duration::from_millis(100));
+        call!([fixture.links], settle(tag));
+    }
+
+    let (unsent, unsettled) = fixture
+        .lost(&LossReason::Silent)
+        .expect("the link is given up");
+    assert_eq!(unsent, Vec::<u64>::new());
+    assert_eq!(unsettled.len(), 1);
+    assert!(started.elapsed() >= Duration::from_millis(600));
+    assert!(started.elapsed() < Duration::from_millis(1_500));
+}
--- a/crates/request/src/suspicion.rs
+++ b/crates/request/src/suspicion.rs
@@ -1,5 +1,7 @@
-//! Suspicion of a link: a silent link is replaced, and only a failed fresh connection suspects
-//! the peer.
+//! Suspicion of a silent link: a ping first, then the link is given up.
+//!
+//! The calls of a link that is given up move to a fresh connection, which the node opens when it
+//! fences or repeats them; only that connection's failure counts against the peer.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -7,141 +9,58 @@
 use crate::clock::millis;
 use crate::options::Options;
 
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
-
-/// `LinkAction` is what the node does about the link to a peer.
+/// `SilenceAction` is what is due on a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkAction {
+pub enum SilenceAction {
     /// Send a ping on the link.
     Ping,
-    /// Open a fresh connection beside the suspected one.
-    OpenFresh,
-    /// Move calls to the fresh connection and close the old one; its calls are lost.
-    ReplaceLink,
-    /// Tell membership that the peer is suspected.
-    SuspectPeer,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Live,
-    Pinged { since: Instant },
-    Opening,
-    Waiting { until: Instant },
+    /// Give the link up; its calls are lost.
+    GiveUp,
 }
 
-/// `PeerLink` watches the link to one peer.
+/// `Silence` watches one link for messages that the peer leaves unanswered.
 #[derive(Clone, Debug)]
-pub struct PeerLink {
-    silence: Duration,
-    outstanding: u32,
-    last_byte: Instant,
-    state: State,
-    backoff: Duration,
+pub struct Silence {
+    bound: Duration,
+    /// Since when something is expected from the peer. A call that was given up meanwhile does
+    /// not end the wait: a hanging link would otherwise never be found when all calls have
+    /// deadlines below the bound.
+    expected_since: Option<Instant>,
+    pinged: Option<Instant>,
 }
 
-impl PeerLink {
-    /// `new` watches a link that was just opened.
+impl Silence {
+    /// `new` watches a link on which nothing was sent.
     #[must_use]
-    pub fn new(options: &Options, now: Instant) -> Self {
+    pub fn new(options: &Options) -> Self {
         Self {
-            silence: millis(options.link_silence_ms),
-            outstanding: 0,
-            last_byte: now,
-            state: State::Live,
-            backoff: FIRST_BACKOFF,
+            bound: millis(options.link_silence_ms),
+            expected_since: None,
+            pinged: None,
         }
     }
 
-    /// `call_sent` counts a call put on the link.
+    /// `call_sent` notes a call whose answer is expected.
     pub fn call_sent(&mut self, now: Instant) {
-        if self.outstanding == 0 {
-            self.last_byte = self.last_byte.max(now);
-        }
-        self.outstanding += 1;
+        self.expected_since.get_or_insert(now);
     }
 
-    /// `call_ended` counts a call that was answered or given up.
-    pub fn call_ended(&mut self) {
-        self.outstanding = self.outstanding.saturating_sub(1);
+    /// `received` notes traffic from the peer; `outstanding` tells whether calls still wait.
+    pub fn received(&mut self, outstanding: bool, now: Instant) {
+        self.expected_since = outstanding.then_some(now);
+        self.pinged = None;
     }
 
-    /// `byte_received` notes traffic from the peer on the link in use.
-    pub fn byte_received(&mut self, now: Instant) {
-        self.last_byte = now;
-        if matches!(self.state, State::Pinged { .. }) {
-            self.state = State::Live;
+    /// `tick` returns what is due.
+    pub fn tick(&mut self, now: Instant) -> Option<SilenceAction> {
+        if let Some(pinged) = self.pinged {
+            return (now >= pinged + self.bound).then_some(SilenceAction::GiveUp);
         }
-    }
-
-    /// `is_suspected` tells whether new calls should avoid the link.
-    #[must_use]
-    pub fn is_suspected(&self) -> bool {
-        matches!(self.state, State::Opening | State::Waiting { .. })
-    }
-
-    /// `tick` returns what is due. A call given up meanwhile does not clear a ping, since a
-    /// hanging link would otherwise never be suspected when calls have short deadlines.
-    pub fn tick(&mut self, now: Instant) -> Option<LinkAction> {
-        let is_due = self.wake_at().is_some_and(|at| at <= now);
-        if !is_due {
+        let since = self.expected_since?;
+        if now < since + self.bound {
             return None;
         }
-        match self.state {
-            State::Live => {
-                self.state = State::Pinged { since: now };
-                Some(LinkAction::Ping)
-            }
-            State::Pinged { .. } | State::Waiting { .. } => {
-                self.state = State::Opening;
-                Some(LinkAction::OpenFresh)
-            }
-            State::Opening => None,
-        }
-    }
-
-    /// `link_lost` notes that the connection broke; a fresh one is opened at once.
-    pub fn link_lost(&mut self) -> Option<LinkAction> {
-        if self.is_suspected() {
-            return None;
-        }
-        self.state = State::Opening;
-        Some(LinkAction::OpenFresh)
-    }
-
-    /// `fresh_opened` notes that the fresh connection works.
-    pub fn fresh_opened(&mut self, now: Instant) -> Option<LinkAction> {
-        if self.state != State::Opening {
-            return None;
-        }
-        self.state = State::Live;
-        self.last_byte = now;
-        self.outstanding = 0;
-        self.backoff = FIRST_BACKOFF;
-        Some(LinkAction::ReplaceLink)
-    }
-
-    /// `fresh_failed` notes that the fresh connection could not be opened.
-    pub fn fresh_failed(&mut self, now: Instant) -> Option<LinkAction> {
-        if self.state != State::Opening {
-            return None;
-        }
-        self.state = State::Waiting {
-            until: now + self.backoff,
-        };
-        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
-        Some(LinkAction::SuspectPeer)
-    }
-
-    /// `wake_at` returns when [`PeerLink::tick`] has something to do.
-    #[must_use]
-    pub fn wake_at(&self) -> Option<Instant> {
-        match self.state {
-            State::Live => (self.outstanding > 0).then_some(self.last_byte + self.silence),
-            State::Pinged { since } => Some(since + self.silence),
-            State::Opening => None,
-            State::Waiting { until } => Some(until),
-        }
+        self.pinged = Some(now);
+        Some(SilenceAction::Ping)
     }
 }
--- a/crates/request/tests/common/network.rs
+++ b/crates/request/tests/common/network.rs
@@ -78,7 +78,8 @@
 
 #[derive(Clone)]
 enum Frame {
-    Call(Box<Attempt>),
+    /// With the keepers that the entry node names.
+    Call(Box<Attempt>, Vec<NodeName>),
     Result(AttemptId, AttemptResult),
     Fence(AttemptId, u64),
     FenceAnswer(AttemptId, FenceAnswer),
@@ -266,7 +267,7 @@
             return;
         };
         match frame {
-            Frame::Call(attempt) => self.on_call(from, to, &attempt),
+            Frame::Call(attempt, keepers) => self.on_call(from, to, &attempt, keepers),
             Frame::Fence(attempt_id, incarnation) => {
                 let answer = node.admission.fence(attempt_id, incarnation, now);
                 if answer == FenceAnswer::NotStarted {
@@ -287,7 +288,22 @@
         }
     }
 
-    fn on_call(&mut self, from: &NodeName, to: &NodeName, attempt: &Attempt) {
+    /// The entry nodes have known the members since the start.
+    fn entry_keepers(&self, attempt: &Attempt) -> Vec<NodeName> {
+        let key = attempt.key.as_ref().expect("orders have a key");
+        if key.is_generated {
+            return Vec::new();
+        }
+        self.routers[0].keepers(&key.key, false, true, self.now)
+    }
+
+    fn on_call(
+        &mut self,
+        from: &NodeName,
+        to: &NodeName,
+        attempt: &Attempt,
+        entry_keepers: Vec<NodeName>,
+    ) {
         let now = self.now;
         let Some(node) = self.targets.get_mut(to) else {
             return;
@@ -311,9 +327,12 @@
         };
         let wanted = attempt.key.clone().expect("orders have a key");
         let has_history = node.keys.has_history(&wanted.key, now);
-        let keepers = node
-            .router
-            .keepers(&wanted.key, wanted.is_generated, has_history, now);
+        let keepers = if has_history || entry_keepers.is_empty() {
+            node.router
+                .keepers(&wanted.key, wanted.is_generated, has_history, now)
+        } else {
+            entry_keepers
+        };
         node.entries.insert(attempt_id, (from.clone(), offer));
         let request = ClaimRequest {
             key: wanted.key,
@@ -442,7 +461,8 @@
                 CallAction::SendAttempt(attempt) => {
                     self.attempts.insert(attempt.attempt_id, index);
                     let to = attempt.to.node.clone();
-                    self.send(&entry, &to, Frame::Call(attempt));
+                    let keepers = self.entry_keepers(&attempt);
+                    self.send(&entry, &to, Frame::Call(attempt, keepers));
                 }
                 CallAction::Fence { to, attempt_id } => {
                     self.fence_count += 1;
--- a/crates/request/tests/failures.rs
+++ b/crates/request/tests/failures.rs
@@ -11,8 +11,8 @@
 use hemlockfall_request::options::Options;
 use hemlockfall_request::outcome::AttemptResult;
 use hemlockfall_request::outcome::Reason;
-use hemlockfall_request::suspicion::LinkAction;
-use hemlockfall_request::suspicion::PeerLink;
+use hemlockfall_request::suspicion::Silence;
+use hemlockfall_request::suspicion::SilenceAction;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use rand::RngExt;
@@ -201,29 +201,22 @@
     }
 }
 
-/// Guards against a hanging link that stalls calls, a peer suspected for one bad connection, and
-/// several fresh connections at a time.
+/// Guards against a hanging link that stalls calls, an idle link that is given up, and a link
+/// that is given up before its ping had time to be answered.
 #[test]
-fn silent_link_is_pinged_then_replaced_and_only_a_failed_one_suspects_the_peer() {
+fn silent_link_is_pinged_then_given_up() {
     let start = common::start().at;
     let at = |time_ms: u64| start + Duration::from_millis(time_ms);
-    let mut link = PeerLink::new(&Options::default(), start);
+    let mut link = Silence::new(&Options::default());
     let idle = link.tick(at(5_000));
     link.call_sent(at(5_000));
 
     let steps = [
         (idle, None),
         (link.tick(at(5_299)), None),
-        (link.tick(at(5_300)), Some(LinkAction::Ping)),
+        (link.tick(at(5_300)), Some(SilenceAction::Ping)),
         (link.tick(at(5_599)), None),
-        (link.tick(at(5_600)), Some(LinkAction::OpenFresh)),
-        (link.tick(at(5_700)), None),
-        (link.link_lost(), None),
-        (link.fresh_failed(at(5_800)), Some(LinkAction::SuspectPeer)),
-        (link.tick(at(5_850)), None),
-        (link.tick(at(5_900)), Some(LinkAction::OpenFresh)),
-        (link.fresh_opened(at(5_950)), Some(LinkAction::ReplaceLink)),
-        (link.tick(at(9_000)), None),
+        (link.tick(at(5_600)), Some(SilenceAction::GiveUp)),
     ];
 
     for (index, (actual, expected)) in steps.into_iter().enumerate() {
@@ -231,17 +224,41 @@
     }
 }
 
-/// Guards against suspicion of a link that answers pings while a call takes long.
+/// Guards against suspicion of a link that answers pings while a call takes long, and of a link
+/// on which nothing is expected any more.
 #[test]
 fn answered_ping_keeps_the_link() {
     let start = common::start().at;
-    let mut link = PeerLink::new(&Options::default(), start);
+    let at = |time_ms: u64| start + Duration::from_millis(time_ms);
+    let mut link = Silence::new(&Options::default());
     link.call_sent(start);
-    link.tick(start + Duration::from_millis(300));
-    link.byte_received(start + Duration::from_millis(310));
+    link.tick(at(300));
+    link.received(true, at(310));
+
+    let after_pong = link.tick(at(605));
+    let next_ping = link.tick(at(610));
+    link.received(false, at(620));
+    let after_answer = link.tick(at(60_000));
+
+    assert_eq!(after_pong, None);
+    assert_eq!(next_ping, Some(SilenceAction::Ping));
+    assert_eq!(after_answer, None);
+}
+
+/// Guards against a hanging link that is never found because every call on it is given up, and
+/// followed by another one, before the silence is long enough.
+#[test]
+fn calls_with_short_deadlines_do_not_hide_a_silent_link() {
+    let start = common::start().at;
+    let mut link = Silence::new(&Options::default());
 
-    let action = link.tick(start + Duration::from_millis(605));
+    let actions: Vec<SilenceAction> = (0..=6)
+        .filter_map(|step| {
+            let now = start + Duration::from_millis(step * 100);
+            link.call_sent(now);
+            link.tick(now)
+        })
+        .collect();
 
-    assert_eq!(action, None);
-    assert!(!link.is_suspected());
+    assert_eq!(actions, [SilenceAction::Ping, SilenceAction::GiveUp]);
 }
