--- a/xtask/src/scenario/model.rs
+++ b/xtask/src/scenario/model.rs
@@ -6,6 +6,7 @@
 use crate::caller::KeyMode;
 use crate::harness::StoreLimits;
 use crate::harness::target::TargetSpec;
+use crate::scenario::moves::MoveStep;
 use crate::store::fault::FaultChange as StoreFault;
 use crate::target::fault::FaultChange as TargetFault;
 
@@ -123,6 +124,8 @@
         /// The fault.
         fault: TargetFault,
     },
+    /// Acts on a move or checks one.
+    Move(MoveStep),
     /// Tells a node that its target leaves, while the target goes on taking requests.
     Leave(String),
     /// Sends bytes that are no valid message.
