--- a/xtask/src/scenario/runner/malformed.rs
+++ b/xtask/src/scenario/runner/malformed.rs
@@ -21,6 +21,8 @@
 
 /// Datagrams between nodes carry at most this.
 const MAX_BYTES: usize = 1_200;
+/// A faster burst would overflow the receive buffer of the socket.
+const DATAGRAM_INTERVAL: Duration = Duration::from_millis(1);
 /// The other side may answer or close in this time before the connection is closed.
 const LISTEN: Duration = Duration::from_millis(20);
 
@@ -45,6 +47,7 @@
         let socket = UdpSocket::bind("127.0.0.1:0").map_err(failed)?;
         for message in messages {
             socket.send_to(&message, address).map_err(failed)?;
+            std::thread::sleep(DATAGRAM_INTERVAL);
         }
         return Ok(());
     }
