--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -150,6 +150,17 @@
     Done,
 }
 
+/// `KeyCheck` tells whether a request may have been sent earlier under its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyCheck {
+    /// The key was generated for this request, so nobody can have used it before.
+    Generated,
+    /// The key is the caller's, and its nodes have not been asked yet.
+    Unchecked,
+    /// The key is the caller's; its nodes were asked and it was new.
+    New,
+}
+
 /// `Call` is one request in flight at its entry node.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -161,7 +172,7 @@
     is_repeatable: bool,
     is_retry: bool,
     key: Option<Key>,
-    is_generated: bool,
+    key_check: KeyCheck,
     fingerprint: Option<Digest>,
     deadline: Instant,
     attempts: u32,
@@ -169,8 +180,6 @@
     voided: Vec<AttemptId>,
     /// Reason of the first attempt that may have run.
     doubt: Option<Reason>,
-    /// The key's nodes were asked and the key was new.
-    is_key_new: bool,
     state: State,
 }
 
@@ -190,7 +199,7 @@
         now: Now,
     ) -> Result<(Self, Vec<CallAction>), Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let mut call = Self::route(request, router, cap, now)?;
         if call.is_refused(router, now) {
@@ -348,7 +357,7 @@
         now: Now,
     ) -> Result<Self, Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let found = router.routes().find(request.host, request.path)?;
         let entry = router.routes().entry(found);
@@ -378,14 +387,17 @@
             is_repeatable: route.repeatable,
             is_retry: request.is_retry,
             key: None,
-            is_generated: request.key.is_none(),
+            key_check: if request.key.is_none() {
+                KeyCheck::Generated
+            } else {
+                KeyCheck::Unchecked
+            },
             fingerprint: request.fingerprint,
             deadline: budget::deadline(now.at, request.timeout_ms, route.timeout_ms),
             attempts: 0,
             tried: Vec::new(),
             voided: Vec::new(),
             doubt: None,
-            is_key_new: false,
             state: State::Done,
         };
         if !call.is_repeatable {
@@ -445,7 +457,7 @@
     fn attempt_key(&self) -> Option<AttemptKey> {
         self.key.as_ref().map(|key| AttemptKey {
             key: key.clone(),
-            is_generated: self.is_generated,
+            is_generated: self.key_check == KeyCheck::Generated,
             voided: self.voided.clone(),
         })
     }
@@ -483,7 +495,9 @@
                 retry_after_ms,
             } => {
                 self.voided.push(attempt_id);
-                self.is_key_new |= follows_claim(reason);
+                if self.key_check == KeyCheck::Unchecked && follows_claim(reason) {
+                    self.key_check = KeyCheck::New;
+                }
                 if !(helps_to_retry(reason) && self.retry(router, now)) {
                     self.answer(reason, retry_after_ms, &mut actions);
                 }
@@ -553,7 +567,7 @@
     /// Whether an earlier request under the caller's key can have run. A refusal that comes
     /// before the key's nodes were asked tells nothing about earlier requests.
     fn may_have_run_earlier(&self) -> bool {
-        self.key.is_some() && !self.is_generated && !self.is_key_new
+        self.key.is_some() && self.key_check == KeyCheck::Unchecked
     }
 
     /// Answers the caller. "Not run" holds for the request only when it holds for every attempt
