--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -267,6 +267,7 @@
         callers: edges.callers.clone(),
         health: shared.health,
         timeout: options.node.stop_timeout(),
+        key_lag: Duration::from_millis(options.request.key_view_lag_ms.into()),
     };
     let stopping = actor!(
         stakker,
--- a/crates/hemlockfall/src/node/stopping.rs
+++ b/crates/hemlockfall/src/node/stopping.rs
@@ -24,6 +24,7 @@
 pub struct Stopping {
     parts: StoppingParts,
     started: Option<Instant>,
+    keeps_keys: bool,
 }
 
 /// `StoppingParts` are what the stop works with.
@@ -38,6 +39,8 @@
     pub health: Arc<Health>,
     /// Longest wait for requests in flight.
     pub timeout: Duration,
+    /// Time after leaving in which this node still keeps records of new keys.
+    pub key_lag: Duration,
 }
 
 impl Stopping {
@@ -47,6 +50,7 @@
         Some(Self {
             parts,
             started: None,
+            keeps_keys: false,
         })
     }
 
@@ -57,6 +61,7 @@
         }
         spdlog::info!("planned stop begins");
         self.started = Some(cx.now());
+        self.keeps_keys = self.parts.health.has_target();
         self.parts.health.set_stopping();
         call!([self.parts.calls], leave());
         call!([self.parts.callers], stop_accepting());
@@ -80,7 +85,14 @@
             spdlog::warn!("planned stop ends with requests in flight");
         }
         call!([self.parts.control], left());
-        after!(ANNOUNCE_TIME, [cx], end());
+        // Others count this node among the keepers of keys until then. In a service of two, no
+        // majority would be left for these keys if it ended now.
+        let linger = if self.keeps_keys {
+            self.parts.key_lag
+        } else {
+            Duration::ZERO
+        };
+        after!(linger.max(ANNOUNCE_TIME), [cx], end());
     }
 
     #[expect(clippy::unused_self, reason = "stakker calls methods of the actor")]
