--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -42,6 +42,8 @@
     Attempt,
     /// A cancellation; the slot of the attempt is freed when it ends.
     CancelAndFree,
+    /// The same once more, after the first one broke off.
+    CancelAgain,
     /// A cancellation of an attempt that still runs.
     Cancel,
 }
@@ -131,14 +133,25 @@
             Purpose::Attempt => self.run_ended(cx, run.attempt_id, event.result),
             Purpose::Cancel => {}
             Purpose::CancelAndFree => {
-                if matches!(event.result, TargetResult::NotSent { .. }) {
-                    self.target_lost(cx);
+                // A kept connection that the target closed when it vanished breaks the same way
+                // as one of a live target; a fresh one tells them apart.
+                let is_open = matches!(event.result, TargetResult::Broken { .. })
+                    && self.send_target_cancel(run.attempt_id, Purpose::CancelAgain);
+                if !is_open {
+                    self.cancel_ended(cx, run.attempt_id, &event.result);
                 }
-                self.free_slot(cx, run.attempt_id);
             }
+            Purpose::CancelAgain => self.cancel_ended(cx, run.attempt_id, &event.result),
         }
     }
 
+    fn cancel_ended(&mut self, cx: CX![], attempt_id: AttemptId, result: &TargetResult) {
+        if matches!(result, TargetResult::NotSent { .. }) {
+            self.target_lost(cx);
+        }
+        self.free_slot(cx, attempt_id);
+    }
+
     fn run_ended(&mut self, cx: CX![], attempt_id: AttemptId, result: TargetResult) {
         match result {
             TargetResult::Answer(answer) => self.run_answered(cx, attempt_id, *answer),
--- a/xtask/tests/scenario_parser.rs
+++ b/xtask/tests/scenario_parser.rs
@@ -7,11 +7,16 @@
 use xtask::harness::StoreLimits;
 use xtask::harness::target::TargetSpec;
 use xtask::scenario::command;
+use xtask::scenario::model::BytesContent;
+use xtask::scenario::model::BytesStep;
 use xtask::scenario::model::Counted;
 use xtask::scenario::model::Edit;
+use xtask::scenario::model::EditEnding;
 use xtask::scenario::model::Expectation;
 use xtask::scenario::model::Life;
 use xtask::scenario::model::Line;
+use xtask::scenario::model::MetricBound;
+use xtask::scenario::model::Port;
 use xtask::scenario::model::Scope;
 use xtask::scenario::model::SendOptions;
 use xtask::scenario::model::SendStep;
@@ -47,6 +52,24 @@
     Step::StartTarget(spec)
 }
 
+fn wait_answers(keyed: bool, through: &[&str]) -> Step {
+    Step::WaitAnswers {
+        keyed,
+        service: "s".to_owned(),
+        path: "/".to_owned(),
+        through: through.iter().map(|name| (*name).to_owned()).collect(),
+        within: SECOND,
+    }
+}
+
+fn bytes(port: Port, content: BytesContent) -> Step {
+    Step::Bytes(BytesStep {
+        node: "n1".to_owned(),
+        port,
+        content,
+    })
+}
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn start_apply_and_send() -> Vec<(&'static str, Step)> {
@@ -56,6 +79,7 @@
         concurrency: Some(4),
         timeout: Some(Duration::from_millis(250)),
         resends: Some(2),
+        resend_pause: Some(SECOND),
         background: true,
     };
     vec![
@@ -87,14 +111,35 @@
             "apply catalogue \"a.toml\"",
             Step::Apply {
                 edit: edit("a.toml", None),
-                refused: false,
+                ending: EditEnding::Accepted,
             },
         ),
         (
             "apply catalogue \"a.toml\" through n1 expect refused",
             Step::Apply {
                 edit: edit("a.toml", Some("n1")),
-                refused: true,
+                ending: EditEnding::Refused(None),
+            },
+        ),
+        (
+            "apply catalogue \"a.toml\" expect refused with \"no such\"",
+            Step::Apply {
+                edit: edit("a.toml", None),
+                ending: EditEnding::Refused(Some("no such".to_owned())),
+            },
+        ),
+        (
+            "apply catalogue \"a.toml\" expect unknown",
+            Step::Apply {
+                edit: edit("a.toml", None),
+                ending: EditEnding::Unknown,
+            },
+        ),
+        (
+            "settings request \"key_view_lag_ms = 200\"",
+            Step::Setting {
+                section: "request".to_owned(),
+                line: "key_view_lag_ms = 200".to_owned(),
             },
         ),
         (
@@ -106,7 +151,7 @@
             send_step(SendOptions::default()),
         ),
         (
-            "send 200 requests to order-desk path /orders through n1,n2 key unique in background resend 2 timeout 250 ms concurrency 4 rate 50 per s body \"two # hammocks\"",
+            "send 200 requests to order-desk path /orders through n1,n2 key unique in background resend 2 every 1 s timeout 250 ms concurrency 4 rate 50 per s body \"two # hammocks\"",
             send_step(all_options),
         ),
     ]
@@ -125,6 +170,24 @@
             "wait for sends within 1s",
             Step::WaitSends { within: SECOND },
         ),
+        (
+            "wait for answers from s path / through n1 within 1 s",
+            wait_answers(false, &["n1"]),
+        ),
+        (
+            "wait for keyed answers from s path / through n1,n2 within 1 s",
+            wait_answers(true, &["n1", "n2"]),
+        ),
+        ("pause 1 s", Step::Pause(SECOND)),
+        ("leave t1", Step::Leave("t1".to_owned())),
+        (
+            "bytes to n1 port peer-udp random 9 messages",
+            bytes(Port::PeerUdp, BytesContent::Random(9)),
+        ),
+        (
+            "bytes to n1 port operator text \"{\"",
+            bytes(Port::Operator, BytesContent::Text("{".to_owned())),
+        ),
         ("kill t1", Step::Life(Life::Kill("t1".to_owned()))),
         ("kill vm n1", Step::Life(Life::KillVm("n1".to_owned()))),
         ("stop t1", Step::Life(Life::Stop("t1".to_owned()))),
@@ -160,6 +223,14 @@
                 ..StoreFault::default()
             }),
         ),
+        (
+            "store loses answer of next 1 write then closed for 1 s",
+            Step::Store(StoreFault {
+                lose_write_answers: Some(1),
+                close_after_lost_ms: Some(1000),
+                ..StoreFault::default()
+            }),
+        ),
         (
             "store cuts watches",
             Step::Store(StoreFault {
@@ -180,6 +251,17 @@
                 },
             },
         ),
+        (
+            "target t1 dies in answers path /film",
+            Step::Target {
+                name: "t1".to_owned(),
+                fault: TargetFault {
+                    dies_in_answer: true,
+                    path_prefix: Some("/film".to_owned()),
+                    ..TargetFault::default()
+                },
+            },
+        ),
         (
             "target t1 slow 40 ms",
             Step::Target {
@@ -231,13 +313,81 @@
             "expect at most 3 unknown",
             Step::Expect(Expectation::AtMost(3, Counted::Unknown)),
         ),
+        (
+            "expect at most 2 ended targets",
+            Step::Expect(Expectation::AtMost(2, Counted::EndedTargets)),
+        ),
+        (
+            "expect at least 8 code HF-3506",
+            Step::Expect(Expectation::AtLeastCode(8, "HF-3506".to_owned())),
+        ),
+    ]
+}
+
+fn observations() -> Vec<(&'static str, Step)> {
+    let metric = |scope, bound| {
+        Step::Expect(Expectation::Metric {
+            name: "m_total".to_owned(),
+            scope,
+            bound,
+        })
+    };
+    let node = || "n1".to_owned();
+    vec![
+        (
+            "expect metric m_total on n1 at least 9 within 1 s",
+            metric(Scope::Node(node()), MetricBound::AtLeast(9, SECOND)),
+        ),
+        (
+            "expect metric m_total on all at most 9",
+            metric(Scope::All, MetricBound::AtMost(9)),
+        ),
+        (
+            "expect log \"target lost\" on n1 within 1 s",
+            Step::Expect(Expectation::Log {
+                text: "target lost".to_owned(),
+                node: node(),
+                within: SECOND,
+            }),
+        ),
+        (
+            "expect no log \"panicked\" on n1",
+            Step::Expect(Expectation::NoLog {
+                text: "panicked".to_owned(),
+                node: node(),
+            }),
+        ),
+        (
+            "expect running all",
+            Step::Expect(Expectation::Running(Scope::All)),
+        ),
+        (
+            "expect no runs at t1 from 1 s after leave",
+            Step::Expect(Expectation::NoRunsAfterLeave {
+                target: "t1".to_owned(),
+                after: SECOND,
+            }),
+        ),
+        (
+            "expect never below revision 2 on n1 for 1 s",
+            Step::Expect(Expectation::NeverBelow {
+                revision: 2,
+                node: node(),
+                time: SECOND,
+            }),
+        ),
     ]
 }
 
 /// Guards against a step that is read as another one or loses an option.
 #[test]
 fn good_lines_are_read() {
-    let tables = [start_apply_and_send(), waits_and_faults(), expectations()];
+    let tables = [
+        start_apply_and_send(),
+        waits_and_faults(),
+        expectations(),
+        observations(),
+    ];
 
     for (text, step) in tables.into_iter().flatten() {
         let read = parser::parse_line(text);
@@ -309,9 +459,33 @@
         ),
         (
             "expect no problems",
-            "`double runs`, `wrong answers` or `false not-run`",
+            "`double runs`, `wrong answers`, `false not-run`, `log` or `runs`",
             "problems",
         ),
+        ("settings request key", "a text in quotes", "key"),
+        (
+            "apply catalogue \"a\" expect success",
+            "`refused` or `unknown`",
+            "success",
+        ),
+        (
+            "bytes to n1 port door random 1 messages",
+            "`caller`, `peer-tcp`",
+            "door",
+        ),
+        ("bytes to n1 port local all", "`random` or `text`", "all"),
+        (
+            "expect metric m on n1 about 3",
+            "`at least` or `at most`",
+            "about",
+        ),
+        ("expect log \"x\" on n1", "`within`", "the end of the line"),
+        (
+            "expect no runs at t1 from 3 s",
+            "`after leave`",
+            "the end of the line",
+        ),
+        ("expect at least 3 lost", "`answered` or `code`", "lost"),
         (
             "expect revision 3 on all",
             "`within`",
@@ -373,6 +547,6 @@
         .map(|error| error.to_string())
         .collect();
 
-    assert!(files.len() >= 9, "{} files", files.len());
+    assert!(files.len() >= 21, "{} files", files.len());
     assert!(failures.is_empty(), "{failures:#?}");
 }
