--- a/crates/hemlockfall/tests/link_greeting.rs
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -9,6 +9,9 @@
 
 use hemlockfall::edge::links::LossReason;
 
+use crate::links::POLL;
+use crate::links::fixture;
+
 /// Guards against a frozen peer that counts as reached because its kernel accepts connections:
 /// what waited for its greeting was surely not sent, and the next attempt is held back.
 #[test]
--- a/crates/hemlockfall/tests/link_silence.rs
+++ b/crates/hemlockfall/tests/link_silence.rs
@@ -13,6 +13,8 @@
 use hemlockfall::edge::links::LossReason;
 use stakker::call;
 
+use crate::links::fixture;
+
 /// A peer that returns the greeting, which is the same in both directions, and then only reads.
 fn greeting_peer() -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
--- a/crates/hemlockfall/tests/links/mod.rs
+++ b/crates/hemlockfall/tests/links/mod.rs
@@ -47,6 +47,7 @@
         idle_timeout: Duration::from_secs(60),
         queue_limit_bytes: 1 << 20,
         max_incoming: 8,
+        emulation: None,
     };
     let seen = Fwd::new(move |event| seen.borrow_mut().push(event));
     let links = actor!(stakker, Links::init(options, seen), ret_nop!());
