--- a/crates/hemlockfall/src/edge/mod.rs
+++ b/crates/hemlockfall/src/edge/mod.rs
@@ -1,11 +1,9 @@
 //! Edges of the process: everything that touches a socket.
 //!
-//! [`links`] and [`datagrams`] run on the `stakker` thread. [`callers`], [`local`] and
-//! [`targets`] use blocking libraries on their own threads and exchange messages with the
-//! actors.
+//! [`links`], [`datagrams`], [`caller_server`] and [`target_client`] run on the `stakker` thread.
+//! [`local`] uses a blocking library on its own threads and exchanges messages with the actors.
 
 pub mod caller_server;
-pub mod callers;
 pub mod datagrams;
 pub mod frame;
 pub mod http;
@@ -15,6 +13,5 @@
 pub mod message;
 pub mod options;
 pub mod target_client;
-pub mod targets;
 
 mod plugin;
--- a/crates/hemlockfall/tests/link_greeting.rs
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use hemlockfall::edge::links::LossReason;
+use links::POLL;
+use links::fixture;
 
 /// Guards against a frozen peer that counts as reached because its kernel accepts connections:
 /// what waited for its greeting was surely not sent, and the next attempt is held back.
--- a/crates/hemlockfall/tests/link_silence.rs
+++ b/crates/hemlockfall/tests/link_silence.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use hemlockfall::edge::links::LossReason;
+use links::fixture;
 use stakker::call;
 
 /// A peer that returns the greeting, which is the same in both directions, and then only reads.
@@ -49,6 +50,7 @@
         .expect("the link is given up");
     assert_eq!(unsent, Vec::<u64>::new());
     assert_eq!(unsettled.len(), 1);
+    assert_eq!(fixture.refused(), 0);
     assert!(started.elapsed() >= Duration::from_millis(600));
     assert!(started.elapsed() < Duration::from_millis(1_500));
 }
