--- a/crates/hemlockfall/src/edge/mod.rs
+++ b/crates/hemlockfall/src/edge/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller_server;
 pub mod datagrams;
+pub mod emulation;
 pub mod frame;
 pub mod http;
 pub mod http1;
--- a/crates/hemlockfall/src/edge/plugin.rs
+++ b/crates/hemlockfall/src/edge/plugin.rs
@@ -121,13 +121,33 @@
             MetricSpec {
                 name: "hemlockfall_control_sent_bytes_total",
                 kind: MetricKind::Counter,
-                help: "bytes of control messages sent to other nodes",
+                help: "bytes of control messages sent to other nodes, with packet headers",
+            },
+            MetricSpec {
+                name: "hemlockfall_control_sent_to_data_centres_bytes_total",
+                kind: MetricKind::Counter,
+                help: "of these, bytes sent to other data centres of the region",
+            },
+            MetricSpec {
+                name: "hemlockfall_control_sent_to_regions_bytes_total",
+                kind: MetricKind::Counter,
+                help: "of these, bytes sent to other regions, over the link billed by volume",
+            },
+            MetricSpec {
+                name: "hemlockfall_members",
+                kind: MetricKind::Gauge,
+                help: "live nodes that this node knows, with itself",
             },
             MetricSpec {
                 name: "hemlockfall_malformed_messages_total",
                 kind: MetricKind::Counter,
                 help: "messages of peers that could not be decoded; look for another program on the peer port or mixed versions",
             },
+            MetricSpec {
+                name: "hemlockfall_log_errors_total",
+                kind: MetricKind::Counter,
+                help: "log lines that could not be written; look for a full disk or a closed standard error",
+            },
             MetricSpec {
                 name: "hemlockfall_decisions_not_logged_total",
                 kind: MetricKind::Counter,
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -14,6 +14,7 @@
 use hemlockfall_core::units;
 use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_membership::items::GossipItem;
+use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::admission::Admission;
 use hemlockfall_request::balance::Place;
 use hemlockfall_request::clock::Now;
@@ -23,6 +24,7 @@
 use stakker::Actor;
 use stakker::CX;
 use stakker::Core;
+use stakker::Share;
 use stakker::after;
 use stakker::call;
 
@@ -34,10 +36,12 @@
 use crate::edge::message::CallerEvent;
 use crate::edge::message::LocalEvent;
 use crate::edge::target_client::TargetClient;
+use crate::node::calls::suspected::Suspected;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
 use crate::node::decisions::DecisionLog;
 use crate::node::health::Health;
+use crate::node::moves::Moves;
 use crate::wire::LinkMessage;
 
 pub mod answer;
@@ -45,6 +49,8 @@
 mod fingerprints;
 mod keys;
 mod local;
+mod moving;
+mod suspected;
 mod target;
 
 use entry::EntryCalls;
@@ -74,6 +80,10 @@
     pub health: Arc<Health>,
     /// Writes routing decisions.
     pub decisions: DecisionLog,
+    /// Shares and guards of the moves.
+    pub proxy: Share<Proxy>,
+    /// Takes in the results of attempts.
+    pub moves: Actor<Moves>,
 }
 
 /// `Calls` is the actor of the request path.
@@ -86,11 +96,14 @@
     control: Actor<Control>,
     health: Arc<Health>,
     decisions: DecisionLog,
+    proxy: Share<Proxy>,
+    moves: Actor<Moves>,
     router: Router,
     keys: KeyStore,
     admission: Admission,
     entry: EntryCalls,
     local: LocalTarget,
+    suspected: Suspected,
     /// Peer addresses, sorted by node.
     addresses: Vec<NodeAddress>,
     is_serving: bool,
@@ -129,8 +142,11 @@
             control: parts.control,
             health: parts.health,
             decisions: parts.decisions,
+            proxy: parts.proxy,
+            moves: parts.moves,
             entry: EntryCalls::default(),
             local: LocalTarget::default(),
+            suspected: Suspected::default(),
             addresses: Vec::new(),
             is_serving: false,
             ticks: 0,
@@ -143,6 +159,9 @@
         let actions = self.keys.tick(now);
         self.perform_keys(cx, actions);
         self.advance_admission(cx);
+        for node in self.suspected.take_ended(now.at) {
+            self.router.set_suspected(&node, false);
+        }
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY) {
             self.router.expire(now);
@@ -169,7 +188,10 @@
                 }
             }
             ControlOutput::Item { item, lifetime_ms } => self.item(&item, lifetime_ms, now),
-            ControlOutput::Roles(_) | ControlOutput::StoreReachable(_) => {}
+            ControlOutput::StoreDownSince(since_unix_ms) => {
+                self.router.set_store_down_since(since_unix_ms);
+            }
+            ControlOutput::Roles(_) => {}
         }
     }
 
--- a/crates/hemlockfall/src/node/dispatch.rs
+++ b/crates/hemlockfall/src/node/dispatch.rs
@@ -2,6 +2,8 @@
 //! logged and dropped, and its link is closed.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use stakker::Actor;
 use stakker::CX;
@@ -11,12 +13,18 @@
 use crate::edge::links::LinkEvent;
 use crate::edge::links::LinkId;
 use crate::edge::links::Links;
+use crate::edge::links::LossReason;
 use crate::node::calls::Calls;
 use crate::node::control::Control;
 use crate::node::control::ControlOutput;
+use crate::node::moves::Moves;
 use crate::wire::ControlMessage;
 use crate::wire::LinkMessage;
 
+/// Lines about malformed messages per second; a flood of them must not fill the log.
+const LINES_PER_S: u32 = 10;
+const SECOND: Duration = Duration::from_secs(1);
+
 /// `Receivers` are the actors that messages go to.
 #[derive(Clone)]
 pub struct Receivers {
@@ -24,6 +32,8 @@
     pub control: Actor<Control>,
     /// Request path.
     pub calls: Actor<Calls>,
+    /// Moves.
+    pub moves: Actor<Moves>,
     /// TCP links.
     pub links: Actor<Links>,
 }
@@ -31,13 +41,19 @@
 /// `Dispatch` is the actor that decodes messages.
 pub struct Dispatch {
     receivers: Receivers,
+    window_start: Instant,
+    lines: u32,
 }
 
 impl Dispatch {
     /// `init` starts with the actors that messages go to.
     #[must_use]
-    pub fn init(_: CX![], receivers: Receivers) -> Option<Self> {
-        Some(Self { receivers })
+    pub fn init(cx: CX![], receivers: Receivers) -> Option<Self> {
+        Some(Self {
+            receivers,
+            window_start: cx.now(),
+            lines: 0,
+        })
     }
 
     /// `datagram` takes in a datagram.
@@ -45,49 +61,90 @@
         clippy::needless_pass_by_value,
         reason = "stakker passes messages by value"
     )]
-    pub fn datagram(&mut self, _: CX![], received: Received) {
+    pub fn datagram(&mut self, cx: CX![], received: Received) {
         match ControlMessage::decode(&received.content) {
-            Ok(message) => self.control(received.from, Box::new(message)),
-            Err(error) => malformed(received.from, &error.to_string()),
+            Ok(message) => self.control(cx.now(), received.from, message),
+            Err(error) => {
+                let from = received.from.to_string();
+                self.malformed(cx.now(), &from, &error.to_string());
+            }
         }
     }
 
     /// `link_event` takes in what happened on a link.
-    pub fn link_event(&mut self, _: CX![], event: LinkEvent) {
+    pub fn link_event(&mut self, cx: CX![], event: LinkEvent) {
         match event {
             LinkEvent::Message {
                 link,
                 peer,
                 content,
-            } => self.link_message(link, peer, &content),
+            } => self.link_message(cx.now(), link, peer, &content),
             event @ (LinkEvent::Lost { .. } | LinkEvent::Refused { .. }) => {
+                self.note_malformed_link(cx.now(), &event);
                 call!([self.receivers.calls], link_event(event));
             }
         }
     }
 
-    fn link_message(&mut self, link: LinkId, peer: SocketAddr, content: &[u8]) {
+    fn link_message(&mut self, now: Instant, link: LinkId, peer: SocketAddr, content: &[u8]) {
         match LinkMessage::decode(content) {
-            Ok(LinkMessage::Control(message)) => self.control(peer, message),
+            Ok(LinkMessage::Control(message)) => self.control(now, peer, *message),
             Ok(message) => call!([self.receivers.calls], link_message(link, message)),
             Err(error) => {
-                malformed(peer, &error.to_string());
+                let peer = peer.to_string();
+                spdlog::debug!("message cannot be decoded", kv: {
+                    peer = peer.as_str(), reason = error.to_string(),
+                });
+                // The end of the link is counted and logged.
                 call!([self.receivers.links], close(link));
             }
         }
     }
 
-    fn control(&mut self, from: SocketAddr, message: Box<ControlMessage>) {
-        call!([self.receivers.control], receive(from, message));
+    fn note_malformed_link(&mut self, now: Instant, event: &LinkEvent) {
+        if let LinkEvent::Lost {
+            peer,
+            reason: LossReason::Malformed,
+            ..
+        } = event
+        {
+            let peer = peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
+            self.malformed(
+                now,
+                &peer,
+                "the link carried what cannot be decoded; it is closed",
+            );
+        }
+    }
+
+    fn control(&mut self, now: Instant, from: SocketAddr, message: ControlMessage) {
+        match message {
+            ControlMessage::Evidence { to, message } => match message.check() {
+                Ok(()) => call!([self.receivers.moves], evidence(to, Box::new(message))),
+                Err(error) => {
+                    metrics::counter!("hemlockfall_evidence_refused_total").increment(1);
+                    self.malformed(now, &from.to_string(), &error.to_string());
+                }
+            },
+            other => call!([self.receivers.control], receive(from, Box::new(other))),
+        }
     }
 
     /// `control_output` passes news of membership and distribution on.
     pub fn control_output(&mut self, _: CX![], output: ControlOutput) {
+        call!([self.receivers.moves], control_output(output.clone()));
         call!([self.receivers.calls], control_output(output));
     }
-}
 
-fn malformed(peer: SocketAddr, reason: &str) {
-    metrics::counter!("hemlockfall_malformed_messages_total").increment(1);
-    spdlog::warn!("message dropped", kv: { peer = peer.to_string(), reason = reason });
+    fn malformed(&mut self, now: Instant, peer: &str, reason: &str) {
+        metrics::counter!("hemlockfall_malformed_messages_total").increment(1);
+        if now.duration_since(self.window_start) >= SECOND {
+            self.window_start = now;
+            self.lines = 0;
+        }
+        self.lines += 1;
+        if self.lines <= LINES_PER_S {
+            spdlog::warn!("message dropped", kv: { peer = peer, reason = reason });
+        }
+    }
 }
