--- a/crates/hemlockfall/tests/link_greeting.rs
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use hemlockfall::edge::links::LossReason;
+use links::POLL;
+use links::fixture;
 
 use crate::links::POLL;
 use crate::links::fixture;
