--- a/crates/hemlockfall/tests/link_greeting.rs
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -11,9 +11,6 @@
 use links::POLL;
 use links::fixture;
 
-use crate::links::POLL;
-use crate::links::fixture;
-
 /// Guards against a frozen peer that counts as reached because its kernel accepts connections:
 /// what waited for its greeting was surely not sent, and the next attempt is held back.
 #[test]
--- a/crates/hemlockfall/tests/link_silence.rs
+++ b/crates/hemlockfall/tests/link_silence.rs
@@ -14,8 +14,6 @@
 use links::fixture;
 use stakker::call;
 
-use crate::links::fixture;
-
 /// A peer that returns the greeting, which is the same in both directions, and then only reads.
 fn greeting_peer() -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
