--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_request::suspicion::Silence;
+use hemlockfall_request::suspicion::SilenceAction;
 use stakker::CX;
 use stakker::Fwd;
 use stakker::after;
@@ -22,6 +24,7 @@
 use stakker_mio::mio::net::TcpListener;
 use stakker_mio::mio::net::TcpStream;
 
+use crate::edge::emulation::Emulation;
 use crate::edge::links::link::Link;
 use crate::edge::links::link::LinkState;
 
@@ -42,16 +45,16 @@
     pub address: SocketAddr,
     /// Time for a connection to become usable.
     pub connect_timeout: Duration,
-    /// Silence with a call outstanding after which a ping is sent.
-    pub ping_after: Duration,
-    /// Further silence after which the link is given up.
-    pub lost_after: Duration,
+    /// Suspicion of a silent link, as a new link starts with.
+    pub silence: Silence,
     /// Idle time after which an outgoing link is closed.
     pub idle_timeout: Duration,
     /// Bytes that may wait on one link.
     pub queue_limit_bytes: usize,
     /// Links that peers may open.
     pub max_incoming: usize,
+    /// Emulation of distance, for measurements.
+    pub emulation: Option<Emulation>,
 }
 
 /// `LossReason` tells why a link ended.
@@ -188,12 +191,23 @@
         let source = poll.add(stream, interest, SOCKET_PRIORITY, ready)?;
         self.next_id += 1;
         self.open
-            .push(Link::new(id, source, peer, self.options.address, cx.now()));
+            .push(Link::new(id, source, peer, &self.options, cx.now()));
         Ok(id)
     }
 
     /// `send` queues a message for a peer, opening a link when there is none.
     pub fn send(&mut self, cx: CX![], peer: SocketAddr, tag: Tag, content: Vec<u8>) {
+        let now = cx.now();
+        match &mut self.options.emulation {
+            None => self.enqueue(cx, peer, tag, content),
+            Some(emulation) => {
+                let delay = emulation.delay(peer, content.len(), now);
+                after!(delay, [cx], enqueue(peer, tag, content));
+            }
+        }
+    }
+
+    fn enqueue(&mut self, cx: CX![], peer: SocketAddr, tag: Tag, content: Vec<u8>) {
         let Some(id) = self.usable(peer).or_else(|| self.connect(cx, peer)) else {
             fwd!([self.events], LinkEvent::Refused { peer, tag });
             return;
@@ -214,6 +228,18 @@
     /// `reply` sends a message back on the link that a message came on; it is dropped when the
     /// link is gone, since the peer then asks again.
     pub fn reply(&mut self, cx: CX![], link: LinkId, content: Vec<u8>) {
+        let now = cx.now();
+        let peer = self.link_mut(link).and_then(|found| found.peer);
+        match (&mut self.options.emulation, peer) {
+            (Some(emulation), Some(peer)) => {
+                let delay = emulation.delay(peer, content.len(), now);
+                after!(delay, [cx], answer(link, content));
+            }
+            _ => self.answer(cx, link, content),
+        }
+    }
+
+    fn answer(&mut self, cx: CX![], link: LinkId, content: Vec<u8>) {
         let now = cx.now();
         let Some(found) = self.link_mut(link) else {
             return;
@@ -394,8 +420,12 @@
         for link in &mut self.open {
             if let Some(reason) = link.overdue(now, &self.options) {
                 lost.push((link.id, reason));
-            } else if link.ping_if_silent(now, &self.options) {
-                pinged.push(link.id);
+                continue;
+            }
+            match link.silence_action(now) {
+                Some(SilenceAction::Ping) => pinged.push(link.id),
+                Some(SilenceAction::GiveUp) => lost.push((link.id, LossReason::Silent)),
+                None => {}
             }
         }
         for (id, reason) in lost {
--- a/crates/hemlockfall/src/node/moves.rs
+++ b/crates/hemlockfall/src/node/moves.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use hemlockfall_core::catalogue::OnOutage;
 use hemlockfall_core::catalogue::ServiceEntry;
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::endpoint::EndpointState;
@@ -24,7 +23,6 @@
 use hemlockfall_moves::evidence::EvidenceMessage;
 use hemlockfall_moves::guard::AttemptResult;
 use hemlockfall_moves::guard::CUT;
-use hemlockfall_moves::lease::LeaseRead;
 use hemlockfall_moves::options::Options;
 use hemlockfall_moves::owner;
 use hemlockfall_moves::owner::Owner;
@@ -51,14 +49,6 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Lifetime of a stop; the judge repeats it while the commit is missing.
 const STOP_LIFETIME_MS: u32 = 60_000;
-/// Lifetime of a notice that the store is down, and so the longest time that a frozen share
-/// stays frozen after the store came back.
-const OUTAGE_LIFETIME_MS: u32 = 12_000;
-/// Time between notices of one node; membership takes a notice as renewed when it lives longer by
-/// more than 5 s.
-const OUTAGE_NOTICE_MS: u64 = 6_000;
-/// Time without the store after which a node tells the others; shorter gaps are restarts.
-const OUTAGE_FROM_MS: u64 = 1_000;
 
 /// `MovesParts` are what the moves actor works with.
 pub struct MovesParts {
@@ -85,7 +75,6 @@
     nodes_changed: bool,
     /// Entries with a move under way, sorted by service.
     moving: Vec<Moving>,
-    outage: Outage,
 }
 
 struct LiveNode {
@@ -100,19 +89,6 @@
     owner: Option<Owner>,
 }
 
-/// What this node knows of an outage of the store.
-#[derive(Default)]
-struct Outage {
-    own_since_unix_ms: Option<u64>,
-    heard: Option<HeardOutage>,
-    next_notice_unix_ms: u64,
-}
-
-struct HeardOutage {
-    since_unix_ms: u64,
-    until_unix_ms: u64,
-}
-
 fn now_unix_ms() -> u64 {
     units::unix_ms(SystemTime::now())
 }
@@ -127,7 +103,6 @@
             nodes: Vec::new(),
             nodes_changed: false,
             moving: Vec::new(),
-            outage: Outage::default(),
         })
     }
 
@@ -140,7 +115,6 @@
                 self.rank(index, now);
             }
         }
-        self.update_outage(cx, now);
         let proxy = self.parts.proxy.rw(cx);
         let actions = proxy.tick(now);
         self.perform(cx, actions, now);
@@ -162,9 +136,12 @@
                     self.nodes_changed = true;
                 }
             }
-            ControlOutput::Item { item, lifetime_ms } => self.item(cx, item, lifetime_ms),
+            ControlOutput::Item { item, .. } => self.item(cx, item),
             ControlOutput::Roles(roles) => self.roles = roles,
-            ControlOutput::StoreReachable(is_reachable) => self.note_store(is_reachable),
+            ControlOutput::StoreDownSince(since_unix_ms) => {
+                let proxy = self.parts.proxy.rw(cx);
+                proxy.handle(proxy::Input::StoreDownSince(since_unix_ms), now_unix_ms());
+            }
         }
     }
 
@@ -259,20 +236,14 @@
             .binary_search_by(|live| live.node.as_str().cmp(node))
     }
 
-    fn item(&mut self, cx: CX![], item: GossipItem, lifetime_ms: u32) {
+    fn item(&mut self, cx: CX![], item: GossipItem) {
         match item {
             GossipItem::StopMove {
                 service,
                 move_id,
                 reason,
             } => self.obey_stop(cx, service, move_id, reason),
-            GossipItem::StoreDown { since_unix_ms } => {
-                self.outage.heard = Some(HeardOutage {
-                    since_unix_ms,
-                    until_unix_ms: now_unix_ms() + u64::from(lifetime_ms),
-                });
-            }
-            GossipItem::Fingerprint { .. } => {}
+            GossipItem::StoreDown { .. } | GossipItem::Fingerprint { .. } => {}
         }
     }
 
@@ -335,9 +306,6 @@
             input,
             committed,
         } = answer;
-        if let owner::Input::LeaseRead(read) = &input {
-            self.note_store(*read != LeaseRead::Unavailable);
-        }
         if let Some(stored) = committed {
             if let owner::Input::Commit { operation_id, .. } = &input {
                 metrics::counter!("hemlockfall_move_verdicts_total").increment(1);
@@ -447,41 +415,6 @@
         call!([self.parts.control], spread(item, STOP_LIFETIME_MS));
         self.obey_stop(cx, service, move_id, reason);
     }
-
-    fn note_store(&mut self, is_reachable: bool) {
-        if is_reachable {
-            self.outage.own_since_unix_ms = None;
-        } else {
-            self.outage
-                .own_since_unix_ms
-                .get_or_insert_with(now_unix_ms);
-        }
-    }
-
-    /// Tells the proxy since when the store is down, and other nodes when a share must freeze:
-    /// only a few nodes of a data centre talk to the store.
-    fn update_outage(&mut self, cx: CX![], now: u64) {
-        let outage = &mut self.outage;
-        outage.heard.take_if(|heard| heard.until_unix_ms <= now);
-        let heard_since = outage.heard.as_ref().map(|heard| heard.since_unix_ms);
-        let own_since = outage.own_since_unix_ms;
-        let since_unix_ms = own_since.into_iter().chain(heard_since).min();
-        let proxy = self.parts.proxy.rw(cx);
-        proxy.handle(proxy::Input::StoreDownSince(since_unix_ms), now);
-        let freezes = self.moving.iter().any(|moving| {
-            let state = moving.entry.move_state.as_ref();
-            state.is_some_and(|s| !s.status.is_final() && s.on_outage == OnOutage::Freeze)
-        });
-        if let Some(since_unix_ms) = own_since
-            && freezes
-            && now >= since_unix_ms + OUTAGE_FROM_MS
-            && now >= outage.next_notice_unix_ms
-        {
-            outage.next_notice_unix_ms = now + OUTAGE_NOTICE_MS;
-            let item = GossipItem::StoreDown { since_unix_ms };
-            call!([self.parts.control], spread(item, OUTAGE_LIFETIME_MS));
-        }
-    }
 }
 
 fn log_decision(line: &LogLine) {
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -17,6 +17,7 @@
 use hemlockfall_membership::node::Membership;
 use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::balance::Place;
+use hemlockfall_request::suspicion::Silence;
 use hemlockfall_store::Client;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -40,6 +41,8 @@
 use crate::edge::caller_server::CallerServer;
 use crate::edge::datagrams::Datagrams;
 use crate::edge::datagrams::Received;
+use crate::edge::emulation::Emulation;
+use crate::edge::emulation::EmulationOptions;
 use crate::edge::links::LinkEvent;
 use crate::edge::links::LinkOptions;
 use crate::edge::links::Links;
@@ -134,6 +137,7 @@
     moves: hemlockfall_moves::options::Options,
     operator: operator::Options,
     edge: EdgeOptions,
+    emulation: EmulationOptions,
 }
 
 impl Sections {
@@ -155,6 +159,7 @@
             moves: settings.section("moves")?,
             operator: settings.section("operator")?,
             edge: settings.section("edge")?,
+            emulation: settings.section("emulation")?,
         })
     }
 }
@@ -267,6 +272,7 @@
         callers: edges.callers.clone(),
         health: shared.health,
         timeout: options.node.stop_timeout(),
+        key_lag: Duration::from_millis(options.request.key_view_lag_ms.into()),
     };
     let stopping = actor!(
         stakker,
@@ -308,6 +314,7 @@
     let link_options = link_options(options);
     let received = fwd_to!([dispatch], datagram() as (Received));
     let address = options.node.peer_address;
+    let emulation = Emulation::new(&options.emulation);
     let caller_events = fwd_to!([calls], caller_event() as (CallerEvent));
     let caller_options = CallerOptions::new(options.node.caller_address, &options.edge);
     let results = fwd_to!([calls], target_event() as (TargetEvent));
@@ -319,7 +326,7 @@
         ),
         datagrams: actor!(
             stakker,
-            Datagrams::init(address, received),
+            Datagrams::init(address, emulation, received),
             ret_shutdown!(stakker)
         ),
         callers: actor!(
@@ -353,20 +360,20 @@
         store: StoreIo::start(shared.client.clone(), data_centre, store_events),
         health: Arc::clone(&shared.health),
         board: shared.board.clone(),
+        is_baseline: options.emulation.baseline,
         outputs,
     }
 }
 
 fn link_options(options: &Sections) -> LinkOptions {
-    let silence = Duration::from_millis(u64::from(options.request.link_silence_ms));
     LinkOptions {
         address: options.node.peer_address,
         connect_timeout: options.edge.link_connect_timeout(),
-        ping_after: silence,
-        lost_after: silence,
+        silence: Silence::new(&options.request),
         idle_timeout: options.edge.idle_timeout(),
         queue_limit_bytes: options.edge.link_queue_bytes,
         max_incoming: options.edge.max_incoming_links,
+        emulation: Emulation::new(&options.emulation),
     }
 }
 
