--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benches: each prints its figures as one JSON object on the last line.
 
 mod calls;
+mod distribute;
 mod moves;
 
 use gumdrop::Options;
@@ -22,6 +23,8 @@
     Echo(calls::echo::Arguments),
     #[options(help = "serve the baseline proxy of `bench calls`")]
     Proxy(calls::proxy::Arguments),
+    #[options(help = "configuration distribution with real nodes on one machine")]
+    Distribute(distribute::Arguments),
     #[options(help = "many seeded moves, good and bad, on simulated time")]
     Moves(moves::Arguments),
 }
@@ -35,6 +38,7 @@
         Some(Command::Calls(arguments)) => calls::run(arguments),
         Some(Command::Echo(arguments)) => calls::echo::run(arguments),
         Some(Command::Proxy(arguments)) => calls::proxy::run(arguments),
+        Some(Command::Distribute(arguments)) => distribute::run(arguments),
         Some(Command::Moves(arguments)) => moves::run(arguments),
         None => Err(Arguments::usage().to_owned()),
     }
--- a/xtask/src/scenario/runner.rs
+++ b/xtask/src/scenario/runner.rs
@@ -26,6 +26,7 @@
 use crate::scenario::model::Scenario;
 use crate::scenario::model::SendStep;
 use crate::scenario::model::Step;
+use crate::scenario::moves;
 
 mod expect;
 mod malformed;
@@ -125,6 +126,7 @@
             Step::Freeze { name, time } => self.cluster.freeze_for(name, *time),
             Step::Store(fault) => self.cluster.store_fault(fault),
             Step::Target { name, fault } => self.cluster.target_fault(name, fault),
+            Step::Move(step) => moves::run(&mut self.cluster, step),
             Step::Expect(expectation) => self.expect(expectation),
         }
     }
