--- a/crates/hemlockfall/tests/edge/decoders.rs
+++ b/crates/hemlockfall/tests/edge/decoders.rs
@@ -217,6 +217,7 @@
             text: "key".into(),
             is_generated: false,
             voided: vec![AttemptId::default()],
+            keepers: vec!["n1".into()],
         }),
         body_digest: codec::digest(&request.body),
         request,
