--- a/xtask/src/bench/calls.rs
+++ b/xtask/src/bench/calls.rs
@@ -45,6 +45,8 @@
         help = "only: latency, overload, chain or faults; may be repeated"
     )]
     only: Vec<String>,
+    #[options(no_short, help = "text appended to the settings of every node")]
+    node_settings: String,
 }
 
 /// The figures of the last line; those that were not measured are null.
@@ -83,26 +85,27 @@
 fn measure(arguments: &Arguments) -> Result<()> {
     let time = Duration::from_secs(arguments.seconds.into());
     let wants = |name: &str| arguments.only.is_empty() || arguments.only.iter().any(|o| o == name);
+    let settings = arguments.node_settings.as_str();
     let mut report = Report::default();
     if wants("latency") {
-        let latency = latency::measure(time)?;
+        let latency = latency::measure(time, settings)?;
         report.add_latency(&latency);
         if let Some(directory) = &arguments.plot {
             plot::latency(directory, &latency)?;
         }
     }
     if wants("overload") {
-        let overload = overload::measure(time)?;
+        let overload = overload::measure(time, settings)?;
         report.add_overload(&overload);
         if let Some(directory) = &arguments.plot {
             plot::goodput(directory, &overload)?;
         }
     }
     if wants("chain") {
-        report.add_chain(&chain::measure(time)?);
+        report.add_chain(&chain::measure(time, settings)?);
     }
     if wants("faults") {
-        report.add_faults(&faults::measure()?);
+        report.add_faults(&faults::measure(settings)?);
     }
     let line = serde_json::to_string(&report).map_err(|error| Error::resource("report", error))?;
     println!("{line}");
--- a/xtask/src/bench/calls/chain.rs
+++ b/xtask/src/bench/calls/chain.rs
@@ -25,15 +25,15 @@
 }
 
 /// `measure` sends fresh requests for a time while the leaf fails every request.
-pub fn measure(time: Duration) -> Result<Chain> {
-    let mut world = World::new()?;
+pub fn measure(time: Duration, settings: &str) -> Result<Chain> {
+    let mut world = World::new(settings)?;
     let (entries, targets) = start_nodes(&mut world)?;
     let (proxy, baseline_targets) = start_baseline(&mut world)?;
     world.apply("node-0-0", &SERVICES, TIMEOUT)?;
     for through in [entries[0], proxy] {
-        world.wait_ready(through, SERVICES[0])?;
+        world::wait_ready(through, SERVICES[0])?;
     }
-    world.wait_warm();
+    world::wait_warm();
     let nodes = fail_leaf(&entries, &targets, time)?;
     let baseline = fail_leaf(&[proxy], &baseline_targets, time)?;
     Ok(Chain { nodes, baseline })
--- a/xtask/src/bench/calls/faults.rs
+++ b/xtask/src/bench/calls/faults.rs
@@ -11,6 +11,7 @@
 
 use crate::bench::calls::wire;
 use crate::bench::calls::wire::Client;
+use crate::bench::calls::world;
 use crate::bench::calls::world::TargetOptions;
 use crate::bench::calls::world::World;
 use crate::errors::Result;
@@ -64,16 +65,16 @@
 }
 
 /// `measure` injects each fault into processes of its own.
-pub fn measure() -> Result<Faults> {
+pub fn measure(settings: &str) -> Result<Faults> {
     Ok(Faults {
-        silent: inject(Fault::Silent)?,
-        frozen: inject(Fault::Frozen)?,
-        crashed: inject(Fault::Crashed)?,
+        silent: inject(Fault::Silent, settings)?,
+        frozen: inject(Fault::Frozen, settings)?,
+        crashed: inject(Fault::Crashed, settings)?,
     })
 }
 
-fn inject(fault: Fault) -> Result<[Avoided; 2]> {
-    let mut world = World::new()?;
+fn inject(fault: Fault, settings: &str) -> Result<[Avoided; 2]> {
+    let mut world = World::new(settings)?;
     let entry = world.node("entry")?;
     let mut upstreams = Vec::new();
     for index in 1..=TARGETS {
@@ -94,9 +95,9 @@
     let proxy = world.proxy("baseline", &upstreams)?;
     world.apply("entry", &[SERVICE], Duration::from_secs(2))?;
     for through in [entry, proxy] {
-        world.wait_ready(through, SERVICE)?;
+        world::wait_ready(through, SERVICE)?;
     }
-    world.wait_warm();
+    world::wait_warm();
     let started = Instant::now();
     let loads = [entry, proxy].map(|through| start_load(through, started));
     wire::sleep_until(started + BEFORE);
--- a/xtask/src/bench/calls/latency.rs
+++ b/xtask/src/bench/calls/latency.rs
@@ -8,6 +8,7 @@
 
 use crate::bench::calls::wire;
 use crate::bench::calls::wire::Client;
+use crate::bench::calls::world;
 use crate::bench::calls::world::TargetOptions;
 use crate::bench::calls::world::World;
 use crate::errors::Error;
@@ -70,8 +71,8 @@
 }
 
 /// `measure` runs the closed loop for a time and the paced loop for five times as long.
-pub fn measure(time: Duration) -> Result<Latency> {
-    let mut world = World::new()?;
+pub fn measure(time: Duration, settings: &str) -> Result<Latency> {
+    let mut world = World::new(settings)?;
     let near = world.node("node-1")?;
     let far = world.node("node-2")?;
     let options = TargetOptions {
@@ -85,7 +86,7 @@
     world.apply("node-1", &[SERVICE], TIMEOUT)?;
     let paths = [target, near, far, proxy];
     for through in paths {
-        world.wait_ready(through, SERVICE)?;
+        world::wait_ready(through, SERVICE)?;
     }
     run_clients(paths, None, WARM_UP_CALLS, Duration::MAX)?;
     let closed = run_clients(paths, None, u32::MAX, time)?;
--- a/xtask/src/bench/calls/overload.rs
+++ b/xtask/src/bench/calls/overload.rs
@@ -9,6 +9,7 @@
 
 use crate::bench::calls::wire;
 use crate::bench::calls::wire::Client;
+use crate::bench::calls::world;
 use crate::bench::calls::world::TargetOptions;
 use crate::bench::calls::world::World;
 use crate::errors::Result;
@@ -71,8 +72,8 @@
 }
 
 /// `measure` offers each load for a time, first through the nodes, then through the baseline.
-pub fn measure(time: Duration) -> Result<Overload> {
-    let mut world = World::new()?;
+pub fn measure(time: Duration, settings: &str) -> Result<Overload> {
+    let mut world = World::new(settings)?;
     let mut entries = Vec::new();
     let mut upstreams = Vec::new();
     for index in 1..=TARGETS {
@@ -93,9 +94,9 @@
     let proxy = world.proxy("baseline", &upstreams)?;
     world.apply("node-1", &[SERVICE], Duration::from_secs(1))?;
     for through in entries.iter().copied().chain([proxy]) {
-        world.wait_ready(through, SERVICE)?;
+        world::wait_ready(through, SERVICE)?;
     }
-    world.wait_warm();
+    world::wait_warm();
     let nodes = all_loads(&entries, time);
     let baseline = all_loads(&[proxy], time);
     Ok(Overload { nodes, baseline })
--- a/xtask/src/bench/calls/world.rs
+++ b/xtask/src/bench/calls/world.rs
@@ -46,10 +46,10 @@
 }
 
 impl World {
-    /// `new` starts the store.
-    pub fn new() -> Result<Self> {
+    /// `new` starts the store; `settings` is appended to the settings of every node.
+    pub fn new(settings: &str) -> Result<Self> {
         let programs = Programs::locate()?;
-        let mut cluster = Cluster::new(programs.clone(), "")?;
+        let mut cluster = Cluster::new(programs.clone(), settings)?;
         cluster.start_store(StoreLimits::default())?;
         Ok(Self {
             programs,
@@ -148,25 +148,6 @@
         Err(Error::process("catalogue apply", applied.output))
     }
 
-    /// `wait_ready` waits until a service answers through an address.
-    pub fn wait_ready(&self, through: SocketAddr, service: &str) -> Result<()> {
-        let mut client = Client::new(through);
-        wait::until(
-            &format!("answer from {service}"),
-            READY_BOUND,
-            || match client.send(service, &[], b"", PROBE_TIMEOUT) {
-                Ok(answer) if answer.status() == 200 => Ok(()),
-                Ok(answer) => Err(String::from_utf8_lossy(&answer.body).into_owned()),
-                Err(error) => Err(error.to_string()),
-            },
-        )
-    }
-
-    /// `wait_warm` waits until the cold start of every target is over.
-    pub fn wait_warm(&self) {
-        std::thread::sleep(COLD_START);
-    }
-
     /// `signal` sends a signal to a node or a stand-in.
     pub fn signal(&mut self, name: &str, signal: Signal) -> Result<()> {
         let stand_in = self.stand_ins.iter_mut().find(|known| known.name() == name);
@@ -177,6 +158,25 @@
     }
 }
 
+/// `wait_ready` waits until a service answers through an address.
+pub fn wait_ready(through: SocketAddr, service: &str) -> Result<()> {
+    let mut client = Client::new(through);
+    wait::until(
+        &format!("answer from {service}"),
+        READY_BOUND,
+        || match client.send(service, &[], b"", PROBE_TIMEOUT) {
+            Ok(answer) if answer.status() == 200 => Ok(()),
+            Ok(answer) => Err(String::from_utf8_lossy(&answer.body).into_owned()),
+            Err(error) => Err(error.to_string()),
+        },
+    )
+}
+
+/// `wait_warm` waits until the cold start of every target is over.
+pub fn wait_warm() {
+    std::thread::sleep(COLD_START);
+}
+
 /// `control` asks a target of the bench for a control path and returns its answer's text.
 pub fn control(target: SocketAddr, path: &str) -> Result<String> {
     let url = format!("http://{target}{path}");
