Keep the slot of a run whose cancellation gets no answer

Cause: a cancellation that timed out freed the slot, although a frozen target still holds the request and runs it when it goes on.

--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -145,9 +145,18 @@
         }
     }
 
+    /// A cancellation that gets no answer in its time tells nothing: a frozen target still holds
+    /// the request and may run it later, so the slot stays taken and the cancellation is sent
+    /// again.
     fn cancel_ended(&mut self, cx: CX![], attempt_id: AttemptId, result: &TargetResult) {
-        if matches!(result, TargetResult::NotSent { .. }) {
-            self.target_lost(cx);
+        match result {
+            TargetResult::TimedOut => {
+                if self.send_target_cancel(attempt_id, Purpose::CancelAndFree) {
+                    return;
+                }
+            }
+            TargetResult::NotSent { .. } => self.target_lost(cx),
+            TargetResult::Answer(_) | TargetResult::Broken { .. } => {}
         }
         self.free_slot(cx, attempt_id);
     }
