--- a/xtask/src/bench/calls/echo.rs
+++ b/xtask/src/bench/calls/echo.rs
@@ -1,8 +1,9 @@
 //! A target with little jitter: a bounded number of requests run at once, the others wait in
 //! order of arrival; optionally it calls the next service of a chain.
 //!
-//! A failing target closes the connection without an answer, since nodes pass on a whole answer
-//! with a failure status and retry only requests that got none.
+//! A failing target sheds its requests as not run, and a target whose next service failed does
+//! the same. This is the failure that causes most retries: nodes pass on other failures, and do
+//! not repeat a request whose target broke off.
 
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use crate::target::announce::Announcement;
 
 const ANNOUNCE_BOUND: Duration = Duration::from_secs(15);
+const SHED: u16 = 503;
 const NEXT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// `Arguments` are the options of the bench's target.
@@ -118,33 +120,30 @@
     let mut reader = BufReader::new(stream);
     let mut next = state.arguments.next_through.map(Client::new);
     while let Ok(Some(message)) = wire::read(&mut reader) {
-        let Some((status, body)) = answer(state, &message, next.as_mut()) else {
-            return;
-        };
+        let (status, body) = answer(state, &message, next.as_mut());
         if wire::write_answer(&mut writer, status, &body).is_err() {
             return;
         }
     }
 }
 
-fn answer(state: &State, message: &Message, next: Option<&mut Client>) -> Option<(u16, Vec<u8>)> {
+fn answer(state: &State, message: &Message, next: Option<&mut Client>) -> (u16, Vec<u8>) {
     let path = message.first_line.split(' ').nth(1).unwrap_or_default();
     match path {
         "/control/fail" => {
             state.fails.store(true, Ordering::Relaxed);
-            Some((200, Vec::new()))
+            (200, Vec::new())
         }
         "/control/requests" => {
             let requests = state.requests.load(Ordering::Relaxed);
-            Some((200, requests.to_string().into_bytes()))
+            (200, requests.to_string().into_bytes())
         }
         "/work" => work(state, message, next),
-        _ => Some((404, Vec::new())),
+        _ => (404, Vec::new()),
     }
 }
 
-/// Returns no answer when the target, or the next service of the chain, fails.
-fn work(state: &State, message: &Message, next: Option<&mut Client>) -> Option<(u16, Vec<u8>)> {
+fn work(state: &State, message: &Message, next: Option<&mut Client>) -> (u16, Vec<u8>) {
     state.requests.fetch_add(1, Ordering::Relaxed);
     state.begin();
     if state.arguments.service_time_us > 0 {
@@ -153,7 +152,8 @@
     let is_good = !state.fails.load(Ordering::Relaxed)
         && next.is_none_or(|next| call_next(&state.arguments.next_service, message, next));
     state.end();
-    is_good.then(|| (200, message.body.clone()))
+    let status = if is_good { 200 } else { SHED };
+    (status, message.body.clone())
 }
 
 fn call_next(service: &str, message: &Message, next: &mut Client) -> bool {
--- a/xtask/src/bench/calls/wire.rs
+++ b/xtask/src/bench/calls/wire.rs
@@ -72,10 +72,15 @@
     Ok(Some(message))
 }
 
-/// `write_answer` writes an answer in one system call.
+/// `write_answer` writes an answer in one system call; status 503 says that nothing ran.
 pub fn write_answer(stream: &mut TcpStream, status: u16, body: &[u8]) -> io::Result<()> {
+    let not_run = if status == 503 {
+        "hemlockfall-not-run: true\r\n"
+    } else {
+        ""
+    };
     let mut bytes = format!(
-        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n",
+        "HTTP/1.1 {status} Status\r\n{not_run}content-length: {}\r\n\r\n",
         body.len()
     )
     .into_bytes();
