--- a/xtask/tests/slots.rs
+++ b/xtask/tests/slots.rs
@@ -12,6 +12,8 @@
 
 const SLOTS: u16 = 2;
 const FREEZE: Duration = Duration::from_secs(4);
+/// Calls end before the freeze does.
+const CALLS_FOR: Duration = Duration::from_millis(3_500);
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 const READY_BOUND: Duration = Duration::from_secs(15);
 const CATALOGUE: &str = "[[service]]\nname = \"filmstore\"\nowner = \"tests\"\nversion = \"v1\"\n\
@@ -61,7 +63,7 @@
     cluster.freeze_for("t1", FREEZE).expect("to freeze");
     let frozen = Instant::now();
     let mut statuses = Vec::new();
-    while frozen.elapsed() < FREEZE - Duration::from_millis(500) {
+    while frozen.elapsed() < CALLS_FOR {
         statuses.push(call(&cluster, "200"));
     }
     let after = wait::until("answers after the freeze", READY_BOUND, || {
