--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -57,7 +57,9 @@
     ("vm-14", "east", "east-2", "order-desk", 12),
 ];
 /// Service, path, whether a request may run more than once, services it calls.
-const ROUTES: [(&str, &str, bool, &str); 4] = [
+type Entry = (&'static str, &'static str, bool, &'static str);
+
+const ROUTES: [Entry; 4] = [
     ("catalogue-feed", "/prices", true, ""),
     ("order-desk", "/orders", false, "\"catalogue-feed\""),
     ("filmstore", "/film", true, ""),
@@ -127,6 +129,7 @@
         self.cluster.start_store(StoreLimits::default())?;
         self.start_vms(&VMS, "v1")?;
         self.apply("v1")?;
+        self.say("waiting until every kind of request is answered; keys take 10 s after the start");
         self.wait_answers()?;
         let callers = self.start_callers(seed)?;
         self.wait_runs(REQUESTS_PER_CALLER / 2)?;
@@ -157,46 +160,45 @@
         Ok(())
     }
 
+    /// Applies the entries one by one; convergence is measured from each acceptance.
     fn apply(&mut self, order_desk_version: &str) -> Result<()> {
-        self.say(&format!(
-            "applying the catalogue with order-desk {order_desk_version}"
-        ));
-        let file = self.write_catalogue(order_desk_version)?;
-        let before = self.cluster.node("vm-1")?.revision().unwrap_or(0);
-        let applied = self.cluster.apply_catalogue(&file, "vm-1")?;
-        if !applied.accepted {
-            return Err(Error::process("catalogue apply", applied.output));
+        for entry in entries(order_desk_version) {
+            let service = entry.0;
+            let file = self.write_catalogue(entry, order_desk_version)?;
+            let before = self.cluster.node("vm-1")?.revision().unwrap_or(0);
+            let applied = self.cluster.apply_catalogue(&file, "vm-1")?;
+            if !applied.accepted {
+                return Err(Error::process("catalogue apply", applied.output));
+            }
+            let accepted = Instant::now();
+            self.wait_revision(order_desk_version, before + 1)?;
+            let converged_ms = duration_ms(accepted.elapsed());
+            self.say(&format!(
+                "{service} {order_desk_version} in force on all nodes {converged_ms} ms after acceptance"
+            ));
+            self.report.converged_ms = self.report.converged_ms.max(Some(converged_ms));
         }
-        let accepted = Instant::now();
+        Ok(())
+    }
+
+    fn wait_revision(&self, order_desk_version: &str, revision: u64) -> Result<()> {
         let nodes: Vec<_> = self
             .cluster
             .nodes()
             .iter()
             .filter(|node| order_desk_version == "v1" || node.name != KILLED_VM)
-            .cloned()
             .collect();
-        // Every changed entry makes one revision.
-        let changed = entries(order_desk_version).count() as u64;
-        let revision = before + changed;
         wait::until("revision on all nodes", CONVERGENCE_BOUND, || {
             let behind = nodes.iter().filter(|node| node.revision() < Some(revision));
             let behind: Vec<&str> = behind.map(|node| node.name.as_str()).collect();
             behind.is_empty().then_some(()).ok_or(behind.join(", "))
-        })?;
-        let converged_ms = duration_ms(accepted.elapsed());
-        self.say(&format!(
-            "revision {revision} in force after {converged_ms} ms"
-        ));
-        self.report.converged_ms = self.report.converged_ms.max(Some(converged_ms));
-        Ok(())
+        })
     }
 
-    fn write_catalogue(&self, order_desk_version: &str) -> Result<PathBuf> {
-        let file = self
-            .cluster
-            .directory()
-            .join(format!("catalogue-{order_desk_version}.toml"));
-        std::fs::write(&file, catalogue(order_desk_version))
+    fn write_catalogue(&self, entry: Entry, order_desk_version: &str) -> Result<PathBuf> {
+        let name = format!("catalogue-{}-{order_desk_version}.toml", entry.0);
+        let file = self.cluster.directory().join(name);
+        std::fs::write(&file, catalogue(entry, order_desk_version))
             .map_err(|error| Error::resource(file.display().to_string(), error))?;
         Ok(file)
     }
@@ -308,23 +310,18 @@
     }
 }
 
-/// The first file holds all entries, a later one only the entry that gets a new version.
-fn entries(
-    version: &str,
-) -> impl Iterator<Item = (&'static str, &'static str, bool, &'static str)> {
+/// The first version is applied with all entries, a later one only to the entry that gets it.
+fn entries(version: &str) -> impl Iterator<Item = Entry> {
     ROUTES
         .into_iter()
         .filter(move |(service, ..)| version == "v1" || *service == "order-desk")
 }
 
-fn catalogue(version: &str) -> String {
-    let entries = entries(version).map(|(service, path, repeatable, depends_on)| {
-        format!(
-            "[[service]]\nname = \"{service}\"\nowner = \"demo\"\nversion = \"{version}\"\n\
-             [service.move]\nfinish_in_s = {MOVE_FINISH_IN_S}\n\
-             [[service.route]]\nname = \"main\"\npath_prefix = \"{path}\"\n\
-             repeatable = {repeatable}\ndepends_on = [{depends_on}]\n"
-        )
-    });
-    entries.collect()
+fn catalogue((service, path, repeatable, depends_on): Entry, version: &str) -> String {
+    format!(
+        "[[service]]\nname = \"{service}\"\nowner = \"demo\"\nversion = \"{version}\"\n\
+         [service.move]\nfinish_in_s = {MOVE_FINISH_IN_S}\n\
+         [[service.route]]\nname = \"main\"\npath_prefix = \"{path}\"\n\
+         repeatable = {repeatable}\ndepends_on = [{depends_on}]\n"
+    )
 }
--- a/xtask/src/harness/target.rs
+++ b/xtask/src/harness/target.rs
@@ -24,6 +24,10 @@
     pub cold_ms: u64,
     /// Text in a body that ends the process.
     pub crash_marker: Option<String>,
+    /// Time by which reports lag, in milliseconds.
+    pub report_lag_ms: u64,
+    /// Whether reports tell "healthy, no load" whatever the state.
+    pub report_lies: bool,
     /// Address; chosen at the start.
     pub address: Option<SocketAddr>,
 }
@@ -41,6 +45,8 @@
             service_time_ms: 5,
             cold_ms: 0,
             crash_marker: None,
+            report_lag_ms: 0,
+            report_lies: false,
             address: None,
         }
     }
@@ -62,9 +68,11 @@
             format!("--slots={}", self.slots),
             format!("--service-time-ms={}", self.service_time_ms),
             format!("--cold-ms={}", self.cold_ms),
+            format!("--report-lag-ms={}", self.report_lag_ms),
         ];
         texts.extend(self.address.map(|address| format!("--listen={address}")));
         texts.extend(node.map(|node| format!("--node={node}")));
+        texts.extend(self.report_lies.then(|| "--report-lies".to_owned()));
         let marker = self.crash_marker.as_ref();
         texts.extend(marker.map(|marker| format!("--crash-marker={marker}")));
         let mut arguments: Vec<OsString> = texts.into_iter().map(OsString::from).collect();
--- a/xtask/tests/announce.rs
+++ b/xtask/tests/announce.rs
@@ -39,10 +39,19 @@
 }
 
 fn start_target(name: &str, node: SocketAddr) -> (Process, SocketAddr) {
+    start_changed_target(name, node, |_| ())
+}
+
+fn start_changed_target(
+    name: &str,
+    node: SocketAddr,
+    change: impl FnOnce(&mut TargetSpec),
+) -> (Process, SocketAddr) {
     let programs = Programs::beside_running_executable().expect("the test has a directory");
     let directory = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let mut spec = TargetSpec::new(name, None, "order-desk", "v1");
     spec.slots = 4;
+    change(&mut spec);
     spec.address = Some(ports::free_address().expect("a free port"));
     let arguments = spec.arguments(Some(node), &directory);
     let target = Process::start(name, &programs.xtask, arguments, &directory);
@@ -93,3 +102,38 @@
     let paths: Vec<String> = received.try_iter().map(|(path, _)| path).collect();
     assert!(paths.contains(&"/v1/leave".to_owned()), "{paths:?}");
 }
+
+/// Guards against reports that are on time, or true, although the target was told otherwise:
+/// each row is the lag, whether reports lie, and whether the load shows in the early reports.
+#[test]
+fn reports_lag_and_lie_as_told() {
+    let rows = [
+        ("truthful", 0, false, true),
+        ("lagging", 60_000, false, false),
+        ("lying", 0, true, false),
+    ];
+
+    for (name, lag_ms, lies, shows) in rows {
+        let (node, received) = fake_node(&[]);
+        let (_target, address) = start_changed_target(name, node, |spec| {
+            spec.service_time_ms = 4_000;
+            spec.report_lag_ms = lag_ms;
+            spec.report_lies = lies;
+        });
+        next(&received);
+        let request = std::thread::spawn(move || {
+            let url = format!("http://{address}/orders");
+            xtask::http::exchange(&xtask::http::agent(BOUND), "POST", &url, &[], b"x")
+        });
+
+        let loads: Vec<u16> = (0..4)
+            .map(|_| next(&received))
+            .filter(|(path, _)| path == "/v1/report")
+            .map(|(_, body)| serde_json::from_str::<Report>(&body).expect("a report"))
+            .map(|report| report.load_percent)
+            .collect();
+
+        assert!(request.join().expect("no panic").is_ok(), "{name}");
+        assert_eq!(loads.contains(&25), shows, "{name}: {loads:?}");
+    }
+}
--- a/xtask/tests/store_contract.rs
+++ b/xtask/tests/store_contract.rs
@@ -259,6 +259,26 @@
     assert_eq!(counters(address).lost_answers, 1);
 }
 
+/// Guards against a store that stays up after a lost answer, or loses the write with it.
+#[test]
+fn lost_answer_can_begin_an_outage() {
+    let (_cluster, address) = store(GENEROUS);
+    let change = json!({"lose_write_answers": 1, "close_after_lost_ms": 300});
+    fault(address, &change);
+    let write = [("if-version", "0")];
+
+    let lost = call(address, "PUT", "/v1/objects/k", &write, b"one");
+    let down = call(address, "GET", "/v1/objects/k", &[], b"");
+    let back = wait::until("end of the outage", TIMEOUT, || {
+        call(address, "GET", "/v1/objects/k", &[], b"").map_err(|error| error.to_string())
+    });
+
+    assert!(lost.is_err(), "{lost:?}");
+    assert!(down.is_err(), "{down:?}");
+    let back = back.expect("the store comes back");
+    assert_eq!((back.status, back.body.as_slice()), (200, &b"one"[..]));
+}
+
 /// Guards against an outage that answers, never ends, or leaves watches waiting.
 #[test]
 fn outages_fail_calls_and_end_by_themselves() {
--- a/xtask/tests/target_contract.rs
+++ b/xtask/tests/target_contract.rs
@@ -217,6 +217,58 @@
     assert_eq!(runs.last().map(|run| run.request_id.as_str()), Some("bad"));
 }
 
+/// Guards against a target that ends before or after its answer in place of halfway through.
+#[test]
+fn dying_target_sends_half_an_answer() {
+    let (mut cluster, address) = target(|_| ());
+    let dies = FaultChange {
+        dies_in_answer: true,
+        path_prefix: Some("/orders".to_owned()),
+        ..FaultChange::default()
+    };
+    cluster.target_fault("t1", &dies).expect("the target runs");
+
+    let elsewhere = send(address, "/stock", &[], "fine");
+    let cut = send(address, "/orders", &[("x-request-id", "cut")], "fine");
+
+    assert_eq!(elsewhere.expect("an answer").status, 200);
+    assert!(cut.is_err(), "{cut:?}");
+    wait::until("end of the target", TIMEOUT, || {
+        let running = cluster
+            .is_running("t1")
+            .map_err(|error| error.to_string())?;
+        (!running).then_some(()).ok_or("running".to_owned())
+    })
+    .expect("the target ends");
+    let runs = cluster.runs().expect("a readable record");
+    assert_eq!(runs.last().map(|run| run.request_id.as_str()), Some("cut"));
+}
+
+/// Guards against a cold start that is not slow, or that never ends.
+#[test]
+fn cold_start_is_slow_until_it_ends() {
+    let cold = Duration::from_millis(1_500);
+    let (_cluster, address) = target(|spec| {
+        spec.service_time_ms = 50;
+        spec.cold_ms = 1_500;
+    });
+    let timed = || {
+        let begun = Instant::now();
+        let reply = send(address, "/orders", &[], "fine").expect("an answer");
+        (reply.status, begun.elapsed())
+    };
+
+    let first = timed();
+    std::thread::sleep(cold);
+    // The shortest of several, as the machine may be busy.
+    let warm = (0..5).map(|_| timed()).min_by_key(|(_, time)| *time);
+
+    let (status, warm) = warm.expect("five answers");
+    assert_eq!((first.0, status), (200, 200));
+    assert!(first.1 >= Duration::from_millis(200), "{:?}", first.1);
+    assert!(warm < Duration::from_millis(200), "{warm:?}");
+}
+
 /// Guards against a planned stop that cuts off a request in flight or takes a new one.
 #[test]
 fn draining_finishes_what_runs_and_takes_nothing_new() {
