Count every request that ran on a target when it vanished

crashing_request lost a third target in 1 of 16 runs on a loaded machine. Two causes in its logs: another request's connection broke first, the target was declared lost, and the crashing request's own break came later and was dropped; and a cancellation reached the listener of a process that was ending, so its break did not count as a loss. All running attempts are now counted when the target is lost, and a cancellation that breaks twice is a loss (a live target announces itself again).

--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hemlockfall_core::ids::Digest;
 use hemlockfall_request::outcome::Reason;
 use hemlockfall_request::seen::AttemptId;
 use stakker::CX;
@@ -141,7 +142,14 @@
                     self.cancel_ended(cx, run.attempt_id, &event.result);
                 }
             }
-            Purpose::CancelAgain => self.cancel_ended(cx, run.attempt_id, &event.result),
+            Purpose::CancelAgain => {
+                // A process that ends closes its connections before its listener, so a fresh
+                // connection can still break.
+                if matches!(event.result, TargetResult::Broken { .. }) {
+                    self.target_lost(cx);
+                }
+                self.cancel_ended(cx, run.attempt_id, &event.result);
+            }
         }
     }
 
@@ -209,6 +217,17 @@
         }
     }
 
+    /// Fingerprints of requests whose connections to the target have not ended. The loss of the
+    /// target can show on another connection first.
+    fn running_fingerprints(&self) -> Vec<Digest> {
+        let running = self.local.runs.iter();
+        running
+            .filter(|run| run.purpose == Purpose::Attempt)
+            .filter_map(|run| self.local.position(run.attempt_id).ok())
+            .map(|index| self.local.attempts[index].fingerprint)
+            .collect()
+    }
+
     /// The target refuses connections: everything that ran on it is in doubt, and what it ran
     /// when it vanished is counted as a possible cause.
     fn target_lost(&mut self, cx: CX![]) {
@@ -222,7 +241,8 @@
         self.local.lost(now.unix_ms);
         self.health.set_target(false);
         call!([self.control], withdraw());
-        let suspects = std::mem::take(&mut self.local.suspects);
+        let mut suspects = std::mem::take(&mut self.local.suspects);
+        suspects.extend(self.running_fingerprints());
         for fingerprint in suspects {
             if self.local.completed.contains(&fingerprint) {
                 continue;
