--- a/crates/hemlockfall/src/node/health.rs
+++ b/crates/hemlockfall/src/node/health.rs
@@ -12,6 +12,7 @@
     serving: AtomicBool,
     stopping: AtomicBool,
     has_target: AtomicBool,
+    had_target: AtomicBool,
     revision: AtomicU64,
 }
 
@@ -30,6 +31,13 @@
     /// `set_target` notes whether a target has announced itself and is not lost.
     pub fn set_target(&self, is_known: bool) {
         self.has_target.store(is_known, Ordering::Relaxed);
+        self.had_target.fetch_or(is_known, Ordering::Relaxed);
+    }
+
+    /// `had_target` tells whether a target has ever announced itself to this process.
+    #[must_use]
+    pub fn had_target(&self) -> bool {
+        self.had_target.load(Ordering::Relaxed)
     }
 
     /// `has_target` tells whether a target has announced itself and is not lost.
--- a/crates/hemlockfall/src/node/stopping.rs
+++ b/crates/hemlockfall/src/node/stopping.rs
@@ -61,7 +61,7 @@
         }
         spdlog::info!("planned stop begins");
         self.started = Some(cx.now());
-        self.keeps_keys = self.parts.health.has_target();
+        self.keeps_keys = self.parts.health.had_target();
         self.parts.health.set_stopping();
         call!([self.parts.calls], leave());
         call!([self.parts.callers], stop_accepting());
--- a/xtask/tests/scenario_parser.rs
+++ b/xtask/tests/scenario_parser.rs
@@ -157,7 +157,7 @@
     ]
 }
 
-fn waits_and_faults() -> Vec<(&'static str, Step)> {
+fn waits_and_bytes() -> Vec<(&'static str, Step)> {
     vec![
         (
             "wait for 50 runs within 1 s",
@@ -188,6 +188,11 @@
             "bytes to n1 port operator text \"{\"",
             bytes(Port::Operator, BytesContent::Text("{".to_owned())),
         ),
+    ]
+}
+
+fn lives_and_faults() -> Vec<(&'static str, Step)> {
+    vec![
         ("kill t1", Step::Life(Life::Kill("t1".to_owned()))),
         ("kill vm n1", Step::Life(Life::KillVm("n1".to_owned()))),
         ("stop t1", Step::Life(Life::Stop("t1".to_owned()))),
@@ -384,7 +389,8 @@
 fn good_lines_are_read() {
     let tables = [
         start_apply_and_send(),
-        waits_and_faults(),
+        waits_and_bytes(),
+        lives_and_faults(),
         expectations(),
         observations(),
     ];
@@ -396,110 +402,111 @@
     }
 }
 
+/// Line, part of what was expected, begin of what was found.
+const BAD_LINES: &[(&str, &str, &str)] = &[
+    ("begin store", "a step (seed, long, start", "begin store"),
+    ("start cloud", "`store`, `node` or `target`", "cloud"),
+    (
+        "start node n1 region ch-west",
+        "`data-centre`",
+        "the end of the line",
+    ),
+    (
+        "start node n1 zone a data-centre b",
+        "`region`",
+        "zone a data-centre b",
+    ),
+    (
+        "start store writes many per s",
+        "a whole number",
+        "many per s",
+    ),
+    (
+        "start target t1 at n1 service s version v slots 70000",
+        "a number of slots",
+        "70000",
+    ),
+    (
+        "start store slowly",
+        "the end of the line or an option",
+        "slowly",
+    ),
+    ("apply catalogue a.toml", "a text in quotes", "a.toml"),
+    ("apply catalogue \"a.toml", "a text in quotes", "\"a.toml"),
+    (
+        "send few requests to s path / through n1 key none",
+        "a whole number",
+        "few requests",
+    ),
+    (
+        "send 1 requests to s path / through n1 key always",
+        "`unique`, `once` or `none`",
+        "always",
+    ),
+    (
+        "send 1 requests to s path / through n1 key none in front",
+        "`background`",
+        "front",
+    ),
+    ("freeze n2 for 2", "a time such as", "2"),
+    ("freeze n2 for 2 hours", "a time such as", "2 hours"),
+    ("wait for 5 runs", "`within`", "the end of the line"),
+    (
+        "store breaks",
+        "`down`, `closed`, `slow`, `loses` or `cuts`",
+        "breaks",
+    ),
+    (
+        "target t1 fails 1001 permille",
+        "a share from 0 to 1000 permille",
+        "1001",
+    ),
+    (
+        "expect no problems",
+        "`double runs`, `wrong answers`, `false not-run`, `log` or `runs`",
+        "problems",
+    ),
+    ("settings request key", "a text in quotes", "key"),
+    (
+        "apply catalogue \"a\" expect success",
+        "`refused` or `unknown`",
+        "success",
+    ),
+    (
+        "bytes to n1 port door random 1 messages",
+        "`caller`, `peer-tcp`",
+        "door",
+    ),
+    ("bytes to n1 port local all", "`random` or `text`", "all"),
+    (
+        "expect metric m on n1 about 3",
+        "`at least` or `at most`",
+        "about",
+    ),
+    ("expect log \"x\" on n1", "`within`", "the end of the line"),
+    (
+        "expect no runs at t1 from 3 s",
+        "`after leave`",
+        "the end of the line",
+    ),
+    ("expect at least 3 lost", "`answered` or `code`", "lost"),
+    (
+        "expect revision 3 on all",
+        "`within`",
+        "the end of the line",
+    ),
+    (
+        "expect no double runs today",
+        "the end of the line or an option",
+        "today",
+    ),
+    ("seed x", "a whole number", "x"),
+];
+
 /// Guards against messages that do not tell where the mistake is and what was expected.
 #[test]
 fn bad_lines_are_refused_with_what_was_expected() {
-    let rows = [
-        ("begin store", "a step (seed, long, start", "begin store"),
-        ("start cloud", "`store`, `node` or `target`", "cloud"),
-        (
-            "start node n1 region ch-west",
-            "`data-centre`",
-            "the end of the line",
-        ),
-        (
-            "start node n1 zone a data-centre b",
-            "`region`",
-            "zone a data-centre b",
-        ),
-        (
-            "start store writes many per s",
-            "a whole number",
-            "many per s",
-        ),
-        (
-            "start target t1 at n1 service s version v slots 70000",
-            "a number of slots",
-            "70000",
-        ),
-        (
-            "start store slowly",
-            "the end of the line or an option",
-            "slowly",
-        ),
-        ("apply catalogue a.toml", "a text in quotes", "a.toml"),
-        ("apply catalogue \"a.toml", "a text in quotes", "\"a.toml"),
-        (
-            "send few requests to s path / through n1 key none",
-            "a whole number",
-            "few requests",
-        ),
-        (
-            "send 1 requests to s path / through n1 key always",
-            "`unique`, `once` or `none`",
-            "always",
-        ),
-        (
-            "send 1 requests to s path / through n1 key none in front",
-            "`background`",
-            "front",
-        ),
-        ("freeze n2 for 2", "a time such as", "2"),
-        ("freeze n2 for 2 hours", "a time such as", "2 hours"),
-        ("wait for 5 runs", "`within`", "the end of the line"),
-        (
-            "store breaks",
-            "`down`, `closed`, `slow`, `loses` or `cuts`",
-            "breaks",
-        ),
-        (
-            "target t1 fails 1001 permille",
-            "a share from 0 to 1000 permille",
-            "1001",
-        ),
-        (
-            "expect no problems",
-            "`double runs`, `wrong answers`, `false not-run`, `log` or `runs`",
-            "problems",
-        ),
-        ("settings request key", "a text in quotes", "key"),
-        (
-            "apply catalogue \"a\" expect success",
-            "`refused` or `unknown`",
-            "success",
-        ),
-        (
-            "bytes to n1 port door random 1 messages",
-            "`caller`, `peer-tcp`",
-            "door",
-        ),
-        ("bytes to n1 port local all", "`random` or `text`", "all"),
-        (
-            "expect metric m on n1 about 3",
-            "`at least` or `at most`",
-            "about",
-        ),
-        ("expect log \"x\" on n1", "`within`", "the end of the line"),
-        (
-            "expect no runs at t1 from 3 s",
-            "`after leave`",
-            "the end of the line",
-        ),
-        ("expect at least 3 lost", "`answered` or `code`", "lost"),
-        (
-            "expect revision 3 on all",
-            "`within`",
-            "the end of the line",
-        ),
-        (
-            "expect no double runs today",
-            "the end of the line or an option",
-            "today",
-        ),
-        ("seed x", "a whole number", "x"),
-    ];
-
-    for (text, expected, found) in rows {
+    for (text, expected, found) in BAD_LINES.iter().copied() {
         let refused = parser::parse_line(text).expect_err(text);
 
         assert!(refused.contains(expected), "{text}: {refused}");
