Measure tables of the planned size, and keep bench ports apart

The bench takes its ports from a range of its own: a run with 200 nodes ended when another harness on the machine had bound a port in between.

--- a/xtask/src/bench/distribute.rs
+++ b/xtask/src/bench/distribute.rs
@@ -7,6 +7,7 @@
 mod herd;
 mod measure;
 mod observe;
+mod phantoms;
 mod plot;
 
 use std::path::PathBuf;
@@ -43,6 +44,11 @@
     plot: Option<PathBuf>,
     #[options(help = "measure the restart of a data centre and of all nodes instead")]
     herd: bool,
+    #[options(
+        meta = "N",
+        help = "measure with tables that hold N more records instead"
+    )]
+    phantoms: Option<usize>,
 }
 
 /// `run` runs the bench and prints the figures.
@@ -56,6 +62,11 @@
         println!("{}", Value::Object(figures));
         return Ok(());
     }
+    if let Some(count) = arguments.phantoms {
+        let figures = phantoms::run(&programs, arguments.nodes, count)?;
+        println!("{}", Value::Object(figures));
+        return Ok(());
+    }
     let plan = Plan {
         nodes: arguments.nodes,
         changes: arguments.changes.unwrap_or(DEFAULT_CHANGES),
@@ -63,13 +74,15 @@
         idle: Duration::from_secs(arguments.idle_s.unwrap_or(DEFAULT_IDLE_S)),
     };
     let product = measure::run(&programs, &plan, Mode::Product)?;
+    let mut figures = Map::new();
+    figures.insert("nodes".to_owned(), plan.nodes.into());
+    product.write("", &mut figures);
+    // The baseline may fail to start; the figures of the product are kept.
+    eprintln!("{}", Value::Object(figures.clone()));
     let baseline = measure::run(&programs, &plan, Mode::Baseline)?;
     if let Some(directory) = &arguments.plot {
         plot::write(directory, &product.convergence_ms, &baseline.convergence_ms)?;
     }
-    let mut figures = Map::new();
-    figures.insert("nodes".to_owned(), plan.nodes.into());
-    product.write("", &mut figures);
     baseline.write("baseline_", &mut figures);
     println!("{}", Value::Object(figures));
     Ok(())
--- a/xtask/src/bench/distribute/fleet.rs
+++ b/xtask/src/bench/distribute/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -20,8 +21,8 @@
 /// `STORE_REGION` is the region of the store.
 pub const STORE_REGION: &str = "region-a";
 
-/// Regions with their data centres.
-const PLACES: [(&str, &str); 7] = [
+/// `PLACES` are regions with their data centres.
+pub const PLACES: [(&str, &str); 7] = [
     ("region-a", "a1"),
     ("region-b", "b1"),
     ("region-c", "c1"),
@@ -33,6 +34,8 @@
 const DATA_CENTRE_DELAY_US: u32 = 1_500;
 const REGION_DELAY_US: u32 = 12_000;
 const REGION_KBIT_PER_S: u32 = 30_000;
+/// Ports of the nodes, apart from those of other harnesses.
+const PORTS: Range<u16> = 2_000..10_000;
 const START_BOUND: Duration = Duration::from_secs(30);
 /// Time between two starts, so that starting does not distort the figures.
 const STAGGER: Duration = Duration::from_millis(60);
@@ -66,18 +69,19 @@
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory)
             .map_err(|error| Error::resource(directory.display().to_string(), error))?;
-        let store_address = ports::free_address()?;
+        let store_address = ports::free_address_in(PORTS)?;
         let arguments = ["store".to_owned(), format!("--listen={store_address}")];
         let arguments = arguments.map(Into::into).to_vec();
         let store = Process::start("store", &programs.xtask, arguments, &directory)?;
         let mut nodes = Vec::new();
         for index in 0..count {
             let (region, data_centre) = PLACES[index % PLACES.len()];
-            nodes.push(NodeSpec::new(
-                &format!("node-{index:03}"),
-                region,
-                data_centre,
-            )?);
+            let mut node = NodeSpec::new(&format!("node-{index:03}"), region, data_centre)?;
+            node.caller_address = ports::free_address_in(PORTS)?;
+            node.peer_address = ports::free_address_in(PORTS)?;
+            node.operator_address = ports::free_address_in(PORTS)?;
+            node.local_address = ports::free_address_in(PORTS)?;
+            nodes.push(node);
         }
         let fleet = Self {
             directory,
--- /dev/null
+++ b/xtask/src/bench/distribute/phantoms.rs
@@ -0,0 +1,106 @@
+//! `--phantoms`: nodes learn the records of many nodes that do not run, so that memory and
+//! processor time are measured with a table of the planned size.
+//!
+//! The records fail one after the other, since nobody answers probes; the processor time is
+//! therefore an upper bound.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::thread;
+use std::time::Duration;
+
+use hemlockfall::wire::ControlMessage;
+use hemlockfall_core::endpoint::EndpointRecord;
+use hemlockfall_core::endpoint::EndpointState;
+use hemlockfall_core::endpoint::TargetInfo;
+use hemlockfall_membership::message::Message;
+use hemlockfall_membership::message::News;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::bench::distribute::catalogue::SERVICES;
+use crate::bench::distribute::figures::Usage;
+use crate::bench::distribute::fleet::Mode;
+use crate::bench::distribute::fleet::PLACES;
+use crate::bench::distribute::measure;
+use crate::bench::distribute::observe;
+use crate::harness::programs::Programs;
+
+const PER_DATAGRAM: usize = 12;
+const BETWEEN_DATAGRAMS: Duration = Duration::from_millis(2);
+const SETTLE: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(15);
+/// Addresses of loopback hosts on which nothing listens.
+const FIRST_PORT: u16 = 2_000;
+const PORTS: usize = 1_000;
+const FIRST_HOST: u8 = 10;
+
+/// `run` measures `nodes` nodes whose tables hold `phantoms` more records.
+///
+/// # Errors
+/// A message when processes cannot be started or do not come up.
+pub fn run(
+    programs: &Programs,
+    nodes: usize,
+    phantoms: usize,
+) -> Result<Map<String, Value>, String> {
+    let fleet = measure::up(programs, nodes, Mode::Product)?;
+    let socket = UdpSocket::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+    let records: Vec<EndpointRecord> = (0..phantoms).map(record).collect();
+    for chunk in records.chunks(PER_DATAGRAM) {
+        let news = News {
+            records: chunk.to_vec(),
+            items: Vec::new(),
+        };
+        let message = ControlMessage::Membership(Message::Records { news });
+        let content = message.encode().map_err(|error| error.to_string())?;
+        for node in &fleet.nodes {
+            socket
+                .send_to(&content, node.peer_address)
+                .map_err(|error| error.to_string())?;
+        }
+        thread::sleep(BETWEEN_DATAGRAMS);
+    }
+    thread::sleep(SETTLE);
+    let first = observe::samples(&fleet);
+    thread::sleep(WINDOW);
+    let last = observe::samples(&fleet);
+    let pairs = first.iter().zip(&last);
+    let usages: Vec<Usage> = pairs.map(|(a, b)| Usage::between(a, b)).collect();
+    let usage = Usage::mean(usages.iter());
+    let members: Vec<usize> = fleet.nodes.iter().map(observe::members).collect();
+    let mut figures = Map::new();
+    let mut add = |key: &str, value: Value| {
+        figures.insert(key.to_owned(), value);
+    };
+    add("nodes", nodes.into());
+    add("phantoms", phantoms.into());
+    add("least_members_known", members.iter().min().copied().into());
+    add("cpu_percent_per_node", usage.processor_percent.into());
+    add("control_bytes_per_s_per_node", usage.bytes_per_s.into());
+    add("rss_mb_per_node", usage.resident_mb.into());
+    Ok(figures)
+}
+
+fn record(index: usize) -> EndpointRecord {
+    let (region, data_centre) = PLACES[index % PLACES.len()];
+    let host = FIRST_HOST.saturating_add(u8::try_from(index / PORTS).unwrap_or(u8::MAX));
+    let port = FIRST_PORT.saturating_add(u16::try_from(index % PORTS).unwrap_or(0));
+    let service = index % usize::try_from(SERVICES).unwrap_or(1);
+    EndpointRecord {
+        node: format!("phantom-{index:05}").into(),
+        peer_address: SocketAddr::from(([127, 0, host, 1], port)),
+        region: region.into(),
+        data_centre: data_centre.into(),
+        incarnation: 1_790_000_000_000,
+        sequence: 2,
+        state: EndpointState::Ready,
+        target: Some(TargetInfo {
+            service: format!("service-{service:03}").into(),
+            version: "v1".into(),
+            slots: 12,
+            ready_unix_ms: 1_790_000_000_000,
+        }),
+        revision: 300,
+    }
+}
--- a/xtask/src/harness/ports.rs
+++ b/xtask/src/harness/ports.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::ops::Range;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
@@ -26,10 +27,20 @@
 /// # Errors
 /// [`Error::Resource`] when no free port was found.
 pub fn free_address() -> Result<SocketAddr> {
+    free_address_in(FIRST_PORT..LAST_PORT)
+}
+
+/// `free_address_in` is [`free_address`] with a range of ports. A bench that needs hundreds of
+/// ports takes them from a range of its own, since other harnesses on the machine choose ports
+/// that are not bound yet as well.
+///
+/// # Errors
+/// [`Error::Resource`] when no free port was found.
+pub fn free_address_in(ports: Range<u16>) -> Result<SocketAddr> {
     let mut random = rand::rng();
     let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..TRIES {
-        let port = random.random_range(FIRST_PORT..LAST_PORT);
+        let port = random.random_range(ports.clone());
         if taken.contains(&port) {
             continue;
         }
