--- a/xtask/src/bench/distribute.rs
+++ b/xtask/src/bench/distribute.rs
@@ -20,11 +20,14 @@
 use crate::harness::programs::Programs;
 
 use self::fleet::Mode;
+use self::fleet::Setup;
 use self::measure::Plan;
 
 const DEFAULT_CHANGES: u32 = 10;
 /// 23,000 changes per day are one in 3.75 s.
 const DEFAULT_INTERVAL_MS: u64 = 3_750;
+/// Below the ports that other harnesses choose from.
+const DEFAULT_FIRST_PORT: u16 = 2_000;
 const DEFAULT_IDLE_S: u64 = 15;
 
 /// `Arguments` of `bench distribute`.
@@ -40,6 +43,8 @@
     interval_ms: Option<u64>,
     #[options(meta = "S", help = "time without changes (default 15)")]
     idle_s: Option<u64>,
+    #[options(meta = "P", help = "first port of the run's range (default 2000)")]
+    first_port: Option<u16>,
     #[options(meta = "DIR", help = "directory for a plot of the convergence times")]
     plot: Option<PathBuf>,
     #[options(help = "measure the restart of a data centre and of all nodes instead")]
@@ -56,30 +61,33 @@
 /// # Errors
 /// A message when processes cannot be started or do not come up.
 pub fn run(arguments: &Arguments) -> Result<(), String> {
-    let programs = Programs::locate().map_err(|error| error.to_string())?;
+    let setup = Setup {
+        programs: Programs::locate().map_err(|error| error.to_string())?,
+        nodes: arguments.nodes,
+        first_port: arguments.first_port.unwrap_or(DEFAULT_FIRST_PORT),
+    };
     if arguments.herd {
-        let figures = herd::run(&programs, arguments.nodes)?;
+        let figures = herd::run(&setup)?;
         println!("{}", Value::Object(figures));
         return Ok(());
     }
     if let Some(count) = arguments.phantoms {
-        let figures = phantoms::run(&programs, arguments.nodes, count)?;
+        let figures = phantoms::run(&setup, count)?;
         println!("{}", Value::Object(figures));
         return Ok(());
     }
     let plan = Plan {
-        nodes: arguments.nodes,
         changes: arguments.changes.unwrap_or(DEFAULT_CHANGES),
         interval: Duration::from_millis(arguments.interval_ms.unwrap_or(DEFAULT_INTERVAL_MS)),
         idle: Duration::from_secs(arguments.idle_s.unwrap_or(DEFAULT_IDLE_S)),
     };
-    let product = measure::run(&programs, &plan, Mode::Product)?;
+    let product = measure::run(&setup, &plan, Mode::Product)?;
     let mut figures = Map::new();
-    figures.insert("nodes".to_owned(), plan.nodes.into());
+    figures.insert("nodes".to_owned(), arguments.nodes.into());
     product.write("", &mut figures);
     // The baseline may fail to start; the figures of the product are kept.
     eprintln!("{}", Value::Object(figures.clone()));
-    let baseline = measure::run(&programs, &plan, Mode::Baseline)?;
+    let baseline = measure::run(&setup, &plan, Mode::Baseline)?;
     if let Some(directory) = &arguments.plot {
         plot::write(directory, &product.convergence_ms, &baseline.convergence_ms)?;
     }
--- a/xtask/src/bench/distribute/fleet.rs
+++ b/xtask/src/bench/distribute/fleet.rs
@@ -11,7 +11,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::harness::node::NodeSpec;
-use crate::harness::ports;
+use crate::harness::ports::free_address_in;
 use crate::harness::process::Process;
 use crate::harness::programs::Programs;
 use crate::harness::wait;
@@ -34,8 +34,10 @@
 const DATA_CENTRE_DELAY_US: u32 = 1_500;
 const REGION_DELAY_US: u32 = 12_000;
 const REGION_KBIT_PER_S: u32 = 30_000;
-/// Ports of the nodes, apart from those of other harnesses.
-const PORTS: Range<u16> = 2_000..10_000;
+/// Ports that a run takes from its range, per node: twice four, and as many again in reserve.
+const PORTS_PER_NODE: u16 = 12;
+/// Ports of a run with few nodes.
+const LEAST_PORTS: u16 = 100;
 const START_BOUND: Duration = Duration::from_secs(30);
 /// Time between two starts, so that starting does not distort the figures.
 const STAGGER: Duration = Duration::from_millis(60);
@@ -49,6 +51,25 @@
     Baseline,
 }
 
+/// `Setup` is what a run starts.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Programs to start.
+    pub programs: Programs,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// First port of the range that ports are taken from.
+    pub first_port: u16,
+}
+
+impl Setup {
+    fn ports(&self) -> Range<u16> {
+        let nodes = u16::try_from(self.nodes).unwrap_or(u16::MAX);
+        let count = nodes.saturating_mul(PORTS_PER_NODE).max(LEAST_PORTS);
+        self.first_port..self.first_port.saturating_add(count)
+    }
+}
+
 /// `Fleet` is a set of running processes; dropping it kills them and removes its directory.
 pub struct Fleet {
     directory: PathBuf,
@@ -64,12 +85,14 @@
     ///
     /// # Errors
     /// Any error of start, or [`Error::NotReached`] when the store does not answer.
-    pub fn start(programs: &Programs, count: usize, mode: Mode) -> Result<Self> {
+    pub fn start(setup: &Setup, mode: Mode) -> Result<Self> {
+        let (programs, count) = (&setup.programs, setup.nodes);
+        let ports = setup.ports();
         let name = format!("hemlockfall-distribute-{}-{mode:?}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory)
             .map_err(|error| Error::resource(directory.display().to_string(), error))?;
-        let store_address = ports::free_address_in(PORTS)?;
+        let store_address = free_address_in(ports.clone())?;
         let arguments = ["store".to_owned(), format!("--listen={store_address}")];
         let arguments = arguments.map(Into::into).to_vec();
         let store = Process::start("store", &programs.xtask, arguments, &directory)?;
@@ -77,10 +100,10 @@
         for index in 0..count {
             let (region, data_centre) = PLACES[index % PLACES.len()];
             let mut node = NodeSpec::new(&format!("node-{index:03}"), region, data_centre)?;
-            node.caller_address = ports::free_address_in(PORTS)?;
-            node.peer_address = ports::free_address_in(PORTS)?;
-            node.operator_address = ports::free_address_in(PORTS)?;
-            node.local_address = ports::free_address_in(PORTS)?;
+            node.caller_address = free_address_in(ports.clone())?;
+            node.peer_address = free_address_in(ports.clone())?;
+            node.operator_address = free_address_in(ports.clone())?;
+            node.local_address = free_address_in(ports.clone())?;
             nodes.push(node);
         }
         let fleet = Self {
--- a/xtask/src/bench/distribute/herd.rs
+++ b/xtask/src/bench/distribute/herd.rs
@@ -14,9 +14,9 @@
 use crate::bench::distribute::catalogue;
 use crate::bench::distribute::fleet::Fleet;
 use crate::bench::distribute::fleet::Mode;
+use crate::bench::distribute::fleet::Setup;
 use crate::bench::distribute::measure;
 use crate::bench::distribute::observe;
-use crate::harness::programs::Programs;
 use crate::http;
 use crate::store::state::Counters;
 
@@ -77,8 +77,9 @@
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn run(programs: &Programs, nodes: usize) -> Result<Map<String, Value>, String> {
-    let mut fleet = measure::up(programs, nodes, Mode::Product)?;
+pub fn run(setup: &Setup) -> Result<Map<String, Value>, String> {
+    let nodes = setup.nodes;
+    let mut fleet = measure::up(setup, Mode::Product)?;
     let mut figures = Map::new();
     figures.insert("nodes".to_owned(), nodes.into());
     let is_lost = |index: &usize| fleet.nodes[*index].data_centre == LOST_DATA_CENTRE;
--- a/xtask/src/bench/distribute/measure.rs
+++ b/xtask/src/bench/distribute/measure.rs
@@ -12,10 +12,10 @@
 use crate::bench::distribute::fleet::Fleet;
 use crate::bench::distribute::fleet::Mode;
 use crate::bench::distribute::fleet::STORE_REGION;
+use crate::bench::distribute::fleet::Setup;
 use crate::bench::distribute::observe;
 use crate::bench::distribute::observe::Role;
 use crate::bench::distribute::observe::Sample;
-use crate::harness::programs::Programs;
 use crate::harness::wait;
 use crate::store::state::Counters;
 
@@ -30,8 +30,6 @@
 /// `Plan` is the size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
-    /// Nodes.
-    pub nodes: usize,
     /// Changes.
     pub changes: u32,
     /// Time between changes.
@@ -75,8 +73,8 @@
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn run(programs: &Programs, plan: &Plan, mode: Mode) -> Result<Figures, String> {
-    let fleet = up(programs, plan.nodes, mode)?;
+pub fn run(setup: &Setup, plan: &Plan, mode: Mode) -> Result<Figures, String> {
+    let fleet = up(setup, mode)?;
     std::thread::sleep(SETTLE);
     let idle = window(&fleet, || {
         std::thread::sleep(plan.idle);
@@ -106,12 +104,13 @@
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn up(programs: &Programs, nodes: usize, mode: Mode) -> Result<Fleet, String> {
-    let mut fleet = Fleet::start(programs, nodes, mode).map_err(|error| error.to_string())?;
+pub fn up(setup: &Setup, mode: Mode) -> Result<Fleet, String> {
+    let nodes = setup.nodes;
+    let mut fleet = Fleet::start(setup, mode).map_err(|error| error.to_string())?;
     let revision = catalogue::write_first(&fleet.client())?;
     let begun = Instant::now();
     fleet
-        .start_nodes(programs)
+        .start_nodes(&setup.programs)
         .map_err(|error| error.to_string())?;
     fleet.check_running().map_err(|error| error.to_string())?;
     for node in &fleet.nodes {
--- a/xtask/src/bench/distribute/phantoms.rs
+++ b/xtask/src/bench/distribute/phantoms.rs
@@ -22,9 +22,9 @@
 use crate::bench::distribute::figures::Usage;
 use crate::bench::distribute::fleet::Mode;
 use crate::bench::distribute::fleet::PLACES;
+use crate::bench::distribute::fleet::Setup;
 use crate::bench::distribute::measure;
 use crate::bench::distribute::observe;
-use crate::harness::programs::Programs;
 
 const PER_DATAGRAM: usize = 12;
 const BETWEEN_DATAGRAMS: Duration = Duration::from_millis(2);
@@ -35,16 +35,12 @@
 const PORTS: usize = 1_000;
 const FIRST_HOST: u8 = 10;
 
-/// `run` measures `nodes` nodes whose tables hold `phantoms` more records.
+/// `run` measures nodes whose tables hold `phantoms` more records.
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn run(
-    programs: &Programs,
-    nodes: usize,
-    phantoms: usize,
-) -> Result<Map<String, Value>, String> {
-    let fleet = measure::up(programs, nodes, Mode::Product)?;
+pub fn run(setup: &Setup, phantoms: usize) -> Result<Map<String, Value>, String> {
+    let fleet = measure::up(setup, Mode::Product)?;
     let socket = UdpSocket::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
     let records: Vec<EndpointRecord> = (0..phantoms).map(record).collect();
     for chunk in records.chunks(PER_DATAGRAM) {
@@ -73,7 +69,7 @@
     let mut add = |key: &str, value: Value| {
         figures.insert(key.to_owned(), value);
     };
-    add("nodes", nodes.into());
+    add("nodes", setup.nodes.into());
     add("phantoms", phantoms.into());
     add("least_members_known", members.iter().min().copied().into());
     add("cpu_percent_per_node", usage.processor_percent.into());
