--- a/crates/hemlockfall/src/node/calls/local.rs
+++ b/crates/hemlockfall/src/node/calls/local.rs
@@ -8,6 +8,7 @@
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::ids::Digest;
 use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::ServiceName;
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_request::admission::Admission;
@@ -36,6 +37,7 @@
 use crate::wire::AnswerFrame;
 use crate::wire::AttemptEnd;
 use crate::wire::CallFrame;
+use crate::wire::CallKey;
 use crate::wire::LinkMessage;
 
 /// `Origin` is where an attempt came from.
@@ -68,6 +70,8 @@
     announcement: Option<Announcement>,
     pub(super) ready_unix_ms: u64,
     is_leaving: bool,
+    /// The last service of the target, and when it was lost, until it announces itself again.
+    lost: Option<(ServiceName, u64)>,
     /// Sorted by attempt id.
     pub(super) attempts: Vec<LocalAttempt>,
     /// Runs on the target, sorted by run id.
@@ -83,8 +87,18 @@
         self.is_leaving || self.announcement.as_ref() != Some(announcement)
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving
+    /// Tells whether the node becomes a member of the service with this announcement, or was
+    /// out of it long enough for keys to have got other keepers.
+    pub(super) fn joins(&self, announcement: &Announcement, now_unix_ms: u64, out_ms: u64) -> bool {
+        if self.is_leaving {
+            return true;
+        }
+        match &self.lost {
+            Some((service, lost_unix_ms)) => {
+                *service != announcement.service || lost_unix_ms + out_ms <= now_unix_ms
+            }
+            None => self.service() != Some(&announcement.service),
+        }
     }
 
     pub(super) fn is_idle(&self) -> bool {
@@ -95,14 +109,17 @@
         self.announcement = Some(announcement.clone());
         self.ready_unix_ms = now_unix_ms;
         self.is_leaving = false;
+        self.lost = None;
     }
 
     pub(super) fn leave(&mut self) {
         self.is_leaving = true;
     }
 
-    pub(super) fn lost(&mut self) {
-        self.announcement = None;
+    pub(super) fn lost(&mut self, now_unix_ms: u64) {
+        if let Some(announcement) = self.announcement.take() {
+            self.lost = Some((announcement.service, now_unix_ms));
+        }
     }
 
     pub(super) fn address(&self) -> Option<SocketAddr> {
@@ -193,9 +210,9 @@
             self.offer(cx, attempt_id);
             return;
         };
-        let key = Key::new(frame.service, call_key.text);
+        let key = Key::new(frame.service, call_key.text.clone());
         let claim = ClaimRequest {
-            keepers: self.router.keepers(&key, call_key.is_generated, now),
+            keepers: self.keepers(&key, &call_key, now),
             key,
             claimant: attempt_id,
             voided: call_key.voided,
@@ -206,6 +223,18 @@
         self.perform_keys(cx, actions);
     }
 
+    /// A runner that joined too late to know the members of the key's time asks the keepers that
+    /// the entry node named; otherwise the targets of a new version could not run keyed requests
+    /// until they had been members for a while.
+    fn keepers(&self, key: &Key, call_key: &CallKey, now: clock::Now) -> Vec<NodeName> {
+        let has_history = self.keys.has_history(key, now);
+        if !has_history && !call_key.keepers.is_empty() {
+            return call_key.keepers.clone();
+        }
+        self.router
+            .keepers(key, call_key.is_generated, has_history, now)
+    }
+
     fn reason_against(&self, frame: &CallFrame, now: clock::Now) -> Option<Reason> {
         if !self.local.serves(&frame.service, &frame.version) {
             return Some(Reason::NoTarget);
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -24,6 +24,8 @@
 use hemlockfall_membership::items::GossipItem;
 use hemlockfall_membership::node::Membership;
 use hemlockfall_membership::roles::Roles;
+use hemlockfall_moves::action::Recipient;
+use hemlockfall_moves::evidence::EvidenceMessage;
 use stakker::Actor;
 use stakker::CX;
 use stakker::Fwd;
@@ -51,6 +53,10 @@
 /// Relays look for contacts of other data centres this often, so that groups that started
 /// apart find each other.
 const CONTACTS_INTERVAL: Duration = Duration::from_secs(10);
+/// In the first time after its start a relay looks this often: nodes that start at the same
+/// moment read the contact objects before any of them has written its own, and start alone.
+const EARLY_CONTACTS_INTERVAL: Duration = Duration::from_secs(1);
+const EARLY_CONTACTS_PERIOD: Duration = Duration::from_secs(15);
 /// Longest wait for the copies of an accepted change.
 const COPIES_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -119,6 +125,7 @@
     awaited: Vec<AwaitedCopies>,
     has_peers: bool,
     next_contacts: Instant,
+    early_until: Instant,
     sent_bytes: SentBytes,
     members_gauge: metrics::Gauge,
     store_outage: StoreOutage,
@@ -139,7 +146,8 @@
             parts,
             awaited: Vec::new(),
             has_peers: false,
-            next_contacts: cx.now() + CONTACTS_INTERVAL,
+            next_contacts: cx.now() + EARLY_CONTACTS_INTERVAL,
+            early_until: cx.now() + EARLY_CONTACTS_PERIOD,
             sent_bytes: SentBytes::default(),
             members_gauge: metrics::gauge!("hemlockfall_members"),
             store_outage: StoreOutage::default(),
@@ -165,7 +173,12 @@
         self.publish_store_outage();
         self.update_board();
         if now >= self.next_contacts {
-            self.next_contacts = now + CONTACTS_INTERVAL;
+            self.next_contacts = now
+                + if now < self.early_until {
+                    EARLY_CONTACTS_INTERVAL
+                } else {
+                    CONTACTS_INTERVAL
+                };
             if self.parts.membership.roles().is_relay {
                 self.parts.store.read_all_contacts();
             }
@@ -197,7 +210,7 @@
                 let actions = self.parts.distribution.handle(from, message, now);
                 self.perform_distribution(actions);
             }
-            ControlMessage::Evidence(_) => {}
+            ControlMessage::Evidence { .. } => {}
         }
     }
 
@@ -336,6 +349,17 @@
             .spread_item(item, lifetime_ms, cx.now());
     }
 
+    /// `send_evidence` sends evidence of the moves family to a node.
+    pub fn send_evidence(
+        &mut self,
+        _: CX![],
+        address: SocketAddr,
+        to: Recipient,
+        message: EvidenceMessage,
+    ) {
+        self.send(address, ControlMessage::Evidence { to, message });
+    }
+
     fn output_own(&self) {
         let own = self.parts.membership.own().clone();
         fwd!([self.parts.outputs], ControlOutput::Endpoint(own));
--- a/crates/hemlockfall/src/node/run.rs
+++ b/crates/hemlockfall/src/node/run.rs
@@ -15,13 +15,16 @@
 use hemlockfall_core::units;
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_membership::node::Membership;
+use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::balance::Place;
+use hemlockfall_request::suspicion::Silence;
 use hemlockfall_store::Client;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use stakker::Actor;
 use stakker::ActorOwn;
 use stakker::Fwd;
+use stakker::Share;
 use stakker::Stakker;
 use stakker::actor;
 use stakker::actor_new;
@@ -61,6 +64,11 @@
 use crate::node::dispatch::Dispatch;
 use crate::node::dispatch::Receivers;
 use crate::node::health::Health;
+use crate::node::moves::Moves;
+use crate::node::moves::MovesParts;
+use crate::node::moves::report;
+use crate::node::moves::store::MoveStore;
+use crate::node::moves::store::StoreAnswer;
 use crate::node::options::NodeOptions;
 use crate::node::signals;
 use crate::node::signals::StopRequested;
@@ -70,7 +78,6 @@
 use crate::node::store_io::StoreEvent;
 use crate::node::store_io::StoreIo;
 use crate::operator;
-use crate::operator::OperatorError;
 use crate::operator::request::NodeStatus;
 use crate::operator::server::Server;
 use crate::operator::worker;
@@ -127,6 +134,7 @@
     distribution: hemlockfall_distribution::options::Options,
     membership: hemlockfall_membership::options::Options,
     request: hemlockfall_request::options::Options,
+    moves: hemlockfall_moves::options::Options,
     operator: operator::Options,
     edge: EdgeOptions,
     emulation: EmulationOptions,
@@ -148,6 +156,7 @@
                 ..membership
             },
             request: settings.section("request")?,
+            moves: settings.section("moves")?,
             operator: settings.section("operator")?,
             edge: settings.section("edge")?,
             emulation: settings.section("emulation")?,
@@ -160,6 +169,7 @@
     _edges: Edges,
     _control: ActorOwn<Control>,
     _calls: ActorOwn<Calls>,
+    _moves: ActorOwn<Moves>,
     _dispatch: ActorOwn<Dispatch>,
     _stopping: ActorOwn<Stopping>,
     _guards: Vec<ChannelGuard>,
@@ -196,16 +206,47 @@
     let mut guards = Vec::new();
     let control = actor_new!(stakker, Control, ret_shutdown!(stakker));
     let calls = actor_new!(stakker, Calls, ret_shutdown!(stakker));
+    let moves = actor_new!(stakker, Moves, ret_shutdown!(stakker));
+    let proxy = Proxy::new(
+        options.node.name.clone(),
+        options.node.region.clone(),
+        options.moves.clone(),
+    );
+    let proxy = Share::new(stakker, proxy);
     let dispatch = actor_new!(stakker, Dispatch, ret_shutdown!(stakker));
     let edges = start_edges(stakker, options, &dispatch, &calls);
     let receivers = Receivers {
         control: control.clone(),
         calls: calls.clone(),
+        moves: moves.clone(),
         links: edges.links.clone(),
     };
     call!([dispatch], Dispatch::init(receivers));
-    let calls_parts = calls_parts(options, &shared, &edges, &control);
+    let calls_parts = CallsParts {
+        place: place(&options.node),
+        incarnation: shared.incarnation,
+        options: options.request.clone(),
+        links: edges.links.clone(),
+        callers: edges.callers.clone(),
+        target_client: edges.target_client.clone(),
+        control: control.clone(),
+        health: Arc::clone(&shared.health),
+        decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
+        proxy: proxy.clone(),
+        moves: moves.clone(),
+    };
     call!([calls], Calls::init(calls_parts));
+    let store_answers = fwd_to!([moves], store_answer() as (StoreAnswer));
+    let store_answers = channel(stakker, store_answers, &mut guards);
+    let moves_parts = MovesParts {
+        node: options.node.name.clone(),
+        address: options.node.peer_address,
+        options: options.moves.clone(),
+        proxy,
+        control: control.clone(),
+        store: MoveStore::start(&shared.client, options.node.name.clone(), store_answers),
+    };
+    call!([moves], Moves::init(moves_parts));
 
     let store_events = fwd_to!([control], store_event() as (StoreEvent));
     let store_events = channel(stakker, store_events, &mut guards);
@@ -231,6 +272,7 @@
         callers: edges.callers.clone(),
         health: shared.health,
         timeout: options.node.stop_timeout(),
+        key_lag: Duration::from_millis(options.request.key_view_lag_ms.into()),
     };
     let stopping = actor!(
         stakker,
@@ -243,6 +285,7 @@
         _edges: edges,
         _control: control,
         _calls: calls,
+        _moves: moves,
         _dispatch: dispatch,
         _stopping: stopping,
         _guards: guards,
@@ -299,25 +342,6 @@
     }
 }
 
-fn calls_parts(
-    options: &Sections,
-    shared: &Shared,
-    edges: &Edges,
-    control: &Actor<Control>,
-) -> CallsParts {
-    CallsParts {
-        place: place(&options.node),
-        incarnation: shared.incarnation,
-        options: options.request.clone(),
-        links: edges.links.clone(),
-        callers: edges.callers.clone(),
-        target_client: edges.target_client.clone(),
-        control: control.clone(),
-        health: Arc::clone(&shared.health),
-        decisions: DecisionLog::new(options.log.decisions_per_s, Instant::now()),
-    }
-}
-
 fn control_parts(
     options: &Sections,
     shared: &Shared,
@@ -342,12 +366,10 @@
 }
 
 fn link_options(options: &Sections) -> LinkOptions {
-    let silence = Duration::from_millis(u64::from(options.request.link_silence_ms));
     LinkOptions {
         address: options.node.peer_address,
         connect_timeout: options.edge.link_connect_timeout(),
-        ping_after: silence,
-        lost_after: silence,
+        silence: Silence::new(&options.request),
         idle_timeout: options.edge.idle_timeout(),
         queue_limit_bytes: options.edge.link_queue_bytes,
         max_incoming: options.edge.max_incoming_links,
@@ -398,6 +420,7 @@
     accepted: Channel<Accepted>,
 ) -> Result<Server, String> {
     let (client, board) = (shared.client.clone(), shared.board.clone());
+    let reader = client.clone();
     let (requests, receiver) = operator::channel(&options.operator);
     let hooks = Hooks {
         on_accepted: Box::new(move |stored| {
@@ -409,10 +432,7 @@
             counted.recv_timeout(COPIES_TIMEOUT).unwrap_or(0)
         }),
         status: Box::new(move || board.get()),
-        report: Box::new(|_| {
-            let reason = "this node has no report yet";
-            Err(OperatorError::failed(operator::errors::NODE_FAILED, reason))
-        }),
+        report: Box::new(move |format| report::render(&reader, format)),
     };
     let worker_options = options.operator.clone();
     thread::spawn(move || worker::run(receiver, client, hooks, &worker_options));
--- a/crates/hemlockfall/src/wire.rs
+++ b/crates/hemlockfall/src/wire.rs
@@ -11,6 +11,7 @@
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_distribution::message::Message as DistributionMessage;
 use hemlockfall_membership::message::Message as MembershipMessage;
+use hemlockfall_moves::action::Recipient;
 use hemlockfall_moves::evidence::EvidenceMessage;
 use hemlockfall_request::admission::FenceAnswer;
 use hemlockfall_request::idempotency::KeyMessage;
@@ -32,7 +33,12 @@
     /// Of the membership family.
     Membership(MembershipMessage),
     /// Of the moves family.
-    Evidence(EvidenceMessage),
+    Evidence {
+        /// Tells the evidence of one node from the sum of a data centre.
+        to: Recipient,
+        /// The evidence.
+        message: EvidenceMessage,
+    },
 }
 
 /// `CallFrame` is one attempt on its way to the target's node.
@@ -73,6 +79,9 @@
     pub is_generated: bool,
     /// Earlier attempts of the same request that surely have not run.
     pub voided: Vec<AttemptId>,
+    /// Keepers of the key as the entry node knows them, or none when it has not known the members
+    /// of the service since before the key's time.
+    pub keepers: Vec<NodeName>,
 }
 
 /// `AnswerFrame` is the end of an attempt on its way back.
--- a/crates/membership/src/items.rs
+++ b/crates/membership/src/items.rs
@@ -51,7 +51,8 @@
         /// Why.
         reason: SmolStr,
     },
-    /// The store does not answer the nodes that read it.
+    /// The store does not answer the nodes that read it; moves that freeze in an outage hold
+    /// their share.
     StoreDown {
         /// When the first read failed, in unix milliseconds.
         since_unix_ms: u64,
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -150,6 +150,17 @@
     Done,
 }
 
+/// `KeyCheck` tells whether a request may have been sent earlier under its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyCheck {
+    /// The key was generated for this request, so nobody can have used it before.
+    Generated,
+    /// The key is the caller's, and its nodes have not been asked yet.
+    Unchecked,
+    /// The key is the caller's; its nodes were asked and it was new.
+    New,
+}
+
 /// `Call` is one request in flight at its entry node.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -161,7 +172,7 @@
     is_repeatable: bool,
     is_retry: bool,
     key: Option<Key>,
-    is_generated: bool,
+    key_check: KeyCheck,
     fingerprint: Option<Digest>,
     deadline: Instant,
     attempts: u32,
@@ -188,7 +199,7 @@
         now: Now,
     ) -> Result<(Self, Vec<CallAction>), Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let mut call = Self::route(request, router, cap, now)?;
         if call.is_refused(router, now) {
@@ -346,7 +357,7 @@
         now: Now,
     ) -> Result<Self, Reason>
     where
-        F: Fn(&str, &str, &str) -> u16,
+        F: FnMut(&str, &str, &str) -> u16,
     {
         let found = router.routes().find(request.host, request.path)?;
         let entry = router.routes().entry(found);
@@ -376,7 +387,11 @@
             is_repeatable: route.repeatable,
             is_retry: request.is_retry,
             key: None,
-            is_generated: request.key.is_none(),
+            key_check: if request.key.is_none() {
+                KeyCheck::Generated
+            } else {
+                KeyCheck::Unchecked
+            },
             fingerprint: request.fingerprint,
             deadline: budget::deadline(now.at, request.timeout_ms, route.timeout_ms),
             attempts: 0,
@@ -442,7 +457,7 @@
     fn attempt_key(&self) -> Option<AttemptKey> {
         self.key.as_ref().map(|key| AttemptKey {
             key: key.clone(),
-            is_generated: self.is_generated,
+            is_generated: self.key_check == KeyCheck::Generated,
             voided: self.voided.clone(),
         })
     }
@@ -480,6 +495,9 @@
                 retry_after_ms,
             } => {
                 self.voided.push(attempt_id);
+                if self.key_check == KeyCheck::Unchecked && follows_claim(reason) {
+                    self.key_check = KeyCheck::New;
+                }
                 if !(helps_to_retry(reason) && self.retry(router, now)) {
                     self.answer(reason, retry_after_ms, &mut actions);
                 }
@@ -546,7 +564,14 @@
         });
     }
 
-    /// Answers the caller. "Not run" holds for the request only when it holds for every attempt.
+    /// Whether an earlier request under the caller's key can have run. A refusal that comes
+    /// before the key's nodes were asked tells nothing about earlier requests.
+    fn may_have_run_earlier(&self) -> bool {
+        self.key.is_some() && self.key_check == KeyCheck::Unchecked
+    }
+
+    /// Answers the caller. "Not run" holds for the request only when it holds for every attempt
+    /// and for every earlier request under its key.
     fn answer(
         &mut self,
         reason: Reason,
@@ -556,6 +581,9 @@
         self.state = State::Done;
         let (outcome, reason) = match (reason.outcome(), self.doubt) {
             (Outcome::NotRun, Some(doubt)) => (Outcome::Unknown, doubt),
+            (Outcome::NotRun, None) if self.may_have_run_earlier() => {
+                (Outcome::Unknown, Reason::KeyCannotKnow)
+            }
             (outcome, _) => (outcome, reason),
         };
         let retry_after_ms = match outcome {
@@ -576,6 +604,15 @@
     }
 }
 
+/// Whether the target's node decides on this reason only after the key's nodes agreed that the
+/// key is new.
+fn follows_claim(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::DeadlinePassed | Reason::TargetShed | Reason::NoWitness
+    )
+}
+
 /// Whether another target could do better. A request whose target vanished is not retried: if it
 /// was the cause, each retry would take down one more target before its fingerprint is known.
 fn helps_to_retry(reason: Reason) -> bool {
--- a/xtask/src/harness/mod.rs
+++ b/xtask/src/harness/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Dropping a [`Cluster`] kills every process that it started and removes its directory.
 
+use std::ffi::OsStr;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,6 +12,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
+
 use crate::audit;
 use crate::caller::CallerOptions;
 use crate::caller::CallerReport;
@@ -105,6 +108,16 @@
         })
     }
 
+    /// `add_setting` adds a line to a section of the settings of nodes that start later.
+    pub fn add_setting(&mut self, section: &str, line: &str) {
+        let header = format!("[{section}]\n");
+        if !self.extra_settings.contains(&header) {
+            self.extra_settings.push_str(&header);
+        }
+        let with_line = format!("{header}{line}\n");
+        self.extra_settings = self.extra_settings.replacen(&header, &with_line, 1);
+    }
+
     /// `directory` returns the directory of settings, logs and run records.
     #[must_use]
     pub fn directory(&self) -> &Path {
@@ -264,6 +277,41 @@
         http::post_json(self.target_address(name)?, "/control/fault", fault).map(|_| ())
     }
 
+    /// `leave_target` lets a target tell its node that it leaves, without ending it.
+    ///
+    /// # Errors
+    /// [`Error::Http`] when it does not answer.
+    pub fn leave_target(&self, name: &str) -> Result<()> {
+        let empty = serde_json::json!({});
+        http::post_json(self.target_address(name)?, "/control/leave", &empty).map(|_| ())
+    }
+
+    /// `log_contains` tells whether a text is in the log of a process.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when there is no such process.
+    pub fn log_contains(&mut self, name: &str, text: &str) -> Result<bool> {
+        let log = self.process(name)?.log_tail(usize::MAX);
+        Ok(log.contains(text))
+    }
+
+    /// `ended_targets` counts the target processes that have ended.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when there is no such process.
+    pub fn ended_targets(&mut self) -> Result<usize> {
+        let names: Vec<String> = self
+            .targets
+            .iter()
+            .map(|target| target.name.clone())
+            .collect();
+        let mut ended = 0;
+        for name in names {
+            ended += usize::from(!self.is_running(&name)?);
+        }
+        Ok(ended)
+    }
+
     /// `store_fault` switches faults of the store.
     ///
     /// # Errors
@@ -280,6 +328,14 @@
         http::get_json(self.store_address()?, "/control/counters")
     }
 
+    /// `store_value` reads the JSON value of an object in the store.
+    ///
+    /// # Errors
+    /// [`Error::Http`] when the store does not answer with such a value.
+    pub fn store_value<T: DeserializeOwned>(&self, key: &str) -> Result<T> {
+        http::get_json(self.store_address()?, &format!("/v1/objects/{key}"))
+    }
+
     /// `start_caller` starts a caller stand-in; [`Cluster::finish_caller`] returns its report.
     ///
     /// # Errors
@@ -308,13 +364,26 @@
     /// # Errors
     /// [`Error::Process`] when the command cannot be started.
     pub fn apply_catalogue(&self, file: &Path, node: &str) -> Result<Applied> {
+        self.command(&["catalogue", "apply"], node, &[file])
+    }
+
+    /// `command` runs an operator's command against a node.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when the command cannot be started.
+    pub fn command<A: AsRef<OsStr>>(
+        &self,
+        command: &[&str],
+        node: &str,
+        arguments: &[A],
+    ) -> Result<Applied> {
         let operator_address = self.node(node)?.operator_address.to_string();
         let output = Command::new(&self.programs.hemlockfall)
-            .args(["catalogue", "apply"])
+            .args(command)
             .args(["--node", operator_address.as_str()])
-            .arg(file)
+            .args(arguments)
             .output()
-            .map_err(|error| Error::process("catalogue apply", error))?;
+            .map_err(|error| Error::process(command.join(" "), error))?;
         let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
         text.push_str(&String::from_utf8_lossy(&output.stderr));
         Ok(Applied {
