--- a/xtask/src/bench/distribute.rs
+++ b/xtask/src/bench/distribute.rs
@@ -28,6 +28,7 @@
 const DEFAULT_INTERVAL_MS: u64 = 3_750;
 /// Below the ports that other harnesses choose from.
 const DEFAULT_FIRST_PORT: u16 = 2_000;
+const DEFAULT_STORE_READS_PER_S: u32 = 2_000;
 const DEFAULT_IDLE_S: u64 = 15;
 
 /// `Arguments` of `bench distribute`.
@@ -45,6 +46,11 @@
     idle_s: Option<u64>,
     #[options(meta = "P", help = "first port of the run's range (default 2000)")]
     first_port: Option<u16>,
+    #[options(
+        meta = "R",
+        help = "reads that the store serves per second (default 2000)"
+    )]
+    store_reads_per_s: Option<u32>,
     #[options(meta = "DIR", help = "directory for a plot of the convergence times")]
     plot: Option<PathBuf>,
     #[options(help = "measure the restart of a data centre and of all nodes instead")]
@@ -65,6 +71,9 @@
         programs: Programs::locate().map_err(|error| error.to_string())?,
         nodes: arguments.nodes,
         first_port: arguments.first_port.unwrap_or(DEFAULT_FIRST_PORT),
+        store_reads_per_s: arguments
+            .store_reads_per_s
+            .unwrap_or(DEFAULT_STORE_READS_PER_S),
     };
     if arguments.herd {
         let figures = herd::run(&setup)?;
--- a/xtask/src/bench/distribute/fleet.rs
+++ b/xtask/src/bench/distribute/fleet.rs
@@ -60,6 +60,8 @@
     pub nodes: usize,
     /// First port of the range that ports are taken from.
     pub first_port: u16,
+    /// Reads that the store serves per second.
+    pub store_reads_per_s: u32,
 }
 
 impl Setup {
@@ -93,7 +95,11 @@
         std::fs::create_dir_all(&directory)
             .map_err(|error| Error::resource(directory.display().to_string(), error))?;
         let store_address = free_address_in(ports.clone())?;
-        let arguments = ["store".to_owned(), format!("--listen={store_address}")];
+        let arguments = [
+            "store".to_owned(),
+            format!("--listen={store_address}"),
+            format!("--reads-per-s={}", setup.store_reads_per_s),
+        ];
         let arguments = arguments.map(Into::into).to_vec();
         let store = Process::start("store", &programs.xtask, arguments, &directory)?;
         let mut nodes = Vec::new();
