--- a/xtask/src/bench/distribute.rs
+++ b/xtask/src/bench/distribute.rs
@@ -29,6 +29,7 @@
 /// Below the ports that other harnesses choose from.
 const DEFAULT_FIRST_PORT: u16 = 2_000;
 const DEFAULT_STORE_READS_PER_S: u32 = 2_000;
+const DEFAULT_SETTLE_S: u64 = 12;
 const DEFAULT_IDLE_S: u64 = 15;
 
 /// `Arguments` of `bench distribute`.
@@ -44,6 +45,13 @@
     interval_ms: Option<u64>,
     #[options(meta = "S", help = "time without changes (default 15)")]
     idle_s: Option<u64>,
+    #[options(
+        meta = "S",
+        help = "time from the start to the measurement (default 12)"
+    )]
+    settle_s: Option<u64>,
+    #[options(help = "leave the baseline out")]
+    product_only: bool,
     #[options(meta = "P", help = "first port of the run's range (default 2000)")]
     first_port: Option<u16>,
     #[options(
@@ -88,12 +96,17 @@
     let plan = Plan {
         changes: arguments.changes.unwrap_or(DEFAULT_CHANGES),
         interval: Duration::from_millis(arguments.interval_ms.unwrap_or(DEFAULT_INTERVAL_MS)),
+        settle: Duration::from_secs(arguments.settle_s.unwrap_or(DEFAULT_SETTLE_S)),
         idle: Duration::from_secs(arguments.idle_s.unwrap_or(DEFAULT_IDLE_S)),
     };
     let product = measure::run(&setup, &plan, Mode::Product)?;
     let mut figures = Map::new();
     figures.insert("nodes".to_owned(), arguments.nodes.into());
     product.write("", &mut figures);
+    if arguments.product_only {
+        println!("{}", Value::Object(figures));
+        return Ok(());
+    }
     // The baseline may fail to start; the figures of the product are kept.
     eprintln!("{}", Value::Object(figures.clone()));
     let baseline = measure::run(&setup, &plan, Mode::Baseline)?;
--- a/xtask/src/bench/distribute/measure.rs
+++ b/xtask/src/bench/distribute/measure.rs
@@ -20,8 +20,6 @@
 use crate::store::state::Counters;
 
 const UP_BOUND: Duration = Duration::from_mins(2);
-/// Joining leaves records to be spread; they are before the first window.
-const SETTLE: Duration = Duration::from_secs(12);
 /// A change may take up to 7 s.
 const LAST_CHANGE: Duration = Duration::from_secs(8);
 /// Store calls that the bench makes for one change: a read and a write.
@@ -34,6 +32,9 @@
     pub changes: u32,
     /// Time between changes.
     pub interval: Duration,
+    /// Time from the start to the first window. The records of joined nodes are spread for
+    /// minutes after a start.
+    pub settle: Duration,
     /// Time without changes.
     pub idle: Duration,
 }
@@ -75,7 +76,7 @@
 /// A message when processes cannot be started or do not come up.
 pub fn run(setup: &Setup, plan: &Plan, mode: Mode) -> Result<Figures, String> {
     let fleet = up(setup, mode)?;
-    std::thread::sleep(SETTLE);
+    std::thread::sleep(plan.settle);
     let idle = window(&fleet, || {
         std::thread::sleep(plan.idle);
         Ok(())
