Do not wait for a second witness that does not exist

A data centre with two nodes has one witness per node, and each change waited the whole 500 ms for a second acknowledgement. The step now ends when all members that can be asked have answered; it is still counted in hemlockfall_witness_missing_total.

--- a/crates/distribution/src/witness.rs
+++ b/crates/distribution/src/witness.rs
@@ -111,7 +111,7 @@
     Wait,
     /// Enough witnesses remember the revision.
     Confirmed,
-    /// The time is up.
+    /// The time is up, or no further member could be asked.
     TimedOut,
 }
 
@@ -158,7 +158,10 @@
         if self.acked.len() >= REQUIRED_ACKS {
             return Progress::Confirmed;
         }
-        if now >= self.deadline {
+        // A data centre with one other member has no second witness to wait for.
+        let is_exhausted =
+            !self.acked.is_empty() && peers.witnesses.iter().all(|peer| self.acked.contains(peer));
+        if now >= self.deadline || is_exhausted {
             return Progress::TimedOut;
         }
         if now < self.next_ask {
--- a/crates/distribution/tests/content.rs
+++ b/crates/distribution/tests/content.rs
@@ -234,6 +234,23 @@
     assert_eq!(node.in_force().map(|s| s.revision()), Some(2));
 }
 
+/// Guards against a wait of 500 ms for each change in data centres with two nodes.
+#[test]
+fn only_other_member_is_enough_as_witness() {
+    let start = Instant::now();
+    let mut node = serving_node(1, start);
+    node.set_peers(common::one_data_centre(2).remove(0));
+
+    let asked = node.handle_store(stored(2), start);
+    let before_ack = node.in_force().map(|s| s.revision());
+    let acknowledged = acknowledge(&mut node, 1, 2, start + TICK);
+
+    assert!(!asked.iter().any(|a| matches!(a, Action::InForce(_))));
+    assert_eq!(before_ack, Some(1));
+    assert!(counts(&acknowledged, WITNESS_MISSING));
+    assert_eq!(node.in_force().map(|s| s.revision()), Some(2));
+}
+
 /// Guards against a restarted node that serves a revision below the one its witnesses remember.
 #[test]
 fn revision_below_the_floor_is_not_served() {
