--- a/crates/hemlockfall/tests/links/mod.rs
+++ b/crates/hemlockfall/tests/links/mod.rs
@@ -44,7 +44,7 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         connect_timeout: CONNECT_TIMEOUT,
         silence: Silence::new(&Options::default()),
-        idle_timeout: Duration::from_secs(60),
+        idle_timeout: Duration::from_mins(1),
         queue_limit_bytes: 1 << 20,
         max_incoming: 8,
         emulation: None,
