--- a/xtask/src/bench/distribute.rs
+++ b/xtask/src/bench/distribute.rs
@@ -7,6 +7,7 @@
 mod herd;
 mod measure;
 mod observe;
+mod phantoms;
 mod plot;
 
 use std::path::PathBuf;
@@ -19,11 +20,16 @@
 use crate::harness::programs::Programs;
 
 use self::fleet::Mode;
+use self::fleet::Setup;
 use self::measure::Plan;
 
 const DEFAULT_CHANGES: u32 = 10;
 /// 23,000 changes per day are one in 3.75 s.
 const DEFAULT_INTERVAL_MS: u64 = 3_750;
+/// Below the ports that other harnesses choose from.
+const DEFAULT_FIRST_PORT: u16 = 2_000;
+const DEFAULT_STORE_READS_PER_S: u32 = 2_000;
+const DEFAULT_SETTLE_S: u64 = 12;
 const DEFAULT_IDLE_S: u64 = 15;
 
 /// `Arguments` of `bench distribute`.
@@ -39,10 +45,29 @@
     interval_ms: Option<u64>,
     #[options(meta = "S", help = "time without changes (default 15)")]
     idle_s: Option<u64>,
+    #[options(
+        meta = "S",
+        help = "time from the start to the measurement (default 12)"
+    )]
+    settle_s: Option<u64>,
+    #[options(help = "leave the baseline out")]
+    product_only: bool,
+    #[options(meta = "P", help = "first port of the run's range (default 2000)")]
+    first_port: Option<u16>,
+    #[options(
+        meta = "R",
+        help = "reads that the store serves per second (default 2000)"
+    )]
+    store_reads_per_s: Option<u32>,
     #[options(meta = "DIR", help = "directory for a plot of the convergence times")]
     plot: Option<PathBuf>,
     #[options(help = "measure the restart of a data centre and of all nodes instead")]
     herd: bool,
+    #[options(
+        meta = "N",
+        help = "measure with tables that hold N more records instead"
+    )]
+    phantoms: Option<usize>,
 }
 
 /// `run` runs the bench and prints the figures.
@@ -50,26 +75,44 @@
 /// # Errors
 /// A message when processes cannot be started or do not come up.
 pub fn run(arguments: &Arguments) -> Result<(), String> {
-    let programs = Programs::locate().map_err(|error| error.to_string())?;
+    let setup = Setup {
+        programs: Programs::locate().map_err(|error| error.to_string())?,
+        nodes: arguments.nodes,
+        first_port: arguments.first_port.unwrap_or(DEFAULT_FIRST_PORT),
+        store_reads_per_s: arguments
+            .store_reads_per_s
+            .unwrap_or(DEFAULT_STORE_READS_PER_S),
+    };
     if arguments.herd {
-        let figures = herd::run(&programs, arguments.nodes)?;
+        let figures = herd::run(&setup)?;
+        println!("{}", Value::Object(figures));
+        return Ok(());
+    }
+    if let Some(count) = arguments.phantoms {
+        let figures = phantoms::run(&setup, count)?;
         println!("{}", Value::Object(figures));
         return Ok(());
     }
     let plan = Plan {
-        nodes: arguments.nodes,
         changes: arguments.changes.unwrap_or(DEFAULT_CHANGES),
         interval: Duration::from_millis(arguments.interval_ms.unwrap_or(DEFAULT_INTERVAL_MS)),
+        settle: Duration::from_secs(arguments.settle_s.unwrap_or(DEFAULT_SETTLE_S)),
         idle: Duration::from_secs(arguments.idle_s.unwrap_or(DEFAULT_IDLE_S)),
     };
-    let product = measure::run(&programs, &plan, Mode::Product)?;
-    let baseline = measure::run(&programs, &plan, Mode::Baseline)?;
+    let product = measure::run(&setup, &plan, Mode::Product)?;
+    let mut figures = Map::new();
+    figures.insert("nodes".to_owned(), arguments.nodes.into());
+    product.write("", &mut figures);
+    if arguments.product_only {
+        println!("{}", Value::Object(figures));
+        return Ok(());
+    }
+    // The baseline may fail to start; the figures of the product are kept.
+    eprintln!("{}", Value::Object(figures.clone()));
+    let baseline = measure::run(&setup, &plan, Mode::Baseline)?;
     if let Some(directory) = &arguments.plot {
         plot::write(directory, &product.convergence_ms, &baseline.convergence_ms)?;
     }
-    let mut figures = Map::new();
-    figures.insert("nodes".to_owned(), plan.nodes.into());
-    product.write("", &mut figures);
     baseline.write("baseline_", &mut figures);
     println!("{}", Value::Object(figures));
     Ok(())
--- a/xtask/src/bench/distribute/measure.rs
+++ b/xtask/src/bench/distribute/measure.rs
@@ -12,16 +12,14 @@
 use crate::bench::distribute::fleet::Fleet;
 use crate::bench::distribute::fleet::Mode;
 use crate::bench::distribute::fleet::STORE_REGION;
+use crate::bench::distribute::fleet::Setup;
 use crate::bench::distribute::observe;
 use crate::bench::distribute::observe::Role;
 use crate::bench::distribute::observe::Sample;
-use crate::harness::programs::Programs;
 use crate::harness::wait;
 use crate::store::state::Counters;
 
 const UP_BOUND: Duration = Duration::from_mins(2);
-/// Joining leaves records to be spread; they are before the first window.
-const SETTLE: Duration = Duration::from_secs(12);
 /// A change may take up to 7 s.
 const LAST_CHANGE: Duration = Duration::from_secs(8);
 /// Store calls that the bench makes for one change: a read and a write.
@@ -30,12 +28,13 @@
 /// `Plan` is the size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
-    /// Nodes.
-    pub nodes: usize,
     /// Changes.
     pub changes: u32,
     /// Time between changes.
     pub interval: Duration,
+    /// Time from the start to the first window. The records of joined nodes are spread for
+    /// minutes after a start.
+    pub settle: Duration,
     /// Time without changes.
     pub idle: Duration,
 }
@@ -75,9 +74,9 @@
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn run(programs: &Programs, plan: &Plan, mode: Mode) -> Result<Figures, String> {
-    let fleet = up(programs, plan.nodes, mode)?;
-    std::thread::sleep(SETTLE);
+pub fn run(setup: &Setup, plan: &Plan, mode: Mode) -> Result<Figures, String> {
+    let fleet = up(setup, mode)?;
+    std::thread::sleep(plan.settle);
     let idle = window(&fleet, || {
         std::thread::sleep(plan.idle);
         Ok(())
@@ -106,12 +105,13 @@
 ///
 /// # Errors
 /// A message when processes cannot be started or do not come up.
-pub fn up(programs: &Programs, nodes: usize, mode: Mode) -> Result<Fleet, String> {
-    let mut fleet = Fleet::start(programs, nodes, mode).map_err(|error| error.to_string())?;
+pub fn up(setup: &Setup, mode: Mode) -> Result<Fleet, String> {
+    let nodes = setup.nodes;
+    let mut fleet = Fleet::start(setup, mode).map_err(|error| error.to_string())?;
     let revision = catalogue::write_first(&fleet.client())?;
     let begun = Instant::now();
     fleet
-        .start_nodes(programs)
+        .start_nodes(&setup.programs)
         .map_err(|error| error.to_string())?;
     fleet.check_running().map_err(|error| error.to_string())?;
     for node in &fleet.nodes {
