--- a/crates/request/src/route.rs
+++ b/crates/request/src/route.rs
@@ -107,7 +107,8 @@
 /// `cap` is the limit that the local guard sets on the share of a new version, in permille; it is
 /// told the service, the route and whether the plan gives the request to the new version. It is
 /// asked once per request of a move, so that a guard can count the requests that it permits.
-/// [`CONFIRM_PERMILLE`] gives the request to the new version whatever the plan says.
+/// [`CONFIRM_PERMILLE`] gives a request of a repeatable route to the new version whatever the
+/// plan says; an order or booking is never used to confirm a failure.
 #[must_use]
 pub fn choose_version<'a, F>(
     entry: &'a ServiceEntry,
@@ -136,7 +137,8 @@
     let in_share = position < u64::from(planned_permille);
     let cap_permille = cap(&entry.service, &route.name, in_share);
     let within_cap = in_share && position < u64::from(cap_permille);
-    if within_cap || cap_permille == CONFIRM_PERMILLE {
+    let confirms = cap_permille == CONFIRM_PERMILLE && route.repeatable;
+    if within_cap || confirms {
         &state.to
     } else {
         &state.from
--- a/crates/request/tests/routing.rs
+++ b/crates/request/tests/routing.rs
@@ -9,6 +9,7 @@
 use hemlockfall_core::catalogue::MoveStatus;
 use hemlockfall_core::catalogue::OnOutage;
 use hemlockfall_core::catalogue::PlanStep;
+use hemlockfall_core::catalogue::Route;
 use hemlockfall_core::catalogue::ServiceEntry;
 use hemlockfall_core::endpoint::EndpointState;
 use hemlockfall_request::clock::Now;
@@ -233,6 +234,33 @@
     }
 }
 
+/// Guards against an order that is sent to a suspect version on purpose, to confirm its failure.
+#[test]
+fn only_repeatable_requests_confirm_a_failure() {
+    let entry = entry_with_move(100);
+    let confirm = |_: &str, _: &str, _| route::CONFIRM_PERMILLE;
+    let outside = |request: &u128| {
+        let mut told = true;
+        let note = |_: &str, _: &str, planned| {
+            told = planned;
+            0
+        };
+        let _ = route::choose_version(&entry, &entry.routes[0], share(*request), note);
+        !told
+    };
+    let requests: Vec<u128> = (0..1_000).filter(outside).collect();
+
+    let confirming = |route: &Route| {
+        let versions = requests
+            .iter()
+            .map(|request| route::choose_version(&entry, route, share(*request), confirm));
+        versions.filter(|version| *version == "v2").count()
+    };
+
+    assert_eq!(confirming(&entry.routes[0]), 0);
+    assert_eq!(confirming(&entry.routes[1]), requests.len());
+}
+
 /// Guards against a guard that counts trial requests for traffic that stays with the old version
 /// anyway, and against a confirmation that the request path does not send.
 #[test]
