--- a/crates/request/src/plugin.rs
+++ b/crates/request/src/plugin.rs
@@ -29,7 +29,7 @@
             integer("key_max_records", 1, 10_000_000, "100000", "key records kept by one node"),
             integer("key_max_bytes", 1024, 1_073_741_824, "16777216", "bytes of key records kept by one node"),
             integer("key_answer_max_bytes", 0, 8_388_608, "65536", "largest answer kept in a key record"),
-            integer("key_view_lag_ms", 0, 600_000, "10000", "time for which nodes may disagree about the members of a service"),
+            integer("key_view_lag_ms", 0, 600_000, "10000", "time for which nodes may disagree about the members of a service; a value below the time that membership needs can run an order twice"),
             integer("key_claim_timeout_ms", 1, 60_000, "500", "time that a runner waits for acknowledgements of key nodes"),
             integer("fingerprint_refusal_ms", 1, 3_600_000, "60000", "time for which a fingerprint is refused"),
             integer("seen_max_attempts", 16, 10_000_000, "65536", "attempt ids that a target's node remembers"),
