--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod errors;
 pub mod ids;
 pub mod kernel;
+pub mod level;
 pub mod rendezvous;
 pub mod settings;
 pub mod units;
--- a/crates/distribution/src/action.rs
+++ b/crates/distribution/src/action.rs
@@ -4,21 +4,11 @@
 use std::sync::Arc;
 
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::level::Level;
 
 use crate::message::Message;
 use crate::snapshot::Snapshot;
 
-/// `Level` is the severity of a log line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Level {
-    /// Normal operation.
-    Info,
-    /// Unexpected, handled.
-    Warn,
-    /// Needs an operator.
-    Error,
-}
-
 /// `Action` is one effect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/distribution/src/node.rs
+++ b/crates/distribution/src/node.rs
@@ -7,11 +7,11 @@
 
 use hemlockfall_core::catalogue::StoredCatalogue;
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::level::Level;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use crate::action::Action;
-use crate::action::Level;
 use crate::delta::Delta;
 use crate::errors::Error;
 use crate::floor::Floor;
--- a/crates/hemlockfall/src/edge/links/link.rs
+++ b/crates/hemlockfall/src/edge/links/link.rs
@@ -29,6 +29,8 @@
 /// Bytes handed to the socket buffer at a time; what is beyond stays in the queue and is still
 /// surely unsent when the link ends.
 const OUTPUT_BYTES: usize = 2 * FRAGMENT_BYTES;
+/// Messages whose fragments alternate; well below the unfinished messages that a peer accepts.
+const MAX_INTERLEAVED: usize = 64;
 const READ_BYTES: usize = 64 * 1024;
 
 /// `Service` is the traffic of the link itself: the greeting and the keep-alive.
@@ -202,7 +204,8 @@
         self.queued_bytes -= content.len();
         message.sent_bytes = end;
         if !last {
-            self.queue.push_back(message);
+            let index = self.queue.len().min(MAX_INTERLEAVED - 1);
+            self.queue.insert(index, message);
         }
         true
     }
--- a/crates/hemlockfall/src/edge/message.rs
+++ b/crates/hemlockfall/src/edge/message.rs
@@ -50,7 +50,9 @@
 pub enum TargetResult {
     /// The whole answer.
     Answer(Box<HttpAnswer>),
-    /// No byte of the request was sent.
+    /// All connections that the target takes are in use; nothing was sent.
+    Busy,
+    /// The target could not be reached; no byte of the request was sent.
     NotSent {
         /// Why.
         reason: String,
--- a/crates/hemlockfall/src/edge/target_client.rs
+++ b/crates/hemlockfall/src/edge/target_client.rs
@@ -91,10 +91,7 @@
         } else {
             match self.connect(cx, &run, limits) {
                 Ok(id) => id,
-                Err(error) => {
-                    let result = TargetResult::NotSent {
-                        reason: error.to_string(),
-                    };
+                Err(result) => {
                     fwd!([self.events], TargetEvent { id: run_id, result });
                     return;
                 }
@@ -120,13 +117,30 @@
         }
     }
 
-    fn connect(&mut self, cx: CX![], run: &TargetRun, limits: HttpLimits) -> io::Result<u64> {
+    fn connect(
+        &mut self,
+        cx: CX![],
+        run: &TargetRun,
+        limits: HttpLimits,
+    ) -> Result<u64, TargetResult> {
         if self.open.len() >= self.max_connections {
             self.close_one_idle();
         }
         if self.open.len() >= self.max_connections {
-            return Err(io::Error::other("all connections to the target are in use"));
+            return Err(TargetResult::Busy);
         }
+        self.open_connection(cx, run, limits)
+            .map_err(|error| TargetResult::NotSent {
+                reason: error.to_string(),
+            })
+    }
+
+    fn open_connection(
+        &mut self,
+        cx: CX![],
+        run: &TargetRun,
+        limits: HttpLimits,
+    ) -> io::Result<u64> {
         let id = self.next_connection;
         let stream = TcpStream::connect(run.address)?;
         let poll = cx.anymap_get::<MioPoll>();
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -177,7 +177,7 @@
         let path = request.path();
         let key = request.header(http::KEY_HEADER);
         if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
-            return Err(Reason::KeyCannotKnow);
+            return Err(Reason::BadKey);
         }
         let timeout_ms = request
             .header(http::DEADLINE_HEADER)
--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -164,7 +164,7 @@
                 }
             }
             TargetResult::NotSent { .. } => self.target_lost(cx),
-            TargetResult::Answer(_) | TargetResult::Broken { .. } => {}
+            TargetResult::Answer(_) | TargetResult::Broken { .. } | TargetResult::Busy => {}
         }
         self.free_slot(cx, attempt_id);
     }
@@ -172,6 +172,10 @@
     fn run_ended(&mut self, cx: CX![], attempt_id: AttemptId, result: TargetResult) {
         match result {
             TargetResult::Answer(answer) => self.run_answered(cx, attempt_id, *answer),
+            TargetResult::Busy => {
+                self.end_local(cx, attempt_id, keys::refused(Reason::QueueFull));
+                self.free_slot(cx, attempt_id);
+            }
             TargetResult::NotSent { reason } => {
                 spdlog::warn!("target unreachable", kv: { reason = reason.as_str() });
                 self.end_local(cx, attempt_id, keys::refused(Reason::NoTarget));
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -12,15 +12,14 @@
 use hemlockfall_core::endpoint::TargetInfo;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::level::Level;
 use hemlockfall_core::units;
 use hemlockfall_distribution::action::Action as DistributionAction;
-use hemlockfall_distribution::action::Level as DistributionLevel;
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_distribution::peers::Peers;
 use hemlockfall_distribution::reader::StoreResult;
 use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_membership::action::Action as MembershipAction;
-use hemlockfall_membership::action::Level as MembershipLevel;
 use hemlockfall_membership::items::GossipItem;
 use hemlockfall_membership::node::Membership;
 use hemlockfall_membership::roles::Roles;
@@ -408,11 +407,7 @@
                 Action::ReadContacts => self.parts.store.read_contacts(),
                 Action::WriteContacts { addresses } => self.parts.store.write_contacts(addresses),
                 Action::Count { metric } => metrics::counter!(metric).increment(1),
-                Action::Log { level, text } => match level {
-                    MembershipLevel::Info => spdlog::info!("{text}"),
-                    MembershipLevel::Warn => spdlog::warn!("{text}"),
-                    MembershipLevel::Error => spdlog::error!("{text}"),
-                },
+                Action::Log { level, text } => write_log(level, &text),
             }
         }
     }
@@ -432,11 +427,7 @@
                 Action::StopWatch => self.parts.store.stop_watch(),
                 Action::ReadStore => self.parts.store.read_catalogue(),
                 Action::Count { metric } => metrics::counter!(metric).increment(1),
-                Action::Log { level, text } => match level {
-                    DistributionLevel::Info => spdlog::info!("{text}"),
-                    DistributionLevel::Warn => spdlog::warn!("{text}"),
-                    DistributionLevel::Error => spdlog::error!("{text}"),
-                },
+                Action::Log { level, text } => write_log(level, &text),
             }
         }
     }
@@ -500,6 +491,14 @@
     }
 }
 
+fn write_log(level: Level, text: &str) {
+    match level {
+        Level::Info => spdlog::info!("{text}"),
+        Level::Warn => spdlog::warn!("{text}"),
+        Level::Error => spdlog::error!("{text}"),
+    }
+}
+
 fn log_placement(record: &EndpointRecord) {
     let target = record.target.as_ref();
     let service = target.map_or("", |target| target.service.as_str());
--- a/crates/hemlockfall/tests/edge/support.rs
+++ b/crates/hemlockfall/tests/edge/support.rs
@@ -221,14 +221,22 @@
     listener.local_addr().expect("an address")
 }
 
+/// Connections that a target client may open.
+pub const MAX_CONNECTIONS: u64 = 4;
+
 /// Starts a target client; its results arrive at the receiver.
 pub fn target_client(
     limits: hemlockfall::edge::http1::HttpLimits,
 ) -> (usize, Receiver<TargetEvent>) {
     let (sender, results) = mpsc::channel();
+    let max_connections = usize::try_from(MAX_CONNECTIONS).expect("a small number");
     let index = on_loop(move |stakker| {
         let events = stakker::fwd_do!(move |event: TargetEvent| drop(sender.send(event)));
-        let client = actor!(stakker, TargetClient::init(limits, 4, events), ret_nop!());
+        let client = actor!(
+            stakker,
+            TargetClient::init(limits, max_connections, events),
+            ret_nop!()
+        );
         CLIENTS.with_borrow_mut(|clients| {
             clients.push(client);
             clients.len() - 1
--- a/crates/hemlockfall/tests/edge/targets.rs
+++ b/crates/hemlockfall/tests/edge/targets.rs
@@ -14,6 +14,7 @@
 use hemlockfall::edge::message::TargetResult;
 
 use crate::support::BOUND;
+use crate::support::MAX_CONNECTIONS;
 use crate::support::free_address;
 use crate::support::run_on_target;
 use crate::support::target_client;
@@ -67,6 +68,7 @@
             let body = String::from_utf8_lossy(&answer.body);
             format!("{} [{}] {body}", answer.status, names.join(" "))
         }
+        TargetResult::Busy => "busy".to_owned(),
         TargetResult::NotSent { .. } => "not sent".to_owned(),
         TargetResult::Broken { .. } => "broken".to_owned(),
         TargetResult::TimedOut => "timed out".to_owned(),
@@ -192,3 +194,21 @@
         assert_eq!(text(event.result), expected);
     }
 }
+
+/// Guards against a target that is taken for lost because all connections it takes are in use.
+#[test]
+fn a_request_without_a_free_connection_is_busy() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = silent.local_addr().expect("an address");
+    let (client, results) = target_client(LIMITS);
+
+    for id in 0..=MAX_CONNECTIONS {
+        run_on_target(client, id, address, "GET", BOUND);
+    }
+    let event = results.recv_timeout(BOUND).expect("a result");
+
+    assert_eq!(
+        (event.id, text(event.result)),
+        (MAX_CONNECTIONS, "busy".to_owned())
+    );
+}
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -5,22 +5,12 @@
 
 use hemlockfall_core::endpoint::EndpointRecord;
 use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::level::Level;
 
 use crate::items::GossipItem;
 use crate::message::Message;
 use crate::roles::Roles;
 
-/// `Level` is the severity of a log line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Level {
-    /// Normal operation.
-    Info,
-    /// Unexpected, handled.
-    Warn,
-    /// Needs an operator.
-    Error,
-}
-
 /// `Action` is one effect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -10,11 +10,11 @@
 use hemlockfall_core::endpoint::TargetInfo;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::level::Level;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use crate::action::Action;
-use crate::action::Level;
 use crate::errors;
 use crate::gossip::GossipQueue;
 use crate::items::CarriedItem;
--- a/crates/request/src/outcome.rs
+++ b/crates/request/src/outcome.rs
@@ -39,6 +39,8 @@
     NoService,
     /// The service has no route for the path.
     NoRoute,
+    /// The idempotency key is empty or too long.
+    BadKey,
     /// No target of the version can be sent a request.
     NoTarget,
     /// The target is leaving.
@@ -81,9 +83,10 @@
 
 impl Reason {
     /// `ALL` lists every reason.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::NoService,
         Self::NoRoute,
+        Self::BadKey,
         Self::NoTarget,
         Self::Draining,
         Self::QueueFull,
@@ -111,6 +114,7 @@
         ResultCode(match self {
             Self::NoService => 3404,
             Self::NoRoute => 3405,
+            Self::BadKey => 3407,
             Self::DeadlinePassed => 3408,
             Self::Cancelled => 3499,
             Self::IncompleteAnswer => 3502,
@@ -139,6 +143,7 @@
         match self {
             Self::NoService
             | Self::NoRoute
+            | Self::BadKey
             | Self::NoTarget
             | Self::Draining
             | Self::QueueFull
@@ -166,6 +171,7 @@
     pub fn http_status(self) -> u16 {
         match self {
             Self::NoService | Self::NoRoute => 404,
+            Self::BadKey => 400,
             Self::Cancelled => 499,
             Self::IncompleteAnswer | Self::LinkLost | Self::TargetLost | Self::StaleAttempt => 502,
             Self::DeadlinePassed | Self::TimedOut => 504,
@@ -198,6 +204,7 @@
             | Self::KeyPending => Some(1_000),
             Self::NoService
             | Self::NoRoute
+            | Self::BadKey
             | Self::DeadlinePassed
             | Self::Cancelled
             | Self::IncompleteAnswer
--- a/crates/request/src/plugin.rs
+++ b/crates/request/src/plugin.rs
@@ -39,6 +39,7 @@
         codes: &[
             code(Reason::NoService, "the catalogue has no service of this name"),
             code(Reason::NoRoute, "the service has no route for this path"),
+            code(Reason::BadKey, "the idempotency key is empty or longer than 255 bytes; it has not run"),
             code(Reason::DeadlinePassed, "the deadline passed before the request could start; it has not run"),
             code(Reason::Cancelled, "the caller cancelled before the request started"),
             code(Reason::IncompleteAnswer, "the answer arrived incomplete; the outcome is unknown"),
