Log refusals before routing as well

Cause: a request for an unknown service, or before the first configuration, was answered without a log line. Ruled out: a line of its own kind; operators search for "answer generated".

--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -214,8 +214,21 @@
     }
 
     fn refuse_caller(&mut self, caller: CallerId, reason: Reason) {
-        let generated = answer::generated(reason.outcome(), reason, reason.retry_after_ms());
+        self.answer_generated(caller, reason.outcome(), reason, reason.retry_after_ms());
+    }
+
+    fn answer_generated(
+        &mut self,
+        caller: CallerId,
+        outcome: Outcome,
+        reason: Reason,
+        retry_after_ms: Option<u32>,
+    ) {
+        spdlog::info!("answer generated", kv: {
+            outcome = outcome.header(), reason = reason.to_string(),
+        });
         metrics::counter!("hemlockfall_answers_generated_total").increment(1);
+        let generated = answer::generated(outcome, reason, retry_after_ms);
         call!([self.callers], answer(caller, generated));
     }
 
@@ -363,14 +376,7 @@
                 outcome,
                 reason,
                 retry_after_ms,
-            } => {
-                spdlog::info!("answer generated", kv: {
-                    outcome = outcome.header(), reason = reason.to_string(),
-                });
-                metrics::counter!("hemlockfall_answers_generated_total").increment(1);
-                let generated = answer::generated(outcome, reason, retry_after_ms);
-                call!([self.callers], answer(caller, generated));
-            }
+            } => self.answer_generated(caller, outcome, reason, retry_after_ms),
         }
     }
 
