Keep the member lists of distribution and membership in one type

Cause: Peers (distribution) and Roles (membership) had ten fields in common, and the control actor copied them one by one. Ruled out: a dependency of one family on the other; the type is plain data and belongs to the core crate. Before and after: no change of behaviour; the 46 tests of both crates pass, clippy is clean. Conclusion: Roles holds Peers, which the control actor hands over as it is.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod kernel;
 pub mod level;
+pub mod peers;
 pub mod rendezvous;
 pub mod settings;
 pub mod units;
--- a/crates/distribution/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -1,4 +1,4 @@
-//! Member lists that distribution needs, copied from membership after each change.
+//! Member lists and roles that membership derives and distribution works with.
 
 use std::net::SocketAddr;
 
--- a/crates/distribution/src/floor.rs
+++ b/crates/distribution/src/floor.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::peers::Peers;
 
-use crate::peers::Peers;
 use crate::witness::REQUIRED_ACKS;
 use crate::witness::WITNESS_COUNT;
 
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod message;
 pub mod node;
 pub mod options;
-pub mod peers;
 pub mod reader;
 pub mod snapshot;
 pub mod witness;
--- a/crates/distribution/src/node.rs
+++ b/crates/distribution/src/node.rs
@@ -8,6 +8,7 @@
 use hemlockfall_core::catalogue::StoredCatalogue;
 use hemlockfall_core::ids::Revision;
 use hemlockfall_core::level::Level;
+use hemlockfall_core::peers::Peers;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -19,7 +20,6 @@
 use crate::message::Message;
 use crate::options::Options;
 use crate::options::millis;
-use crate::peers::Peers;
 use crate::reader::Reader;
 use crate::reader::StoreResult;
 use crate::snapshot::Snapshot;
--- a/crates/distribution/src/reader.rs
+++ b/crates/distribution/src/reader.rs
@@ -5,11 +5,11 @@
 
 use hemlockfall_core::catalogue::StoredCatalogue;
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::peers::Peers;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
 use crate::action::Action;
-use crate::peers::Peers;
 
 /// Reads of one region are at least this far apart.
 const REGION_READ_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/distribution/src/witness.rs
+++ b/crates/distribution/src/witness.rs
@@ -7,8 +7,8 @@
 use std::time::Instant;
 
 use hemlockfall_core::ids::Revision;
+use hemlockfall_core::peers::Peers;
 
-use crate::peers::Peers;
 use crate::snapshot::Snapshot;
 
 /// `WITNESS_COUNT` is the number of witnesses of a node.
--- a/crates/distribution/tests/common/mod.rs
+++ b/crates/distribution/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use hemlockfall_core::catalogue::Limits;
 use hemlockfall_core::catalogue::ServiceEntry;
 use hemlockfall_core::catalogue::StoredCatalogue;
-use hemlockfall_distribution::peers::Peers;
+use hemlockfall_core::peers::Peers;
 use hemlockfall_distribution::reader::StoreResult;
 
 pub const TICK: Duration = Duration::from_millis(100);
--- a/crates/distribution/tests/network/mod.rs
+++ b/crates/distribution/tests/network/mod.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_core::peers::Peers;
 use hemlockfall_distribution::action::Action;
 use hemlockfall_distribution::message::Message;
 use hemlockfall_distribution::node::Distribution;
 use hemlockfall_distribution::options::Options;
-use hemlockfall_distribution::peers::Peers;
 use hemlockfall_distribution::reader::StoreResult;
 use rand::RngExt;
 use rand::SeedableRng;
--- a/crates/hemlockfall/src/node/control.rs
+++ b/crates/hemlockfall/src/node/control.rs
@@ -16,7 +16,6 @@
 use hemlockfall_core::units;
 use hemlockfall_distribution::action::Action as DistributionAction;
 use hemlockfall_distribution::node::Distribution;
-use hemlockfall_distribution::peers::Peers;
 use hemlockfall_distribution::reader::StoreResult;
 use hemlockfall_distribution::snapshot::Snapshot;
 use hemlockfall_membership::action::Action as MembershipAction;
@@ -252,7 +251,7 @@
             let now_unix_ms = units::unix_ms(SystemTime::now());
             self.store_outage.failed(now_unix_ms, now);
             let roles = self.parts.membership.roles();
-            let is_reader = roles.is_watcher || roles.region_relay_rank.is_some();
+            let is_reader = roles.peers.is_watcher || roles.peers.region_relay_rank.is_some();
             if is_reader && let Some(since_unix_ms) = self.store_outage.take_notice(now) {
                 let lifetime_ms = u32::try_from(NOTICE_LIFETIME.as_millis()).unwrap_or(0);
                 let item = GossipItem::StoreDown { since_unix_ms };
@@ -300,7 +299,7 @@
     }
 
     fn answer_copies(&mut self, now: Instant) {
-        let members = self.parts.membership.roles().members.len();
+        let members = self.parts.membership.roles().peers.members.len();
         let enough = ENOUGH_COPIES.min(members);
         let distribution = &self.parts.distribution;
         self.awaited.retain(|awaited| {
@@ -449,19 +448,8 @@
 
     fn update_peers(&mut self) {
         self.has_peers = true;
-        let roles = self.parts.membership.roles();
-        self.parts.distribution.set_peers(Peers {
-            members: roles.members.clone(),
-            witnesses: roles.witnesses.clone(),
-            is_watcher: roles.is_watcher,
-            data_centre_relays: roles.data_centre_relays.clone(),
-            region_relays: roles.region_relays.clone(),
-            region_partners: roles.region_partners.clone(),
-            store_region_relays: roles.store_region_relays.clone(),
-            in_store_region: roles.in_store_region,
-            region_relay_rank: roles.region_relay_rank,
-            region_relay_count: roles.region_relay_count,
-        });
+        let peers = self.parts.membership.roles().peers.clone();
+        self.parts.distribution.set_peers(peers);
     }
 
     /// `send` sends a control message as a datagram, or over a link when it does not fit.
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -309,7 +309,7 @@
         }
         let is_own_region = record.region == self.own.region;
         let is_own_data_centre = is_own_region && record.data_centre == self.own.data_centre;
-        let is_region_relay = self.roles.region_relay_rank.is_some();
+        let is_region_relay = self.roles.peers.region_relay_rank.is_some();
         if self.roles.is_relay && (is_own_data_centre || (!is_own_region && is_region_relay)) {
             self.to_data_centres.push(&record.node);
         }
@@ -439,7 +439,11 @@
     pub(crate) fn probe_names(&self) -> Vec<NodeName> {
         let is_probed = |record: &&EndpointRecord| {
             let is_near = record.data_centre == self.own.data_centre;
-            let is_relay = self.roles.data_centre_relays.contains(&record.peer_address);
+            let is_relay = self
+                .roles
+                .peers
+                .data_centre_relays
+                .contains(&record.peer_address);
             let is_far_duty = self.roles.is_relay && (is_relay || is_departed(record));
             record.region == self.own.region && (is_near || is_far_duty)
         };
@@ -452,7 +456,7 @@
 
     /// Number of live members of the own data centre, with this node.
     pub(crate) fn group_size(&self) -> usize {
-        self.roles.members.len() + 1
+        self.roles.peers.members.len() + 1
     }
 
     pub(crate) fn fail(&mut self, node: &str, now: Instant) -> Vec<Action> {
--- a/crates/membership/src/roles.rs
+++ b/crates/membership/src/roles.rs
@@ -8,6 +8,7 @@
 use hemlockfall_core::endpoint::EndpointState;
 use hemlockfall_core::ids::DataCentreName;
 use hemlockfall_core::ids::RegionName;
+use hemlockfall_core::peers::Peers;
 use hemlockfall_core::rendezvous;
 
 /// `WATCHERS` is the number of watchers per data centre of the store's region.
@@ -21,28 +22,10 @@
 /// node itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roles {
-    /// Members of the own data centre.
-    pub members: Vec<SocketAddr>,
-    /// Members in descending rank as witnesses of this node.
-    pub witnesses: Vec<SocketAddr>,
-    /// Whether this node watches the store.
-    pub is_watcher: bool,
+    /// Member lists, and the roles that distribution works with.
+    pub peers: Peers,
     /// Whether this node is a relay of its data centre.
     pub is_relay: bool,
-    /// Relays of the other data centres of the region; empty unless this node is a relay.
-    pub data_centre_relays: Vec<SocketAddr>,
-    /// Relays of the other regions; empty unless this node is a relay of its region.
-    pub region_relays: Vec<SocketAddr>,
-    /// Of `region_relays`, one per region: the one with the same rank as this node.
-    pub region_partners: Vec<SocketAddr>,
-    /// Relays of the store's region; empty in that region.
-    pub store_region_relays: Vec<SocketAddr>,
-    /// Whether the own region is the store's region.
-    pub in_store_region: bool,
-    /// Rank among the relays of the region, 0 for the first; `None` for other nodes.
-    pub region_relay_rank: Option<u32>,
-    /// Number of relays of the region.
-    pub region_relay_count: u32,
     /// Node that sums the evidence of the data centre, which may be this one.
     pub aggregator: Option<SocketAddr>,
     /// Addresses for the contact object, when this node has to write it.
@@ -77,10 +60,8 @@
     else {
         return Roles::default();
     };
-    let mut roles = Roles {
-        in_store_region: own.region == store_region,
-        ..Roles::default()
-    };
+    let mut roles = Roles::default();
+    roles.peers.in_store_region = own.region == store_region;
     fill_own(&mut roles, own, own_group);
     fill_relays(&mut roles, own, &groups, store_region);
     roles
@@ -122,9 +103,9 @@
         |r| r.node.as_str(),
         others.len(),
     );
-    roles.members = addresses(&others);
-    roles.witnesses = addresses(&witnesses);
-    roles.is_watcher = roles.in_store_region && holds(&group.ranked("watch", WATCHERS));
+    roles.peers.members = addresses(&others);
+    roles.peers.witnesses = addresses(&witnesses);
+    roles.peers.is_watcher = roles.peers.in_store_region && holds(&group.ranked("watch", WATCHERS));
     roles.is_relay = holds(&group.ranked("relay", RELAYS));
     roles.aggregator = group.ranked("aggregate", 1).first().map(|r| r.peer_address);
     let contacts = group.ranked("contacts", MAX_CONTACTS);
@@ -139,25 +120,25 @@
         for group in groups {
             if group.region == &own.region && group.data_centre != &own.data_centre {
                 let relays = group.ranked("relay", RELAYS);
-                roles.data_centre_relays.extend(addresses(&relays));
+                roles.peers.data_centre_relays.extend(addresses(&relays));
             }
         }
     }
     let own_relays = region_relays(&own.region, groups);
     let rank = own_relays.iter().position(|r| r.node == own.node);
-    roles.region_relay_rank = rank
+    roles.peers.region_relay_rank = rank
         .filter(|_| roles.is_relay)
         .and_then(|rank| u32::try_from(rank).ok());
-    roles.region_relay_count = u32::try_from(own_relays.len()).unwrap_or(u32::MAX);
+    roles.peers.region_relay_count = u32::try_from(own_relays.len()).unwrap_or(u32::MAX);
     for region in regions.into_iter().filter(|region| **region != own.region) {
         let relays = addresses(&region_relays(region, groups));
         if region == store_region {
-            roles.store_region_relays.clone_from(&relays);
+            roles.peers.store_region_relays.clone_from(&relays);
         }
-        if let Some(rank) = rank.filter(|_| roles.region_relay_rank.is_some()) {
+        if let Some(rank) = rank.filter(|_| roles.peers.region_relay_rank.is_some()) {
             let partner = relays.get(rank).or(relays.first());
-            roles.region_partners.extend(partner);
-            roles.region_relays.extend(relays);
+            roles.peers.region_partners.extend(partner);
+            roles.peers.region_relays.extend(relays);
         }
     }
 }
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -183,6 +183,7 @@
     fn ask_to_probe(&mut self, id: u32, target: &Target) -> Vec<Action> {
         let roles = &self.roles;
         let others: Vec<SocketAddr> = roles
+            .peers
             .members
             .iter()
             .filter(|address| **address != target.address)
@@ -207,14 +208,15 @@
         let items = self.items.take(Channel::Push, 0, now);
         let members: Vec<SocketAddr> = self
             .roles
+            .peers
             .members
             .sample(&mut self.rng, PUSH_COUNT)
             .copied()
             .collect();
         let mut actions = self.send_records(&names, items, &members);
         if self.roles.is_relay {
-            let data_centre_relays = self.roles.data_centre_relays.clone();
-            let region_relays = self.roles.region_relays.clone();
+            let data_centre_relays = self.roles.peers.data_centre_relays.clone();
+            let region_relays = self.roles.peers.region_relays.clone();
             let items = self.items.take(Channel::Relay, 0, now);
             let names = self.to_data_centres.take(RELAY_SENDS);
             actions.extend(self.send_records(&names, items.clone(), &data_centre_relays));
@@ -248,9 +250,9 @@
         self.next_compare = now + millis(self.options.compare_interval_ms);
         let roles = Arc::clone(&self.roles);
         let groups = [
-            &roles.members,
-            &roles.data_centre_relays,
-            &roles.region_relays,
+            &roles.peers.members,
+            &roles.peers.data_centre_relays,
+            &roles.peers.region_relays,
         ];
         let digests = self.table.digests_with(&self.own);
         let message = Message::Buckets { digests };
--- a/crates/membership/src/sweep.rs
+++ b/crates/membership/src/sweep.rs
@@ -37,7 +37,7 @@
     /// Probes a relay of another data centre of the region. The usual round would reach it once
     /// in as many seconds as the data centre has members.
     pub(crate) fn next_far_probe(&mut self, now: Instant) -> Option<ProbeStep> {
-        let to = *self.roles.data_centre_relays.choose(&mut self.rng)?;
+        let to = *self.roles.peers.data_centre_relays.choose(&mut self.rng)?;
         let record = self.table.live_records().find(|r| r.peer_address == to)?;
         let target = Target::of(record);
         Some(self.prober.start(target, now))
@@ -45,7 +45,12 @@
 
     /// Begins to probe the data centre of a relay that this node found failed.
     pub(crate) fn sweep_data_centre(&mut self, failed: &EndpointRecord) {
-        if !self.roles.data_centre_relays.contains(&failed.peer_address) {
+        if !self
+            .roles
+            .peers
+            .data_centre_relays
+            .contains(&failed.peer_address)
+        {
             return;
         }
         let is_near = |record: &&EndpointRecord| {
@@ -69,7 +74,7 @@
                 && record.data_centre == self.own.data_centre
                 && known.is_some_and(|known| !is_departed(known))
         };
-        let is_near = || self.roles.members.contains(&from);
+        let is_near = || self.roles.peers.members.contains(&from);
         if !records.iter().any(is_contested) || is_near() {
             return;
         }
--- a/crates/membership/tests/parts.rs
+++ b/crates/membership/tests/parts.rs
@@ -213,14 +213,17 @@
     for (place, (region, _)) in places.iter().enumerate() {
         let group: Vec<&Roles> = roles.iter().skip(place).step_by(4).collect();
         let watchers = if *region == "west" { 2 } else { 0 };
-        assert_eq!(group.iter().filter(|r| r.is_watcher).count(), watchers);
+        assert_eq!(
+            group.iter().filter(|r| r.peers.is_watcher).count(),
+            watchers
+        );
         assert_eq!(group.iter().filter(|r| r.is_relay).count(), 2);
         assert_eq!(group.iter().filter(|r| r.contacts.is_some()).count(), 1);
         assert!(group.iter().all(|r| r.aggregator == group[0].aggregator));
         assert!(
             group
                 .iter()
-                .all(|r| r.members.len() == 9 && r.witnesses.len() == 9)
+                .all(|r| r.peers.members.len() == 9 && r.peers.witnesses.len() == 9)
         );
     }
     for region in 0..2 {
@@ -231,11 +234,14 @@
             .filter(|(i, _)| (i % 4) / 2 * 2 == first);
         let relays: Vec<&Roles> = group
             .map(|(_, r)| r)
-            .filter(|r| r.region_relay_rank.is_some())
+            .filter(|r| r.peers.region_relay_rank.is_some())
             .collect();
         assert_eq!(relays.len(), 2);
-        assert!(relays.iter().all(|r| r.region_relays.len() == 2));
-        assert_ne!(relays[0].region_partners, relays[1].region_partners);
+        assert!(relays.iter().all(|r| r.peers.region_relays.len() == 2));
+        assert_ne!(
+            relays[0].peers.region_partners,
+            relays[1].peers.region_partners
+        );
     }
 }
 
