--- a/xtask/src/bench/distribute/observe.rs
+++ b/xtask/src/bench/distribute/observe.rs
@@ -137,11 +137,11 @@
     let role = |own: &EndpointRecord| {
         let others = records.iter().filter(|record| record.node != own.node);
         let roles = roles::compute(own, others, STORE_REGION);
-        if roles.region_relay_rank.is_some() {
+        if roles.peers.region_relay_rank.is_some() {
             Role::RegionRelay
         } else if roles.is_relay {
             Role::Relay
-        } else if roles.is_watcher {
+        } else if roles.peers.is_watcher {
             Role::Watcher
         } else {
             Role::Member
