--- a/crates/moves/examples/timing.rs
+++ b/crates/moves/examples/guard_timing.rs
@@ -1,7 +1,7 @@
 //! Times what a request adds for its moves: the guard's permission, the side of its version and
 //! the result of its attempt, with a move in every service.
 //!
-//! `cargo run --release -p hemlockfall-moves --example timing`
+//! `cargo run --release -p hemlockfall-moves --example guard_timing`
 
 use std::hint::black_box;
 use std::time::Duration;
