Decode the texts of a call in the order in which they were encoded

Cause: the writer numbered the version of a call under trial before the service, the reader took the service first; both ends then held different texts and the caller's service at the target was another text. Ruled out: the settings (the name was right at calls without a trial).

--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -482,14 +482,13 @@
             .filter(|header| !dropped.iter().any(|name| header.name.eq_ignore_ascii_case(name)))
             .cloned()
             .collect();
-        let version = match &call.version {
-            VersionRule::Only(version) => Some(writer.encode(version)),
-            VersionRule::Any | VersionRule::Avoid(_) => None,
-        };
         let frame = CallFrame {
             call: id,
             service: writer.encode(&call.service),
-            version,
+            version: match &call.version {
+                VersionRule::Only(version) => Some(writer.encode(version)),
+                VersionRule::Any | VersionRule::Avoid(_) => None,
+            },
             route: writer.encode(&call.route.name),
             caller_service: writer.encode(&caller_service),
             is_idempotent: call.route.repeat == Repeat::Idempotent,
