--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -184,10 +184,24 @@
             queued: saturate(self.waiting.len()),
             slots: saturate(self.slots),
             run_ms: rounded(self.mean_run_ms),
+            route_run_ms: 0,
             failed_permille: rounded(self.failed_share * 1000.0),
         }
     }
 
+    /// `load_for` is the load with the mean run time of a route.
+    #[must_use]
+    pub fn load_for(&self, route: &str) -> LoadReport {
+        let found = self
+            .run_times
+            .binary_search_by(|(name, _)| name.as_str().cmp(route));
+        let route_run_ms = found.map_or(0, |index| rounded(self.run_times[index].1));
+        LoadReport {
+            route_run_ms,
+            ..self.load()
+        }
+    }
+
     fn place(&self, offer: &Offer) -> usize {
         self.waiting
             .partition_point(|other| (other.priority, other.due) <= (offer.priority, offer.due))
--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -1,4 +1,7 @@
 //! Choice of the node whose target gets a request.
+//!
+//! A request should be answered in time, and traffic between data centres is charged by volume.
+//! The choice weighs the chance of a late answer against the price of the way.
 
 use std::time::Duration;
 
@@ -14,11 +17,24 @@
 const FRESH: Duration = Duration::from_millis(400);
 /// Mean time of a run until one was reported, in milliseconds.
 const FIRST_RUN_MS: f64 = 60.0;
+/// Run times scatter about their mean like a log-normal distribution with this deviation.
+const RUN_DEVIATION: f64 = 0.7;
+/// Slope that makes the logistic function follow the normal distribution.
+const LOGISTIC_SLOPE: f64 = 1.7;
+/// Part of its credit that a late answer loses.
+const LATE_LOSS: f64 = 0.9;
+/// Part of its credit that a failed run loses; most are sent again.
+const FAILURE_LOSS: f64 = 0.7;
+/// Price of a KiB between data centres and between regions, in credits of one request.
+const DATA_CENTRE_PRICE: f64 = 0.10;
+const REGION_PRICE: f64 = 0.17;
+/// Size of a request and its answer besides the answer's body, in KiB.
+const FRAME_KIB: f64 = 0.3;
+/// Size of an answer until one was seen, in KiB.
+const FIRST_ANSWER_KIB: f64 = 1.0;
 /// Candidates within this distance of the best are chosen among at random, so that nodes that
-/// see the same reports do not all pick the same target, in milliseconds.
-const TIE_MS: f64 = 3.0;
-/// Cost of failed runs: a request that fails is sent again, in milliseconds for all failing.
-const FAILURE_COST_MS: f64 = 400.0;
+/// see the same reports do not all pick the same target.
+const TIE: f64 = 0.01;
 
 /// `Distance` is how far away a node is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,13 +65,12 @@
         }
     }
 
-    /// Time on the way and the price of the traffic, as milliseconds of waiting.
-    fn cost_ms(self) -> f64 {
+    /// Price of a KiB, in credits of one request.
+    fn price_per_kib(self) -> f64 {
         match self {
-            Self::Own => 0.0,
-            Self::DataCentre => 1.0,
-            Self::Region => 45.0,
-            Self::Far => 75.0,
+            Self::Own | Self::DataCentre => 0.0,
+            Self::Region => DATA_CENTRE_PRICE,
+            Self::Far => REGION_PRICE,
         }
     }
 
@@ -71,6 +86,15 @@
     }
 }
 
+/// `Demand` is what a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Time until the answer loses its credit.
+    pub time_left: Duration,
+    /// Size of the answer's body, if answers of the route were seen, in KiB.
+    pub answer_kib: Option<f64>,
+}
+
 /// `Candidate` is a node whose target runs the service.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -97,7 +121,7 @@
         if excess <= 0.0 {
             return 0.0;
         }
-        excess * self.run_ms() / slots
+        excess * known_or_first(self.load.run_ms) / slots
     }
 
     /// `is_known_full` tells whether a fresh report rules out an answer within a time.
@@ -107,13 +131,6 @@
         is_fresh && self.expected_wait_ms(now) > within.as_secs_f64() * 1000.0
     }
 
-    fn run_ms(&self) -> f64 {
-        match self.load.run_ms {
-            0 => FIRST_RUN_MS,
-            run_ms => f64::from(run_ms),
-        }
-    }
-
     /// Requests at the target: as reported while the report is fresh, then fading to those that
     /// this node knows of.
     fn busy(&self, now: Time) -> f64 {
@@ -124,31 +141,56 @@
         own.max(reported * weight)
     }
 
-    fn cost_ms(&self, now: Time) -> f64 {
+    /// Credit that is expected to be lost by choosing this candidate.
+    fn loss(&self, demand: &Demand, now: Time) -> f64 {
+        let run_ms = match self.load.route_run_ms {
+            0 => known_or_first(self.load.run_ms),
+            run_ms => f64::from(run_ms),
+        };
+        let way_ms = self.distance.round_trip().as_secs_f64() * 1000.0;
+        let wait_ms = self.expected_wait_ms(now) + way_ms;
+        let left_ms = demand.time_left.as_secs_f64() * 1000.0 - wait_ms;
+        let kib = demand.answer_kib.unwrap_or(FIRST_ANSWER_KIB) + FRAME_KIB;
         let failures = f64::from(self.load.failed_permille) / 1000.0;
-        self.expected_wait_ms(now)
-            + self.run_ms()
-            + self.distance.cost_ms()
-            + failures * FAILURE_COST_MS
+        late_chance(run_ms, left_ms) * LATE_LOSS
+            + failures * FAILURE_LOSS
+            + self.distance.price_per_kib() * kib
+    }
+}
+
+/// Chance that a run takes longer than the time left for it.
+fn late_chance(mean_run_ms: f64, left_ms: f64) -> f64 {
+    if left_ms <= 0.0 {
+        return 1.0;
+    }
+    let mean_of_log = mean_run_ms.max(1.0).ln() - RUN_DEVIATION * RUN_DEVIATION / 2.0;
+    let deviations = (left_ms.ln() - mean_of_log) / RUN_DEVIATION;
+    1.0 / (1.0 + (LOGISTIC_SLOPE * deviations).exp())
+}
+
+fn known_or_first(run_ms: u16) -> f64 {
+    match run_ms {
+        0 => FIRST_RUN_MS,
+        run_ms => f64::from(run_ms),
     }
 }
 
-/// `choose` picks the candidate at which an answer is expected first, counting the price of the
-/// way; `None` when there is none or all are known to be too full to answer in time.
+/// `choose` picks the candidate with the smallest expected loss; `None` when there is none or
+/// all are known to be too full to answer in time.
 pub fn choose(
     candidates: &[Candidate],
-    time_left: Duration,
+    demand: &Demand,
     now: Time,
     random: &mut impl Rng,
 ) -> Option<u64> {
-    let mut costs: Vec<(f64, u64)> = candidates
+    let mut losses: Vec<(f64, u64)> = candidates
         .iter()
-        .filter(|candidate| !candidate.is_known_full(time_left, now))
-        .map(|candidate| (candidate.cost_ms(now), candidate.node))
+        .filter(|candidate| !candidate.is_known_full(demand.time_left, now))
+        .map(|candidate| (candidate.loss(demand, now), candidate.node))
         .collect();
-    costs.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let best = costs.first()?.0;
-    let ties = costs.partition_point(|(cost, _)| *cost <= best + TIE_MS);
+    losses.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let best = losses.first()?.0;
+    let ties = losses.partition_point(|(loss, _)| *loss <= best + TIE);
     let index = random.random_range(0..ties);
-    costs.get(index).map(|(_, node)| *node)
+    losses.get(index).map(|(_, node)| *node)
 }
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -14,7 +14,7 @@
 const BUCKETS: u32 = 10;
 /// Part of the budget that is used. The rest is left for calls that repeated runs make, which
 /// no node can tell from others.
-const USED_PERCENT: u64 = 60;
+const USED_PERCENT: u64 = 40;
 
 /// `BudgetLimits` are the limits of the whole mesh.
 #[derive(Clone, Copy, Debug)]
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod platform;
 pub mod router;
 pub mod settings;
+pub mod sizes;
 pub mod table;
 pub mod target;
 
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -240,7 +240,8 @@
     pub cold_remaining: Duration,
 }
 
-/// `TargetKey` names one life of a target.
+/// `TargetKey` names one life of a target. Among the targets that have left, it stands for this
+/// life and all earlier ones.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TargetKey {
     /// Id of the target.
@@ -306,6 +307,8 @@
     pub slots: u16,
     /// Mean time of a run, in milliseconds.
     pub run_ms: u16,
+    /// Mean time of a run of the route that the report came with, in milliseconds.
+    pub route_run_ms: u16,
     /// Failed runs of late, in permille.
     pub failed_permille: u16,
 }
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -16,6 +16,7 @@
 use crate::attempts::NextStep;
 use crate::attempts::Outcome;
 use crate::balance;
+use crate::balance::Demand;
 use crate::clock::Time;
 use crate::edge::frame::Failure;
 use crate::edge::frame::Refusal;
@@ -40,6 +41,7 @@
 const CODE_NO_TARGET: &str = "HF-3703";
 const CODE_SUSPECTED: &str = "HF-3704";
 const CODE_TIMED_OUT: &str = "HF-3705";
+const CODE_STOPPING: &str = "HF-3708";
 const CODE_UNKNOWN: &str = "HF-3706";
 /// Time after which a caller may come back when no configuration or target is known.
 const RETRY_SOON: Duration = Duration::from_millis(250);
@@ -104,6 +106,10 @@
             self.refuse_early(caller, token, &request_id, 503, CODE_NO_CONFIG);
             return;
         };
+        if self.is_closing() {
+            self.refuse_early(caller, token, &request_id, 503, CODE_STOPPING);
+            return;
+        }
         let version = config.version;
         let host = request.header("host").unwrap_or_default().to_owned();
         let Some(route) = self.mesh.router.select(&host, request.path()) else {
@@ -193,7 +199,11 @@
         let until = if call.due > now { call.due } else { call.deadline };
         let time_left = until.saturating_sub(now);
         let candidates = self.candidates(call);
-        let choice = balance::choose(&candidates, time_left, now, &mut self.random);
+        let demand = Demand {
+            time_left,
+            answer_kib: self.answer_sizes.kib(&call.route.name),
+        };
+        let choice = balance::choose(&candidates, &demand, now, &mut self.random);
         let Some(node) = choice else {
             let wait = candidates
                 .iter()
@@ -275,6 +285,7 @@
                 call.arrivals += 1;
                 call.may_have_run = true;
                 let status = answer.status;
+                self.answer_sizes.note(&call.route.name, answer.body.len());
                 call.last_answer = Some(*answer);
                 Outcome::Answered { status }
             }
--- a/crates/sidecar/src/node/control.rs
+++ b/crates/sidecar/src/node/control.rs
@@ -1,5 +1,8 @@
 //! Heartbeats of the target, the platform's readiness check and the metrics page.
 
+use std::time::SystemTime;
+
+use hemlockfall_core::units;
 use hemlockfall_http::http::Header;
 use hemlockfall_http::http::HttpAnswer;
 use hemlockfall_http::http::HttpRequest;
@@ -34,7 +37,10 @@
     pub(super) fn control_call(&mut self, caller: u64, token: u64, request: &HttpRequest) {
         match self.platform.control_call(request) {
             ControlCall::Heartbeat(heartbeat) => self.heartbeat(caller, token, *heartbeat),
-            ControlCall::Leave(instance) => self.target_left(caller, token, &instance),
+            ControlCall::Leave {
+                instance,
+                born_unix_ms,
+            } => self.target_left(caller, token, &instance, born_unix_ms),
             ControlCall::Unreadable { reason } => {
                 self.state_line("heartbeat_unreadable", json!({ "reason": reason }));
                 self.answer_caller(caller, token, own_answer(400, "", None));
@@ -76,6 +82,9 @@
             }
             HeartbeatOutcome::Leaves => {
                 self.state_line("target_leaves", facts);
+                if let Some(key) = self.target.own.key() {
+                    self.target.own.remember_left(key);
+                }
                 self.begin_leaving(caller, token);
                 return;
             }
@@ -83,19 +92,20 @@
         self.acknowledge(caller, token);
     }
 
-    fn target_left(&mut self, caller: u64, token: u64, instance: &str) {
-        let was_admitting = self.target.own.is_admitting();
-        if self.target.own.leave(instance) {
-            self.state_line(
-                "target_left",
-                json!({ "instance": instance, "was_admitting": was_admitting }),
-            );
-            if was_admitting {
-                self.begin_leaving(caller, token);
-                return;
-            }
+    fn target_left(&mut self, caller: u64, token: u64, instance: &str, born: Option<u64>) {
+        let before = self.target.own.left().to_vec();
+        let now_unix_ms = units::unix_ms(SystemTime::now());
+        let key = self.target.own.leave(instance, born, now_unix_ms);
+        self.state_line(
+            "target_left",
+            json!({ "instance": instance, "born_unix_ms": key.born_unix_ms, "told": born }),
+        );
+        if self.target.own.left() == before {
+            // The leave was kept when the target began to drain.
+            self.acknowledge(caller, token);
+        } else {
+            self.begin_leaving(caller, token);
         }
-        self.acknowledge(caller, token);
     }
 
     /// Answers a heartbeat or a leave.
--- a/crates/sidecar/src/node/leaving.rs
+++ b/crates/sidecar/src/node/leaving.rs
@@ -31,10 +31,9 @@
 impl Node {
     /// Stops the target's work and keeps the leave before it is acknowledged.
     pub(super) fn begin_leaving(&mut self, caller: u64, token: u64) {
-        if let Some(key) = self.target.own.key() {
-            self.target.own.remember_left(key);
+        if !self.is_target_open() {
+            self.drain_queue();
         }
-        self.drain_queue();
         self.record_changed();
         self.store_own_entry();
         self.leaving.push(Leaving {
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -219,7 +219,7 @@
                 retry_after_ms,
                 load,
             } => {
-                self.note_link_load(id, load);
+                self.note_link_load(id, call, load);
                 let retry_after = Duration::from_millis(retry_after_ms.into());
                 let end = AttemptEnd::NotRun {
                     refusal,
@@ -232,7 +232,7 @@
                 failure,
                 load,
             } => {
-                self.note_link_load(id, load);
+                self.note_link_load(id, call, load);
                 self.link_call_ended(id, call, AttemptEnd::Failed(failure));
             }
             Frame::Ping => self.tell(id, &Frame::Pong),
@@ -540,9 +540,10 @@
         self.attempt_ended(call, end);
     }
 
-    fn note_link_load(&mut self, link: u64, load: LoadReport) {
+    fn note_link_load(&mut self, link: u64, call: u64, load: LoadReport) {
+        let route = self.calls.get(call).map(|call| call.route.name.clone());
         if let Some(peer) = self.links.get(link).and_then(|link| link.peer) {
-            self.note_load(peer, load);
+            self.note_load(peer, route, load);
         }
     }
 
@@ -552,7 +553,7 @@
         };
         // The texts are taken in also when nobody waits, since later frames refer to them.
         let mut headers = link.reader.headers(answer.headers)?;
-        self.note_link_load(id, answer.load);
+        self.note_link_load(id, answer.call, answer.load);
         let Some(call) = self.calls.get(answer.call) else {
             self.forget_link_call(id, answer.call);
             return Ok(());
@@ -619,7 +620,7 @@
                 refusal: Refusal::NoTarget,
                 retry_after: Duration::ZERO,
             };
-            self.answer_link(id, frame.call, &work.request_id, end);
+            self.answer_link(id, frame.call, &work.request_id, &work.route, end);
             return Ok(());
         }
         let work = self.target.works.insert(work);
@@ -646,9 +647,10 @@
         id: u64,
         call: u64,
         request_id: &RequestId,
+        route: &str,
         end: AttemptEnd,
     ) {
-        let load = self.target.gate.load();
+        let load = self.target.gate.load_for(route);
         let name = self.names.request_id;
         let Some(link) = self.links.get_mut(id) else {
             return;
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -55,6 +55,7 @@
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
 use crate::settings::SidecarSettings;
+use crate::sizes::AnswerSizes;
 use crate::table::Table;
 
 pub use run::run;
@@ -138,6 +139,7 @@
     next_token: u64,
     budget: RetryBudget,
     suspects: Suspects,
+    answer_sizes: AnswerSizes,
     mesh: Mesh,
     target: TargetSide,
     connections: Table<TargetConnection>,
@@ -174,6 +176,7 @@
             next_token: 1,
             budget: RetryBudget::new(settings.budget()),
             suspects: Suspects::default(),
+            answer_sizes: AnswerSizes::default(),
             mesh: Mesh::default(),
             target: TargetSide::default(),
             connections: Table::default(),
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RouteName;
 use serde_json::json;
 
 use crate::balance::Candidate;
@@ -19,6 +20,8 @@
 /// `OWN_NODE` stands for this node among the candidates for a request.
 pub(super) const OWN_NODE: u64 = 0;
 
+/// Routes whose run times at a node are kept.
+const MAX_ROUTES: usize = 32;
 /// Leaves of a node that are kept.
 const MAX_LEFT: usize = 64;
 
@@ -35,11 +38,21 @@
     pub(super) dial_failures: u32,
     pub(super) load: LoadReport,
     pub(super) load_at: Time,
+    /// Mean run times by route, sorted, in milliseconds.
+    pub(super) route_runs: Vec<(RouteName, u16)>,
     pub(super) outstanding: u16,
     /// When the node last said that it follows the store.
     pub(super) beat_at: Option<Time>,
 }
 
+impl Peer {
+    fn route_run_ms(&self, route: &RouteName) -> u16 {
+        self.route_runs
+            .binary_search_by(|(name, _)| name.cmp(route))
+            .map_or(0, |index| self.route_runs[index].1)
+    }
+}
+
 impl Node {
     /// A seed is dialled; its node says its name.
     pub(super) fn take_seed(&mut self, address: SocketAddr) {
@@ -91,6 +104,7 @@
             dial_failures: 0,
             load: LoadReport::default(),
             load_at: self.now,
+            route_runs: Vec::new(),
             outstanding: 0,
             beat_at: None,
         })
@@ -129,11 +143,22 @@
         self.tell_all(&Frame::Record(record));
     }
 
-    pub(super) fn note_load(&mut self, peer: u64, load: LoadReport) {
+    pub(super) fn note_load(&mut self, peer: u64, route: Option<RouteName>, load: LoadReport) {
         let now = self.now;
-        if let Some(peer) = self.peers.get_mut(peer) {
-            peer.load = load;
-            peer.load_at = now;
+        let Some(peer) = self.peers.get_mut(peer) else {
+            return;
+        };
+        peer.load = load;
+        peer.load_at = now;
+        let Some(route) = route.filter(|_| load.route_run_ms > 0) else {
+            return;
+        };
+        match peer.route_runs.binary_search_by(|(name, _)| name.cmp(&route)) {
+            Ok(index) => peer.route_runs[index].1 = load.route_run_ms,
+            Err(index) if peer.route_runs.len() < MAX_ROUTES => {
+                peer.route_runs.insert(index, (route, load.route_run_ms));
+            }
+            Err(_) => peer.route_runs.clear(),
         }
     }
 
@@ -156,7 +181,7 @@
             && is_allowed(rule, &target.version)
             && !call.tried.contains(&OWN_NODE)
         {
-            let load = self.target.gate.load();
+            let load = self.target.gate.load_for(&call.route.name);
             candidates.push(Candidate {
                 node: OWN_NODE,
                 distance: Distance::Own,
@@ -178,10 +203,14 @@
                 && !call.tried.contains(&id)
                 && !self.is_suspect(peer);
             if is_usable {
+                let load = LoadReport {
+                    route_run_ms: peer.route_run_ms(&call.route.name),
+                    ..peer.load
+                };
                 candidates.push(Candidate {
                     node: id,
                     distance: peer.distance,
-                    load: peer.load,
+                    load,
                     load_at: peer.load_at,
                     outstanding: peer.outstanding,
                     slots: u16::try_from(target.slots).unwrap_or(u16::MAX),
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -8,6 +8,9 @@
 
 /// Time in which callers notice that the node is not ready and stay away.
 const NOTICE: Duration = Duration::from_millis(2600);
+/// Part of the grace time after which a request is no longer begun, in percent: what begins later
+/// could be cut off by the end of the process.
+const LAST_BEGIN_PERCENT: u32 = 60;
 /// Part of the grace time after which the node ends in any case, in percent.
 const LAST_MOMENT_PERCENT: u32 = 92;
 
@@ -16,6 +19,13 @@
         self.stopping_since.is_some()
     }
 
+    /// Tells whether the process ends too soon for a new request.
+    pub(super) fn is_closing(&self) -> bool {
+        self.stopping_since.is_some_and(|since| {
+            self.now.saturating_sub(since) >= self.settings.grace() * LAST_BEGIN_PERCENT / 100
+        })
+    }
+
     pub(super) fn begin_stop(&mut self) {
         if self.is_stopping() {
             return;
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -371,7 +371,9 @@
         match work.origin {
             WorkOrigin::Nobody => {}
             WorkOrigin::Call(call) => self.attempt_ended(call, end),
-            WorkOrigin::Link { link, call } => self.answer_link(link, call, &work.request_id, end),
+            WorkOrigin::Link { link, call } => {
+                self.answer_link(link, call, &work.request_id, &work.route, end);
+            }
         }
     }
 
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -47,7 +47,12 @@
     /// The target says that it lives.
     Heartbeat(Box<Heartbeat>),
     /// The target says that it has gone.
-    Leave(InstanceId),
+    Leave {
+        /// Id of the target.
+        instance: InstanceId,
+        /// Start of its life, if it says so.
+        born_unix_ms: Option<u64>,
+    },
     /// The call cannot be read.
     Unreadable {
         /// What is wrong.
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -123,6 +123,7 @@
             code(3705, "the time of the request or of its route is over"),
             code(3706, "the target failed or its answer was lost; the request may have run"),
             code(3707, "the node cannot start; the message says why"),
+            code(3708, "the node stops; come back to another one"),
         ],
         metrics: &[
             counter("hemlockfall_requests_total", "requests by outcome"),
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -33,7 +33,7 @@
 #[derive(Debug, Default)]
 pub struct OwnTarget {
     current: Option<Current>,
-    /// Sorted.
+    /// Sorted by id.
     left: Vec<TargetKey>,
 }
 
@@ -48,7 +48,7 @@
     /// `heartbeat` takes in what the target says of itself.
     pub fn heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> HeartbeatOutcome {
         let key = key_of(&heartbeat);
-        if self.left.binary_search(&key).is_ok() && !self.is_current(&key) {
+        if self.has_left(&key) && self.key().as_ref() != Some(&key) {
             return HeartbeatOutcome::Stale;
         }
         if let Some(current) = &mut self.current {
@@ -77,29 +77,44 @@
         HeartbeatOutcome::Changed
     }
 
-    /// `leave` takes in that a target has gone; false when another target is known.
-    pub fn leave(&mut self, instance: &str) -> bool {
-        let Some(current) = &mut self.current else {
-            return false;
+    /// `leave` takes in that a target has gone, and returns the life that has left. A target that
+    /// this process has not heard of may have left as well: its heartbeats went to an earlier
+    /// process. It was born before `now_unix_ms`.
+    pub fn leave(
+        &mut self,
+        instance: &str,
+        born_unix_ms: Option<u64>,
+        now_unix_ms: u64,
+    ) -> TargetKey {
+        let known = self
+            .current()
+            .filter(|heartbeat| heartbeat.instance == instance)
+            .map(|heartbeat| heartbeat.born_unix_ms);
+        let key = TargetKey {
+            instance: instance.into(),
+            born_unix_ms: born_unix_ms.or(known).unwrap_or(now_unix_ms),
         };
-        if current.heartbeat.instance != instance {
-            return false;
-        }
-        current.is_leaving = true;
-        true
+        self.remember_left(key.clone());
+        key
     }
 
     /// `remember_left` keeps a life that has left, so that no old heartbeat brings it back.
     pub fn remember_left(&mut self, key: TargetKey) {
         if let Some(current) = &mut self.current
-            && key_of(&current.heartbeat) == key
+            && covers(&key, &key_of(&current.heartbeat))
         {
             current.is_leaving = true;
         }
-        let Err(index) = self.left.binary_search(&key) else {
-            return;
-        };
-        self.left.insert(index, key);
+        let found = self
+            .left
+            .binary_search_by(|left| left.instance.cmp(&key.instance));
+        match found {
+            Ok(index) => {
+                let left = &mut self.left[index];
+                left.born_unix_ms = left.born_unix_ms.max(key.born_unix_ms);
+            }
+            Err(index) => self.left.insert(index, key),
+        }
         if self.left.len() > LEFT_CAPACITY {
             let oldest = self.left.iter().enumerate().min_by_key(|(_, key)| key.born_unix_ms);
             if let Some((index, _)) = oldest {
@@ -171,8 +186,8 @@
         })
     }
 
-    fn is_current(&self, key: &TargetKey) -> bool {
-        self.key().as_ref() == Some(key)
+    fn has_left(&self, key: &TargetKey) -> bool {
+        self.left.iter().any(|left| covers(left, key))
     }
 }
 
@@ -196,6 +211,10 @@
     }
 }
 
+fn covers(left: &TargetKey, key: &TargetKey) -> bool {
+    left.instance == key.instance && key.born_unix_ms <= left.born_unix_ms
+}
+
 fn key_of(heartbeat: &Heartbeat) -> TargetKey {
     TargetKey {
         instance: heartbeat.instance.clone(),
