--- /dev/null
+++ b/crates/sidecar/tests/admission.rs
@@ -0,0 +1,124 @@
+//! Admission to a target under load.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use hemlockfall_sidecar::admission::Admission;
+use hemlockfall_sidecar::admission::Gate;
+use hemlockfall_sidecar::admission::Offer;
+use hemlockfall_sidecar::admission::RejectReason;
+
+const SLOTS: usize = 2;
+
+fn offer(id: u64, priority: u8, due_ms: u64) -> Offer {
+    Offer {
+        id,
+        route: "lookup".into(),
+        priority,
+        due: at(due_ms),
+        deadline: at(due_ms + 500),
+        target_latency: Duration::from_millis(300),
+    }
+}
+
+/// A gate with both slots in use and runs of 100 ms.
+fn full_gate() -> Gate {
+    let mut gate = Gate::default();
+    gate.set_slots(SLOTS);
+    for id in 0..20 {
+        assert_eq!(gate.offer(offer(id, 1, 300), at(0)), Admission::Run);
+        gate.finished(&"lookup".into(), Duration::from_millis(100), true);
+    }
+    gate.offer(offer(100, 1, 300), at(0));
+    gate.offer(offer(101, 1, 300), at(0));
+    gate
+}
+
+/// Guards against more requests at the target than it has slots.
+#[test]
+fn requests_beyond_the_slots_wait() {
+    let mut gate = full_gate();
+
+    let admission = gate.offer(offer(1, 1, 300), at(0));
+
+    let displaced = Vec::new();
+    assert_eq!(admission, Admission::Wait { displaced });
+    assert_eq!(gate.load().running, 2);
+    assert_eq!(gate.load().queued, 1);
+}
+
+/// Load: a burst at a full target. Guards against requests that wait although their answer
+/// would come too late; they are rejected at once and told when to come back.
+#[test]
+fn a_burst_is_rejected_as_soon_as_the_queue_is_too_long_to_be_in_time() {
+    let mut gate = full_gate();
+
+    let admissions: Vec<Admission> = (0..20).map(|id| gate.offer(offer(id, 1, 300), at(0))).collect();
+
+    let waiting = admissions
+        .iter()
+        .filter(|admission| matches!(admission, Admission::Wait { .. }))
+        .count();
+    // A slot is free each 50 ms and a run takes 100 ms: the fourth would just end after 300 ms.
+    assert_eq!(waiting, 4);
+    let Some(Admission::Reject { reason, retry_after }) = admissions.last() else {
+        panic!("the last request of the burst was admitted");
+    };
+    assert_eq!(*reason, RejectReason::TooLate);
+    assert!(*retry_after >= Duration::from_millis(100));
+}
+
+/// Load: urgent requests behind a queue of others. Guards against an urgent request that is
+/// refused while a less urgent one waits.
+#[test]
+fn urgent_requests_go_first_and_displace_others_that_would_be_late() {
+    let mut gate = full_gate();
+    for id in 0..4 {
+        gate.offer(offer(id, 2, 300), at(0));
+    }
+
+    let admission = gate.offer(offer(50, 0, 300), at(0));
+
+    assert_eq!(admission, Admission::Wait { displaced: vec![3] });
+    gate.finished(&"lookup".into(), Duration::from_millis(100), true);
+    assert_eq!(gate.dispatch(at(50)).run, vec![50]);
+}
+
+/// Load: slots that become free later than expected. Guards against a run whose answer nobody
+/// can use.
+#[test]
+fn waiting_requests_that_became_too_late_are_not_run() {
+    let mut gate = full_gate();
+    gate.offer(offer(1, 1, 300), at(0));
+
+    gate.finished(&"lookup".into(), Duration::from_millis(100), true);
+    let dispatch = gate.dispatch(at(290));
+
+    assert_eq!(dispatch.expired, vec![1]);
+    assert!(dispatch.run.is_empty());
+}
+
+/// Guards against slots that are lost when a request ends without running.
+#[test]
+fn a_released_slot_is_given_to_the_next_request() {
+    let mut gate = full_gate();
+    gate.offer(offer(1, 1, 300), at(0));
+
+    gate.release();
+
+    assert_eq!(gate.dispatch(at(10)).run, vec![1]);
+}
+
+/// Guards against a cancelled request that runs.
+#[test]
+fn a_cancelled_request_leaves_the_queue() {
+    let mut gate = full_gate();
+    gate.offer(offer(1, 1, 300), at(0));
+
+    assert!(gate.cancel(1));
+
+    gate.release();
+    assert!(gate.dispatch(at(10)).run.is_empty());
+}
--- /dev/null
+++ b/crates/sidecar/tests/balance.rs
@@ -0,0 +1,130 @@
+//! Choice of a target under load and between data centres.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use hemlockfall_sidecar::balance;
+use hemlockfall_sidecar::balance::Candidate;
+use hemlockfall_sidecar::balance::Demand;
+use hemlockfall_sidecar::balance::Distance;
+use hemlockfall_sidecar::model::LoadReport;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NEAR: u64 = 1;
+const OTHER: u64 = 2;
+
+fn candidate(node: u64, distance: Distance, busy: u16) -> Candidate {
+    Candidate {
+        node,
+        distance,
+        load: LoadReport {
+            running: busy.min(12),
+            queued: busy.saturating_sub(12),
+            slots: 12,
+            run_ms: 100,
+            route_run_ms: 100,
+            failed_permille: 0,
+        },
+        load_at: at(1_000),
+        outstanding: 0,
+        slots: 12,
+    }
+}
+
+fn demand(answer_kib: f64) -> Demand {
+    Demand {
+        time_left: Duration::from_millis(300),
+        answer_kib: Some(answer_kib),
+    }
+}
+
+fn choose(candidates: &[Candidate], demand: &Demand) -> Option<u64> {
+    balance::choose(candidates, demand, at(1_010), &mut SmallRng::seed_from_u64(1))
+}
+
+/// Load: a data centre that is busy but in time. Guards against large answers that cross data
+/// centres without need.
+#[test]
+fn large_answers_stay_in_their_data_centre_while_it_is_in_time() {
+    let candidates = [
+        candidate(NEAR, Distance::DataCentre, 11),
+        candidate(OTHER, Distance::Region, 0),
+    ];
+
+    assert_eq!(choose(&candidates, &demand(5.0)), Some(NEAR));
+}
+
+/// Load: a data centre that is full. Guards against answers that are late at home while targets
+/// elsewhere are free; small answers move first.
+#[test]
+fn small_answers_move_first_when_the_data_centre_is_full() {
+    let candidates = [
+        candidate(NEAR, Distance::DataCentre, 32),
+        candidate(OTHER, Distance::Region, 0),
+    ];
+
+    assert_eq!(choose(&candidates, &demand(0.4)), Some(OTHER));
+    assert_eq!(choose(&candidates, &demand(8.0)), Some(NEAR));
+}
+
+/// Load: one target is several times slower than the others. Guards against sending it the same
+/// share as the others.
+#[test]
+fn a_slow_target_is_passed_over() {
+    let mut slow = candidate(NEAR, Distance::DataCentre, 0);
+    slow.load.route_run_ms = 500;
+    let candidates = [slow, candidate(OTHER, Distance::DataCentre, 6)];
+
+    assert_eq!(choose(&candidates, &demand(1.0)), Some(OTHER));
+}
+
+/// Load: a target fails part of its requests. Guards against believing its short run times.
+#[test]
+fn a_failing_target_is_passed_over() {
+    let mut failing = candidate(NEAR, Distance::DataCentre, 0);
+    failing.load.failed_permille = 450;
+    failing.load.route_run_ms = 5;
+    let candidates = [failing, candidate(OTHER, Distance::DataCentre, 6)];
+
+    assert_eq!(choose(&candidates, &demand(1.0)), Some(OTHER));
+}
+
+/// Load: every target is full. Guards against sending a request on a way on which it can only
+/// be refused.
+#[test]
+fn nobody_is_chosen_when_all_are_known_to_be_full() {
+    let candidates = [
+        candidate(NEAR, Distance::DataCentre, 60),
+        candidate(OTHER, Distance::Region, 60),
+    ];
+
+    assert_eq!(choose(&candidates, &demand(1.0)), None);
+}
+
+/// Guards against a target that is never tried again because of an old report.
+#[test]
+fn old_reports_rule_nothing_out() {
+    let mut full = candidate(NEAR, Distance::DataCentre, 60);
+    full.load_at = at(0);
+
+    assert_eq!(choose(&[full], &demand(1.0)), Some(NEAR));
+}
+
+/// Load: many nodes with the same reports. Guards against all of them choosing one target.
+#[test]
+fn equal_targets_share_the_requests() {
+    let candidates = [
+        candidate(NEAR, Distance::DataCentre, 3),
+        candidate(OTHER, Distance::DataCentre, 3),
+    ];
+    let mut random = SmallRng::seed_from_u64(7);
+
+    let near = (0..200)
+        .filter(|_| balance::choose(&candidates, &demand(1.0), at(1_010), &mut random) == Some(NEAR))
+        .count();
+
+    assert!((60..140).contains(&near), "{near} of 200");
+}
--- /dev/null
+++ b/crates/sidecar/tests/common/mod.rs
@@ -0,0 +1,78 @@
+//! Fixtures that several tests share.
+
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
+
+use std::time::Duration;
+
+use hemlockfall_http::http::HttpRequest;
+use hemlockfall_sidecar::clock::Time;
+use hemlockfall_sidecar::model::CallerLimits;
+use hemlockfall_sidecar::model::Heartbeat;
+use hemlockfall_sidecar::model::MeshConfig;
+use hemlockfall_sidecar::model::Part;
+use hemlockfall_sidecar::model::Repeat;
+use hemlockfall_sidecar::model::Route;
+use hemlockfall_sidecar::model::TargetState;
+
+/// A time in milliseconds since the VM started.
+pub fn at(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+pub fn route(name: &str, path_prefix: &str, parts: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: "shop.example".into(),
+        path_prefix: path_prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_millis(800),
+        target_latency: Duration::from_millis(300),
+        max_attempts: 2,
+        priority: 1,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| Part {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+pub fn config(version: u64, mut routes: Vec<Route>) -> MeshConfig {
+    routes.sort_by(|a, b| a.name.cmp(&b.name));
+    MeshConfig {
+        version,
+        routes,
+        services: Vec::new(),
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_048_576,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+pub fn heartbeat(instance: &str, born_unix_ms: u64, sequence: u64, state: TargetState) -> Heartbeat {
+    Heartbeat {
+        instance: instance.into(),
+        born_unix_ms,
+        sequence,
+        service: "desk".into(),
+        version: "v1".into(),
+        address: "127.0.0.1:8080".parse().expect("the address is valid"),
+        slots: 12,
+        state,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+pub fn request(path: &str, body: &[u8]) -> HttpRequest {
+    HttpRequest {
+        method: "GET".into(),
+        target: path.into(),
+        headers: Vec::new(),
+        body: body.to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/frames.rs
@@ -0,0 +1,89 @@
+//! Frames on links: what one end encodes the other end decodes, and nothing else.
+
+use hemlockfall_http::http::Header;
+use hemlockfall_sidecar::edge::frame;
+use hemlockfall_sidecar::edge::frame::Frame;
+use hemlockfall_sidecar::edge::frame::FrameError;
+use hemlockfall_sidecar::edge::frame::Text;
+use hemlockfall_sidecar::edge::frame::TextReader;
+use hemlockfall_sidecar::edge::frame::TextWriter;
+use hemlockfall_sidecar::model::ConfigDelta;
+use quickcheck::quickcheck;
+
+mod common;
+
+fn encoded(frame: &Frame) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    frame::encode(frame, &mut bytes);
+    bytes
+}
+
+/// Guards against texts that mean something else at the other end.
+#[test]
+fn texts_are_the_same_at_both_ends() {
+    let mut writer = TextWriter::default();
+    let mut reader = TextReader::default();
+    let texts = ["desk", "feed", "desk", "v2", "feed", "desk"];
+
+    let decoded: Vec<String> = texts
+        .iter()
+        .map(|text| writer.encode(text))
+        .map(|text| reader.decode(text).expect("the text is known").to_string())
+        .collect();
+
+    assert_eq!(decoded, texts);
+    assert_eq!(writer.encode("desk"), Text::Known(0));
+}
+
+/// Guards against a link that goes on after the ends disagree.
+#[test]
+fn an_unknown_text_is_an_error() {
+    assert_eq!(TextReader::default().decode(Text::Known(3)), Err(FrameError::UnknownText));
+}
+
+/// Guards against memory that grows with the number of different texts.
+#[test]
+fn texts_beyond_the_capacity_still_arrive() {
+    let mut writer = TextWriter::default();
+    let mut reader = TextReader::default();
+    for number in 0..1000 {
+        let headers = [Header::new(format!("x-{number}"), "v")];
+        let decoded = reader.headers(writer.headers(&headers)).expect("known");
+        assert_eq!(decoded, headers);
+    }
+}
+
+/// Guards against a large configuration that does not survive compression.
+#[test]
+fn large_frames_are_compressed_and_restored() {
+    let routes = (0..300).map(|n| common::route(&format!("r{n}"), "/x/", &[("desk", 1)]));
+    let config = common::config(7, routes.collect());
+    let delta: ConfigDelta = config.delta_from(&common::config(1, Vec::new()));
+    let frame = Frame::ConfigDelta(Box::new(delta));
+
+    let bytes = encoded(&frame);
+
+    assert!(bytes.len() < 8_000, "{} bytes", bytes.len());
+    assert_eq!(frame::decode(&bytes), Ok(Some((frame, bytes.len()))));
+}
+
+/// Guards against frames that are taken before they are whole.
+#[test]
+fn an_incomplete_frame_waits_for_the_rest() {
+    let bytes = encoded(&Frame::Cancel { call: 77 });
+
+    for length in 0..bytes.len() {
+        assert_eq!(frame::decode(&bytes[..length]), Ok(None));
+    }
+}
+
+quickcheck! {
+    /// Guards against bytes of a peer that end the process.
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>) -> bool {
+        let _ = frame::decode(&bytes);
+        let mut framed = (u32::try_from(bytes.len()).unwrap_or(0) | 1 << 31).to_le_bytes().to_vec();
+        framed.extend_from_slice(&bytes);
+        let _ = frame::decode(&framed);
+        true
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/judge.rs
@@ -0,0 +1,121 @@
+//! Judgement on new versions.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use hemlockfall_sidecar::judge::Evidence;
+use hemlockfall_sidecar::judge::Judge;
+use hemlockfall_sidecar::judge::Tally;
+use hemlockfall_sidecar::judge::Verdict;
+
+const FINISH_IN: Duration = Duration::from_secs(16);
+
+fn tally(answers: u64, failures: u64, latency_ms: u64) -> Tally {
+    let mut tally = Tally::default();
+    for index in 0..answers {
+        let latency = Duration::from_millis(latency_ms);
+        tally.add(index < failures, Some(latency));
+    }
+    tally
+}
+
+fn evidence(node: &str, is_new_version: bool, routes: &[(&str, Tally)]) -> Evidence {
+    Evidence {
+        node: node.into(),
+        incarnation: 1,
+        is_new_version,
+        routes: routes
+            .iter()
+            .map(|(route, tally)| ((*route).into(), *tally))
+            .collect(),
+    }
+}
+
+fn judge(items: Vec<Evidence>) -> Judge {
+    let mut judge = Judge::new(at(0), FINISH_IN);
+    for item in items {
+        judge.take_in(item);
+    }
+    judge
+}
+
+fn is_rejected(judge: &Judge) -> bool {
+    matches!(judge.verdict(at(3_000)), Verdict::Reject { .. })
+}
+
+/// Guards against a version that fails half of its requests and goes on.
+#[test]
+fn a_version_that_fails_is_rejected_soon() {
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(100, 0, 90))]),
+        evidence("new", true, &[("a", tally(10, 5, 90))]),
+    ]);
+
+    assert!(is_rejected(&judge));
+}
+
+/// Guards against a version that fails on one route only and hides behind the others.
+#[test]
+fn a_version_that_fails_on_one_route_is_rejected() {
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(500, 0, 90)), ("b", tally(50, 0, 90))]),
+        evidence("new", true, &[("a", tally(300, 0, 90)), ("b", tally(12, 5, 90))]),
+    ]);
+
+    assert!(is_rejected(&judge));
+}
+
+/// Guards against a version that is several times slower and goes on.
+#[test]
+fn a_version_that_is_slow_is_rejected() {
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(100, 0, 90))]),
+        evidence("new", true, &[("a", tally(10, 0, 500))]),
+    ]);
+
+    assert!(is_rejected(&judge));
+}
+
+/// Guards against blaming the version for a fault that all versions show.
+#[test]
+fn a_fault_of_all_versions_is_not_the_new_ones() {
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(100, 30, 400))]),
+        evidence("new", true, &[("a", tally(20, 7, 500))]),
+    ]);
+
+    assert_eq!(judge.verdict(at(3_000)), Verdict::Open);
+}
+
+/// Guards against a good version that is accepted before a late fault could show, or not at all.
+#[test]
+fn a_good_version_is_accepted_after_most_of_its_time() {
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(100, 0, 90))]),
+        evidence("new", true, &[("a", tally(40, 0, 100))]),
+    ]);
+
+    assert_eq!(judge.verdict(at(8_000)), Verdict::Open);
+    assert_eq!(judge.verdict(at(11_000)), Verdict::Accept);
+}
+
+/// Guards against a version that takes over though nobody has seen an answer of it.
+#[test]
+fn a_version_without_any_answer_is_not_accepted() {
+    let judge = judge(vec![evidence("old", false, &[("a", tally(100, 0, 90))])]);
+
+    assert!(matches!(judge.verdict(at(15_000)), Verdict::Reject { .. }));
+}
+
+/// Guards against counting a node twice when it reports again.
+#[test]
+fn a_later_report_replaces_the_earlier_one() {
+    let judge = judge(vec![
+        evidence("new", true, &[("a", tally(10, 0, 90))]),
+        evidence("new", true, &[("a", tally(12, 0, 90))]),
+    ]);
+
+    assert_eq!(judge.answers().answers, 12);
+}
--- /dev/null
+++ b/crates/sidecar/tests/limits.rs
@@ -0,0 +1,121 @@
+//! Limits that all nodes keep together: repeats, versions under trial, crashing requests.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use common::request;
+use hemlockfall_sidecar::budget::BudgetLimits;
+use hemlockfall_sidecar::budget::RetryBudget;
+use hemlockfall_sidecar::exposure::Exposure;
+use hemlockfall_sidecar::fingerprint::Suspects;
+use hemlockfall_sidecar::fingerprint::fingerprint;
+use quickcheck::quickcheck;
+
+const NODES: usize = 4;
+const LIMITS: BudgetLimits = BudgetLimits {
+    ratio_permille: 200,
+    allowance: 64,
+    window: Duration::from_secs(10),
+};
+
+fn repeats_granted(budget: &mut RetryBudget, tries: usize, at_ms: u64) -> usize {
+    (0..tries)
+        .filter(|_| budget.try_repeat("desk", at(at_ms), NODES))
+        .count()
+}
+
+/// Load: every request fails and could be repeated. Guards against repeats beyond the share,
+/// summed over all nodes, with room for the calls that repeated runs make.
+#[test]
+fn repeats_keep_to_less_than_half_of_the_budget() {
+    let mut budget = RetryBudget::new(LIMITS);
+    for request in 0..1000 {
+        budget.count_request("desk", at(request));
+    }
+
+    let granted = repeats_granted(&mut budget, 1000, 1_000);
+
+    let whole_budget = 1000 * 200 / 1000 + 64 / 4;
+    assert!(granted * 2 <= whole_budget, "{granted} of {whole_budget}");
+    assert!(granted > 0);
+}
+
+/// Guards against a budget that is not renewed.
+#[test]
+fn repeats_are_allowed_again_after_the_window() {
+    let mut budget = RetryBudget::new(LIMITS);
+    budget.count_request("desk", at(0));
+    let first = repeats_granted(&mut budget, 100, 10);
+
+    let later = repeats_granted(&mut budget, 100, 12_000);
+
+    assert!(first > 0);
+    assert_eq!(first, later);
+}
+
+/// Guards against one service that uses the budget of another.
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = RetryBudget::new(LIMITS);
+    repeats_granted(&mut budget, 100, 0);
+
+    assert!(budget.try_repeat("feed", at(0), NODES));
+}
+
+quickcheck! {
+    /// Guards against a share of requests for a bad version that the nodes exceed together.
+    fn exposure_keeps_to_its_share_on_every_node(requests: u16) -> bool {
+        let mut exposure = Exposure::default();
+        let total = u64::from(requests);
+        for _ in 0..total {
+            exposure.next_is_trial(50, NODES);
+        }
+        exposure.trials() * 10 <= total + 10 * 50 / 4
+    }
+}
+
+/// Guards against a request that crashes target after target.
+#[test]
+fn a_request_that_crashed_two_targets_is_refused() {
+    let mut suspects = Suspects::default();
+    let crashing = fingerprint("desk", "shop", &request("/a", b"x"));
+
+    suspects.add(crashing, at(0));
+    assert!(!suspects.is_refused(crashing, at(1)));
+    suspects.add(crashing, at(2));
+
+    assert!(suspects.is_refused(crashing, at(3)));
+    assert!(!suspects.is_refused(crashing, at(61_000)));
+}
+
+/// Guards against refusing a request that merely ran beside one that crashes targets.
+#[test]
+fn a_whole_answer_clears_a_suspicion() {
+    let mut suspects = Suspects::default();
+    let innocent = fingerprint("desk", "shop", &request("/a", b""));
+    suspects.add(innocent, at(0));
+
+    suspects.clear(innocent);
+    suspects.add(innocent, at(1));
+
+    assert!(!suspects.is_refused(innocent, at(2)));
+}
+
+/// Guards against fingerprints that mix up different requests.
+#[test]
+fn fingerprints_differ_by_service_caller_path_and_body() {
+    let prints = [
+        fingerprint("desk", "shop", &request("/a", b"x")),
+        fingerprint("feed", "shop", &request("/a", b"x")),
+        fingerprint("desk", "till", &request("/a", b"x")),
+        fingerprint("desk", "shop", &request("/b", b"x")),
+        fingerprint("desk", "shop", &request("/a", b"y")),
+    ];
+
+    let mut distinct = prints.to_vec();
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert_eq!(distinct.len(), prints.len());
+}
--- /dev/null
+++ b/crates/sidecar/tests/routing.rs
@@ -0,0 +1,144 @@
+//! Routes, split routes, configurations and what follows an attempt.
+
+mod common;
+
+use std::time::Duration;
+
+use common::config;
+use common::route;
+use hemlockfall_sidecar::attempts::Facts;
+use hemlockfall_sidecar::attempts::GiveUp;
+use hemlockfall_sidecar::attempts::NextStep;
+use hemlockfall_sidecar::attempts::Outcome;
+use hemlockfall_sidecar::attempts::next_step;
+use hemlockfall_sidecar::edge::frame::Failure;
+use hemlockfall_sidecar::edge::frame::Refusal;
+use hemlockfall_sidecar::model::Repeat;
+use hemlockfall_sidecar::router::Router;
+use quickcheck::quickcheck;
+
+fn router() -> Router {
+    let mut router = Router::default();
+    router.load(&config(
+        1,
+        vec![
+            route("short", "/a/", &[("desk", 1)]),
+            route("long", "/a/b/", &[("feed", 1)]),
+            route("split", "/s/", &[("desk", 90), ("feed", 10)]),
+        ],
+    ));
+    router
+}
+
+/// Guards against a request that takes a shorter prefix than the longest one.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let router = router();
+    let name = |host: &str, path: &str| router.select(host, path).map(|route| route.name.clone());
+
+    assert_eq!(name("shop.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("shop.example:80", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("shop.example", "/a"), None);
+    assert_eq!(name("other.example", "/a/b/c"), None);
+}
+
+/// Guards against parts of a split route that get more or less than their weight.
+#[test]
+fn a_split_route_follows_its_weights() {
+    let mut router = router();
+    let route = router.select("shop.example", "/s/x").expect("the route exists");
+
+    let feed = (0..1000)
+        .filter(|_| router.choose_part(&route).as_deref() == Some("feed"))
+        .count();
+
+    assert_eq!(feed, 100);
+}
+
+quickcheck! {
+    /// Guards against deltas that lead to another configuration than the one they were made for.
+    fn a_delta_leads_to_the_same_configuration(before: Vec<u8>, after: Vec<u8>) -> bool {
+        let routes = |names: &[u8]| {
+            let mut names = names.to_vec();
+            names.sort_unstable();
+            names.dedup();
+            names
+                .iter()
+                .map(|name| route(&format!("r{}", name % 32 + name / 32 * 32), "/x/", &[("s", u32::from(*name))]))
+                .collect::<Vec<_>>()
+        };
+        let old = config(1, routes(&before));
+        let new = config(5, routes(&after));
+        old.apply(new.delta_from(&old)) == Some(new)
+    }
+}
+
+/// Guards against a delta that is applied to another configuration than its base.
+#[test]
+fn a_delta_of_another_base_is_refused() {
+    let old = config(1, vec![route("a", "/a/", &[("desk", 1)])]);
+    let new = config(4, vec![route("b", "/b/", &[("desk", 1)])]);
+    let other = config(2, Vec::new());
+
+    assert_eq!(other.apply(new.delta_from(&old)), None);
+}
+
+fn facts(repeat: Repeat) -> Facts {
+    Facts {
+        repeat,
+        arrivals: 1,
+        max_attempts: 2,
+        refusals: 0,
+        may_have_run: false,
+        time_left: Duration::from_millis(300),
+    }
+}
+
+/// Guards against a request that may run at most once and is sent again after it may have run.
+#[test]
+fn a_request_that_may_have_run_is_repeated_only_if_it_is_idempotent() {
+    let failed = Outcome::Failed(Failure::ConnectionLost);
+    let otherwise = GiveUp::Unknown;
+
+    assert_eq!(next_step(failed, facts(Repeat::Idempotent)), NextStep::Repeat { otherwise });
+    assert_eq!(next_step(failed, facts(Repeat::AtMostOnce)), NextStep::GiveUp(GiveUp::Unknown));
+}
+
+/// Guards against telling a caller that a request has not run although an earlier attempt may
+/// have.
+#[test]
+fn a_refusal_after_an_unknown_attempt_is_unknown() {
+    let facts = Facts {
+        may_have_run: true,
+        refusals: 9,
+        ..facts(Repeat::Idempotent)
+    };
+
+    let step = next_step(Outcome::NotRun(Refusal::TooLate), facts);
+
+    assert_eq!(step, NextStep::GiveUp(GiveUp::Unknown));
+}
+
+/// Guards against more targets for one request than its route allows.
+#[test]
+fn no_attempt_follows_the_last_allowed_one() {
+    let facts = Facts {
+        arrivals: 2,
+        ..facts(Repeat::Idempotent)
+    };
+
+    let failed = next_step(Outcome::Failed(Failure::BadAnswer), facts);
+    let shed = next_step(Outcome::NotRun(Refusal::ByTarget), facts);
+
+    assert_eq!(failed, NextStep::GiveUp(GiveUp::Unknown));
+    assert_eq!(shed, NextStep::GiveUp(GiveUp::NotRun));
+}
+
+/// Guards against an answer of the target that is replaced by one of the node.
+#[test]
+fn answers_are_delivered() {
+    let success = next_step(Outcome::Answered { status: 200 }, facts(Repeat::Idempotent));
+    let failure = next_step(Outcome::Answered { status: 500 }, facts(Repeat::AtMostOnce));
+
+    assert_eq!([success, failure], [NextStep::Deliver, NextStep::Deliver]);
+}
--- /dev/null
+++ b/crates/sidecar/tests/target.rs
@@ -0,0 +1,108 @@
+//! Heartbeats and leaves of the target beside a node.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use common::heartbeat;
+use hemlockfall_sidecar::model::TargetKey;
+use hemlockfall_sidecar::model::TargetState::Draining;
+use hemlockfall_sidecar::model::TargetState::Ready;
+use hemlockfall_sidecar::target::HeartbeatOutcome;
+use hemlockfall_sidecar::target::OwnTarget;
+use quickcheck::quickcheck;
+
+/// Guards against a late heartbeat that undoes a newer one.
+#[test]
+fn older_heartbeats_are_stale() {
+    let mut target = OwnTarget::default();
+    target.heartbeat(heartbeat("a", 100, 5, Ready), at(0));
+
+    let repeated = target.heartbeat(heartbeat("a", 100, 5, Ready), at(1));
+    let late = target.heartbeat(heartbeat("a", 100, 4, Draining), at(2));
+    let earlier_life = target.heartbeat(heartbeat("a", 90, 9, Ready), at(3));
+    let earlier_target = target.heartbeat(heartbeat("b", 80, 9, Ready), at(4));
+
+    let stale = HeartbeatOutcome::Stale;
+    assert_eq!([repeated, late, earlier_life, earlier_target], [stale; 4]);
+    assert!(target.is_admitting());
+}
+
+/// Guards against requests for a target after it said that it drains.
+#[test]
+fn a_draining_target_never_becomes_ready_again_in_the_same_life() {
+    let mut target = OwnTarget::default();
+    target.heartbeat(heartbeat("a", 100, 1, Ready), at(0));
+
+    let leaves = target.heartbeat(heartbeat("a", 100, 2, Draining), at(1));
+    target.heartbeat(heartbeat("a", 100, 3, Ready), at(2));
+
+    assert_eq!(leaves, HeartbeatOutcome::Leaves);
+    assert!(!target.is_admitting());
+}
+
+/// Guards against a restarted node that acknowledges the leave of a target that it has not heard
+/// of, forgets it, and takes the target's late heartbeat (kmgw trouble-3, seed 242755065612).
+#[test]
+fn a_leave_before_the_first_heartbeat_is_kept() {
+    let mut target = OwnTarget::default();
+
+    target.leave("a", None, 5_000);
+    let late = target.heartbeat(heartbeat("a", 100, 23, Ready), at(1));
+
+    assert_eq!(late, HeartbeatOutcome::Stale);
+    assert!(!target.is_admitting());
+}
+
+/// Guards against a new life that is refused because an earlier one has left.
+#[test]
+fn a_target_that_starts_again_under_its_id_is_new() {
+    let mut target = OwnTarget::default();
+    target.heartbeat(heartbeat("a", 100, 7, Ready), at(0));
+    target.leave("a", None, 5_000);
+
+    let outcome = target.heartbeat(heartbeat("a", 6_000, 1, Ready), at(1));
+
+    assert_eq!(outcome, HeartbeatOutcome::Changed);
+    assert!(target.is_admitting());
+}
+
+/// Guards against a leave that another process of the node acknowledged and this one revives.
+#[test]
+fn a_leave_told_by_others_binds_also_the_target_that_is_known() {
+    let mut target = OwnTarget::default();
+    target.heartbeat(heartbeat("a", 100, 7, Ready), at(0));
+
+    target.remember_left(TargetKey {
+        instance: "a".into(),
+        born_unix_ms: 100,
+    });
+
+    assert!(!target.is_admitting());
+}
+
+/// Guards against a target that counts as reachable although it no longer says anything.
+#[test]
+fn a_target_without_heartbeats_is_silent() {
+    let mut target = OwnTarget::default();
+    target.heartbeat(heartbeat("a", 100, 1, Ready), at(0));
+    let period = Duration::from_secs(1);
+
+    assert!(!target.is_silent(period, at(3_900)));
+    assert!(target.is_silent(period, at(4_100)));
+}
+
+quickcheck! {
+    /// Guards against any order of heartbeats in which a life that has left admits requests.
+    fn no_order_of_heartbeats_revives_a_life_that_has_left(events: Vec<(u8, u8, bool)>) -> bool {
+        let mut target = OwnTarget::default();
+        target.leave("a", Some(50), 0);
+        for (born, sequence, is_draining) in events {
+            let born = u64::from(born % 51);
+            let state = if is_draining { Draining } else { Ready };
+            target.heartbeat(heartbeat("a", born, sequence.into(), state), at(0));
+        }
+        !target.is_admitting()
+    }
+}
