Add stand-ins of the platform and a randomized fault soak of real nodes

xtask soak plays seeds: signals, loopback proxies and store faults in series and overlapping, checked from what callers and targets see.

--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -125,7 +125,7 @@
     pub(super) fn own_record(&self) -> NodeRecord {
         NodeRecord {
             node: self.settings.name.clone(),
-            peer_address: self.settings.peer_address,
+            peer_address: self.settings.advertised(),
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
             incarnation: self.incarnation,
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -248,7 +248,7 @@
     fn own_entry(&self) -> NodeEntry {
         NodeEntry {
             node: self.settings.name.clone(),
-            peer_address: self.settings.peer_address,
+            peer_address: self.settings.advertised(),
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
             incarnation: self.incarnation,
@@ -561,7 +561,7 @@
         if entry.node == self.settings.name {
             self.store.entry_revision = Some(revision);
             self.store.entry_is_known = true;
-            let is_current = entry.peer_address == self.settings.peer_address;
+            let is_current = entry.peer_address == self.settings.advertised();
             self.keep_leaves(entry.left.clone());
             self.store.entry_is_due = !is_current || self.target.own.left() != entry.left;
             if !self.store.entry_is_due {
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -81,6 +81,12 @@
             text("region", "region of the VM"),
             address("caller_address", "HTTP address for callers on this VM"),
             address("peer_address", "address for links of other nodes"),
+            optional(
+                "advertised_address",
+                SettingKind::Address,
+                "\"0.0.0.0:0\"",
+                "address for links that other nodes are told; unspecified for peer_address",
+            ),
             address("ready_address", "HTTP address for readiness checks"),
             address("control_address", "HTTP address for the heartbeats of the target"),
             address("metrics_address", "HTTP address of the metrics page"),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -33,6 +33,8 @@
     pub caller_address: SocketAddr,
     /// Address for links of other nodes.
     pub peer_address: SocketAddr,
+    /// Address that other nodes are told; unspecified when it is `peer_address`.
+    advertised_address: SocketAddr,
     /// Address for readiness checks.
     pub ready_address: SocketAddr,
     /// Address for the heartbeats of the target.
@@ -80,6 +82,15 @@
         Settings::parse_for(Program::Sidecar, file, text)?.section(SECTION)
     }
 
+    /// `advertised` is the address at which other nodes reach this one.
+    #[must_use]
+    pub fn advertised(&self) -> SocketAddr {
+        if self.advertised_address.ip().is_unspecified() {
+            return self.peer_address;
+        }
+        self.advertised_address
+    }
+
     /// `heartbeat` is the time between the heartbeats of a target.
     #[must_use]
     pub fn heartbeat(&self) -> Duration {
--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -37,6 +37,8 @@
     Stop,
     /// End of a freeze.
     Continue,
+    /// The settings file has changed.
+    Reload,
 }
 
 impl Signal {
@@ -46,6 +48,7 @@
             Self::Kill => "-KILL",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
+            Self::Reload => "-HUP",
         }
     }
 }
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod harness;
 pub mod http;
 pub mod scenario;
+pub mod soak;
 pub mod store;
 pub mod target;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -12,6 +12,8 @@
 use xtask::harness::process;
 use xtask::scenario::command;
 use xtask::scenario::command::ScenariosOptions;
+use xtask::soak;
+use xtask::soak::SoakOptions;
 use xtask::store;
 use xtask::store::StoreOptions;
 use xtask::target;
@@ -39,6 +41,8 @@
     Demo(DemoOptions),
     #[options(help = "run scenario files against real processes")]
     Scenarios(ScenariosOptions),
+    #[options(help = "run nodes under randomized faults and check their promises")]
+    Soak(SoakOptions),
     #[options(help = "measure the product against its baseline")]
     Bench(bench::Arguments),
 }
@@ -58,6 +62,7 @@
         Some(Task::Caller(options)) => exit_code(caller::run(options)),
         Some(Task::Demo(options)) => exit_code(demo::run(&options)),
         Some(Task::Scenarios(options)) => exit_code(command::run(&options)),
+        Some(Task::Soak(options)) => exit_code(soak::run(&options)),
         Some(Task::Bench(options)) => exit_code(bench::run(&options)),
         None => {
             eprintln!("{}", Arguments::usage());
--- /dev/null
+++ b/xtask/src/soak/mod.rs
@@ -0,0 +1,92 @@
+//! The fault soak: real nodes under randomized faults, checked from what callers and targets see.
+//!
+//! `cargo xtask soak --seeds N` plays N fresh seeds, `--seed S` one again. Faults are injected
+//! from outside the processes: signals, loopback proxies, and the stand-in of the store.
+
+mod caller;
+mod faults;
+mod ledger;
+mod proxy;
+mod world;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gumdrop::Options;
+use rand::RngExt;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::soak::world::World;
+
+/// Time for which faults are injected.
+const FAULT_TIME: Duration = Duration::from_secs(9);
+
+/// `SoakOptions` are the options of `soak`.
+#[derive(Clone, Debug, Options)]
+pub struct SoakOptions {
+    /// Whether help was asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// One seed to play.
+    #[options(no_short, meta = "S", help = "play this seed")]
+    pub seed: Option<u64>,
+    /// Number of fresh seeds.
+    #[options(no_short, meta = "N", help = "play this many fresh seeds (default 1)")]
+    pub seeds: Option<u32>,
+    /// Number of nodes.
+    #[options(no_short, meta = "N", help = "nodes with a target each (default 6)")]
+    pub nodes: Option<usize>,
+    /// Where logs of the processes go.
+    #[options(no_short, meta = "DIR", help = "directory for logs (default target/soak)")]
+    pub logs: Option<PathBuf>,
+}
+
+/// Nodes of a run without `--nodes`.
+const DEFAULT_NODES: usize = 6;
+
+/// `run` plays seeds and fails when a promise was broken in any of them.
+///
+/// # Errors
+/// [`Error::Resource`] with the broken promises and the seeds.
+pub fn run(options: &SoakOptions) -> Result<()> {
+    let nodes = options.nodes.unwrap_or(DEFAULT_NODES).max(2);
+    let seeds: Vec<u64> = match options.seed {
+        Some(seed) => vec![seed],
+        None => (0..options.seeds.unwrap_or(1))
+            .map(|_| rand::rng().random_range(1..1_000_000))
+            .collect(),
+    };
+    let logs = options.logs.clone().unwrap_or_else(|| "target/soak".into());
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let violations = play(seed, nodes, &logs)?;
+        println!("seed {seed}: {} broken promises", violations.len());
+        for violation in &violations {
+            println!("  {violation}");
+        }
+        if !violations.is_empty() {
+            broken.push(seed.to_string());
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(Error::resource("soak seeds", broken.join(", ")))
+}
+
+/// `play` plays one seed and returns the broken promises.
+///
+/// # Errors
+/// A process or a stand-in cannot be started.
+pub fn play(seed: u64, nodes: usize, logs: &std::path::Path) -> Result<Vec<String>> {
+    let directory = logs.join(seed.to_string());
+    std::fs::create_dir_all(&directory)
+        .map_err(|error| Error::resource(directory.display().to_string(), error))?;
+    let mut world = World::start(seed, nodes, &directory)?;
+    world.wait_until_served();
+    faults::inject(&mut world, FAULT_TIME)?;
+    world.heal()?;
+    world.check_recovery();
+    Ok(world.finish())
+}
--- /dev/null
+++ b/xtask/src/soak/proxy.rs
@@ -0,0 +1,165 @@
+//! A loopback proxy that delays, silences, cuts one way or resets connections.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+const CHUNK_BYTES: usize = 16 * 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+/// Time to wait for bytes before the mode is looked at again.
+const READ_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// `Mode` is what the proxy does with the bytes of its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It passes them on.
+    #[default]
+    Pass,
+    /// It passes them on after a delay.
+    Delay(Duration),
+    /// It drops what the connecting side sends.
+    CutForward,
+    /// It drops what the other side sends.
+    CutBack,
+    /// It drops both.
+    Silence,
+}
+
+/// `Proxy` stands between a connecting side and one address.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    to: SocketAddr,
+    mode: Mutex<Mode>,
+    open: Mutex<Vec<TcpStream>>,
+    is_ended: AtomicBool,
+}
+
+impl Proxy {
+    /// `start` listens on an address and connects to another.
+    ///
+    /// # Errors
+    /// [`Error::Resource`] when the address cannot be bound.
+    pub fn start(address: SocketAddr, to: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(address)
+            .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+            .map_err(|error| Error::resource(address.to_string(), error))?;
+        let shared = Arc::new(Shared {
+            to,
+            mode: Mutex::default(),
+            open: Mutex::default(),
+            is_ended: AtomicBool::new(false),
+        });
+        let accepting = Arc::clone(&shared);
+        thread::spawn(move || {
+            while !accepting.is_ended.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, _)) => accepting.connect(stream),
+                    Err(_) => thread::sleep(ACCEPT_PAUSE),
+                }
+            }
+        });
+        Ok(Self { address, shared })
+    }
+
+    /// `address` is where the proxy listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// `set_mode` changes what happens to the bytes from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        *self.shared.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+
+    /// `reset` ends all open connections; new ones can be made.
+    pub fn reset(&self) {
+        let mut open = self.shared.open.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in open.drain(..) {
+            // A connection that has ended needs no reset.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.shared.is_ended.store(true, Ordering::SeqCst);
+        self.reset();
+    }
+}
+
+impl Shared {
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn connect(self: &Arc<Self>, near: TcpStream) {
+        // A refused connection is passed on as one that ends at once.
+        let Ok(far) = TcpStream::connect(self.to) else {
+            return;
+        };
+        if near.set_nonblocking(false).is_err() {
+            return;
+        }
+        for stream in [&near, &far] {
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+            if let Ok(copy) = stream.try_clone() {
+                let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+                open.push(copy);
+            }
+        }
+        if let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) {
+            self.copy(near, far_copy, Mode::CutForward);
+            self.copy(far, near_copy, Mode::CutBack);
+        }
+    }
+
+    /// Copies one direction in the background; `cut` is the mode that drops it.
+    fn copy(self: &Arc<Self>, mut from: TcpStream, mut to: TcpStream, cut: Mode) {
+        let shared = Arc::clone(self);
+        thread::spawn(move || {
+            let mut chunk = vec![0; CHUNK_BYTES];
+            loop {
+                let count = match from.read(&mut chunk) {
+                    Ok(0) => break,
+                    Ok(count) => count,
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
+                    Err(_) => break,
+                };
+                let mode = shared.mode();
+                if mode == cut || mode == Mode::Silence {
+                    continue;
+                }
+                if let Mode::Delay(delay) = mode {
+                    thread::sleep(delay);
+                }
+                if to.write_all(&chunk[..count]).is_err() {
+                    break;
+                }
+            }
+            let _ = to.shutdown(Shutdown::Both);
+            let _ = from.shutdown(Shutdown::Both);
+        });
+    }
+}
--- /dev/null
+++ b/xtask/src/soak/world.rs
@@ -0,0 +1,424 @@
+//! The processes and stand-ins of one run.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_standins::caller as wire;
+use hemlockfall_standins::caller::Connection;
+use hemlockfall_standins::caller::Ended;
+use hemlockfall_standins::caller::Sent;
+use hemlockfall_standins::store::Store;
+use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::target::RunObserver;
+use hemlockfall_standins::target::Target;
+use hemlockfall_standins::target::TargetOptions;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::Value;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::harness::ports;
+use crate::harness::process::Process;
+use crate::harness::process::Signal;
+use crate::harness::programs::Programs;
+use crate::soak::caller;
+use crate::soak::caller::Calm;
+use crate::soak::caller::CallerParts;
+use crate::soak::caller::HOST;
+use crate::soak::ledger::Ledger;
+use crate::soak::proxy::Mode;
+use crate::soak::proxy::Proxy;
+
+/// Services of the mesh; the targets take turns.
+pub const SERVICES: [&str; 2] = ["desk", "feed"];
+const CALLERS_PER_NODE: u64 = 2;
+const HEARTBEAT: Duration = Duration::from_millis(500);
+const RUN_TIME: Duration = Duration::from_millis(15);
+const SLOTS: u32 = 8;
+/// Time in which a fresh mesh must serve.
+const START_TIME: Duration = Duration::from_secs(12);
+/// Time after the last fault until the mesh must serve again.
+const RECOVERY: Duration = Duration::from_secs(6);
+/// Time over which the recovered mesh is measured, and the share that it must serve, in percent.
+const RECOVERED_WINDOW: Duration = Duration::from_secs(2);
+const RECOVERED_PERCENT: u32 = 90;
+/// Time for a configuration to be in force at a node that nothing disturbs.
+pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
+
+/// `Site` is one VM: a node, its target and the proxies around them.
+pub struct Site {
+    /// Name of the node.
+    pub name: String,
+    /// The node.
+    pub node: Process,
+    /// Caller address of the node.
+    pub callers: SocketAddr,
+    control: SocketAddr,
+    target_address: SocketAddr,
+    /// Service of the target.
+    pub service: &'static str,
+    /// Version of the target.
+    pub version: String,
+    /// The target, unless it has crashed or left.
+    pub target: Option<Target>,
+    /// Between the node and the store.
+    pub store_proxy: Proxy,
+    /// Between the node and its target.
+    pub target_proxy: Proxy,
+    /// Between other nodes and this one.
+    pub link_proxy: Proxy,
+    lives: u32,
+    fails_permille: u32,
+    /// Highest version of the configuration that this process of the node has shown.
+    pub shown_version: u64,
+    /// Since when nothing disturbs the node.
+    pub calm_since: Instant,
+}
+
+/// `World` is everything of one run.
+pub struct World {
+    /// Choices of the run.
+    pub random: SmallRng,
+    /// The store.
+    pub store: Store,
+    /// The VMs.
+    pub sites: Vec<Site>,
+    /// What is seen.
+    pub ledger: Arc<Ledger>,
+    /// Disruptions.
+    pub calm: Arc<Calm>,
+    /// Newest version and when it was written.
+    pub config: (u64, Instant),
+    /// Order of a bad version: service, version, and when it must have ended.
+    pub trial: Option<(&'static str, String, Instant)>,
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl World {
+    /// `start` starts everything.
+    ///
+    /// # Errors
+    /// A process or a stand-in cannot be started.
+    pub fn start(seed: u64, nodes: usize, directory: &Path) -> Result<Self> {
+        let store_address = ports::free_address()?;
+        let store = Store::start(store_address).map_err(|error| Error::resource("store", error))?;
+        let ledger: Arc<Ledger> = Arc::default();
+        let calm: Arc<Calm> = Arc::default();
+        let stop: Arc<AtomicBool> = Arc::default();
+        let programs = Programs::locate()?;
+        let mut world = Self {
+            random: SmallRng::seed_from_u64(seed),
+            store,
+            sites: Vec::new(),
+            ledger,
+            calm,
+            config: (0, Instant::now()),
+            trial: None,
+            stop,
+            callers: Vec::new(),
+        };
+        world.write_config();
+        for index in 0..nodes {
+            let site = Site::start(index, &programs, store_address, directory, &world.ledger)?;
+            world.sites.push(site);
+        }
+        for (index, site) in world.sites.iter().enumerate() {
+            for number in 0..CALLERS_PER_NODE {
+                let index = u64::try_from(index).unwrap_or(0);
+                world.callers.push(caller::start(CallerParts {
+                    node: site.callers,
+                    seed: seed * 1000 + index * CALLERS_PER_NODE + number,
+                    ledger: Arc::clone(&world.ledger),
+                    calm: Arc::clone(&world.calm),
+                    stop: Arc::clone(&world.stop),
+                }));
+            }
+        }
+        Ok(world)
+    }
+
+    /// `write_config` writes the next configuration; each adds a route that shows it is in force.
+    pub fn write_config(&mut self) {
+        let version = self.config.0 + 2;
+        let mut routes: Vec<Value> = vec![
+            wire::route("orders", HOST, "/orders/", "desk", false),
+            wire::route("stock", HOST, "/stock/", "desk", true),
+            wire::route("feed", HOST, "/feed/", "feed", true),
+        ];
+        for shown in (2..=version).step_by(2) {
+            let prefix = format!("/probe-{shown}/");
+            routes.push(wire::route(&format!("p{shown}"), HOST, &prefix, "feed", true));
+        }
+        self.store.put("config", "main", wire::config(version, &routes, &SERVICES));
+        self.config = (version, Instant::now());
+    }
+
+    /// `probe` asks a node whether it has a version in force; `None` when it does not say.
+    #[must_use]
+    pub fn probe(&self, site: usize, version: u64) -> Option<bool> {
+        let sent = Sent {
+            id: format!("probe-{version}-{site}-{:?}", Instant::now()),
+            host: HOST.to_owned(),
+            path: format!("/probe-{version}/x"),
+            body: Vec::new(),
+            deadline: Duration::from_millis(700),
+        };
+        let mut connection = Connection::open(self.sites[site].callers).ok()?;
+        match connection.send(&sent).0 {
+            Ended::NoRoute => Some(false),
+            Ended::Served | Ended::Failed(_) => Some(true),
+            _ => None,
+        }
+    }
+
+    /// `check_config` checks that no node goes back, and that calm nodes follow in time.
+    pub fn check_config(&mut self) {
+        let (version, written) = self.config;
+        for index in 0..self.sites.len() {
+            let shown = self.sites[index].shown_version;
+            if shown > 0 && self.probe(index, shown) == Some(false) {
+                let name = &self.sites[index].name;
+                self.ledger
+                    .broken(format!("CONFIG: {name} went back from version {shown}"));
+            }
+            let is_due = written.elapsed() > CONFIG_APPLY
+                && self.calm.is_calm()
+                && self.sites[index].calm_since.elapsed() > Duration::from_secs(4);
+            match self.probe(index, version) {
+                Some(true) => self.sites[index].shown_version = version,
+                Some(false) if is_due => {
+                    let name = &self.sites[index].name;
+                    let ms = written.elapsed().as_millis();
+                    self.ledger
+                        .broken(format!("CONFIG: {name} lacks version {version} after {ms} ms"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// `wait_until_served` waits until the fresh mesh serves.
+    pub fn wait_until_served(&mut self) {
+        let started = Instant::now();
+        while started.elapsed() < START_TIME {
+            std::thread::sleep(Duration::from_millis(500));
+            let (ended, served) = self.ledger.take_counts();
+            if ended > 0 && served == ended {
+                return;
+            }
+        }
+        self.ledger
+            .broken("START: the mesh did not serve everything in time".to_owned());
+    }
+
+    /// `heal` ends all faults and brings back what has gone.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub fn heal(&mut self) -> Result<()> {
+        self.store.set_fault(StoreFault::None);
+        for site in &mut self.sites {
+            site.set_proxies(Mode::Pass);
+            site.node.signal(Signal::Continue)?;
+            if site.node.exited().is_some() {
+                site.restart_node()?;
+            }
+            if site.target.is_none() {
+                site.start_target(&self.ledger)?;
+            }
+        }
+        self.calm.disturb(Duration::ZERO);
+        Ok(())
+    }
+
+    /// `check_recovery` checks that the healed mesh serves again in time.
+    pub fn check_recovery(&mut self) {
+        std::thread::sleep(RECOVERY);
+        self.ledger.take_counts();
+        std::thread::sleep(RECOVERED_WINDOW);
+        let (ended, served) = self.ledger.take_counts();
+        if ended == 0 || served * 100 < ended * RECOVERED_PERCENT {
+            self.ledger
+                .broken(format!("RECOVERY: {served} of {ended} requests are served"));
+        }
+        self.check_config();
+        let Some((service, version, due)) = &self.trial else {
+            return;
+        };
+        let status = self.store.status("rollouts", service);
+        if Instant::now() > *due && status["state"] != "rolled_back" {
+            let state = &status["state"];
+            self.ledger
+                .broken(format!("ROLL-OUT: {service} {version} is {state} at its deadline"));
+        }
+    }
+
+    /// `finish` stops everything and returns the broken promises.
+    #[must_use]
+    pub fn finish(mut self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        for caller in self.callers.drain(..) {
+            // A caller that panicked has written down what it saw.
+            let _ = caller.join();
+        }
+        self.sites.clear();
+        self.ledger.finish()
+    }
+}
+
+impl Site {
+    fn start(
+        index: usize,
+        programs: &Programs,
+        store: SocketAddr,
+        directory: &Path,
+        ledger: &Arc<Ledger>,
+    ) -> Result<Self> {
+        let name = format!("n{index}");
+        let service = SERVICES[index % SERVICES.len()];
+        let addresses = Addresses::choose()?;
+        let store_proxy = Proxy::start(addresses.store, store)?;
+        let target_proxy = Proxy::start(addresses.announced, addresses.target)?;
+        let link_proxy = Proxy::start(addresses.advertised, addresses.peers)?;
+        let settings = write_settings(&name, service, &addresses, directory)?;
+        let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
+        let node = Process::start(&name, &programs.hemlockfall, arguments, directory)?;
+        let mut site = Self {
+            name,
+            node,
+            callers: addresses.callers,
+            control: addresses.control,
+            target_address: addresses.target,
+            service,
+            version: "v1".to_owned(),
+            target: None,
+            store_proxy,
+            target_proxy,
+            link_proxy,
+            lives: 0,
+            fails_permille: 0,
+            shown_version: 0,
+            calm_since: Instant::now(),
+        };
+        site.start_target(ledger)?;
+        Ok(site)
+    }
+
+    /// `start_target` starts the next life of the target.
+    ///
+    /// # Errors
+    /// [`Error::Resource`] when the address cannot be bound.
+    pub fn start_target(&mut self, ledger: &Arc<Ledger>) -> Result<()> {
+        self.lives += 1;
+        let options = TargetOptions {
+            instance: format!("i-{}-{}", self.name, self.lives),
+            service: self.service.to_owned(),
+            version: self.version.clone(),
+            address: self.target_address,
+            announced: self.target_proxy.address(),
+            control: self.control,
+            heartbeat: HEARTBEAT,
+            run_time: RUN_TIME,
+            slots: SLOTS,
+            fails_permille: self.fails_permille,
+        };
+        let ledger = Arc::clone(ledger);
+        let observer: RunObserver = Arc::new(move |run| ledger.run(&run));
+        let target = Target::start(options, observer)
+            .map_err(|error| Error::resource(self.target_address.to_string(), error))?;
+        self.target = Some(target);
+        Ok(())
+    }
+
+    /// `start_bad_version` replaces the target by one of a version that fails.
+    ///
+    /// # Errors
+    /// [`Error::Resource`] when the address cannot be bound.
+    pub fn start_bad_version(&mut self, version: &str, ledger: &Arc<Ledger>) -> Result<()> {
+        self.target = None;
+        self.version = version.to_owned();
+        self.fails_permille = 600;
+        self.start_target(ledger)
+    }
+
+    /// `restart_node` starts the node again; it holds nothing of before.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when it cannot be started.
+    pub fn restart_node(&mut self) -> Result<()> {
+        self.shown_version = 0;
+        self.calm_since = Instant::now();
+        self.node.restart()
+    }
+
+    /// `set_proxies` changes the mode of all proxies around the node.
+    pub fn set_proxies(&self, mode: Mode) {
+        for proxy in [&self.store_proxy, &self.target_proxy, &self.link_proxy] {
+            proxy.set_mode(mode);
+        }
+    }
+}
+
+struct Addresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    advertised: SocketAddr,
+    ready: SocketAddr,
+    control: SocketAddr,
+    metrics: SocketAddr,
+    target: SocketAddr,
+    announced: SocketAddr,
+    store: SocketAddr,
+}
+
+impl Addresses {
+    fn choose() -> Result<Self> {
+        Ok(Self {
+            callers: ports::free_address()?,
+            peers: ports::free_address()?,
+            advertised: ports::free_address()?,
+            ready: ports::free_address()?,
+            control: ports::free_address()?,
+            metrics: ports::free_address()?,
+            target: ports::free_address()?,
+            announced: ports::free_address()?,
+            store: ports::free_address()?,
+        })
+    }
+}
+
+fn write_settings(
+    name: &str,
+    service: &str,
+    addresses: &Addresses,
+    directory: &Path,
+) -> Result<PathBuf> {
+    let text = format!(
+        "[sidecar]\nname = \"{name}\"\nservice = \"{service}\"\ndata_centre = \"a\"\n\
+         region = \"west\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
+         advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
+         metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
+         heartbeat_s = 0.5\nis_first_start = true\nlog_lines_per_s = 2000\n",
+        addresses.callers,
+        addresses.peers,
+        addresses.advertised,
+        addresses.ready,
+        addresses.control,
+        addresses.metrics,
+        addresses.target,
+        addresses.store,
+    );
+    let path = directory.join(format!("{name}.toml"));
+    std::fs::write(&path, text)
+        .map_err(|error| Error::resource(path.display().to_string(), error))?;
+    Ok(path)
+}
