Take back a version that answered nothing although its service has traffic

The judge no longer accepts missing evidence; the new test fails without the change (the move is finished).

--- a/crates/moves/src/judge.rs
+++ b/crates/moves/src/judge.rs
@@ -27,6 +27,8 @@
 /// Standard errors by which the mean latency must exceed the bound for a verdict and for a hold.
 const BAD_ERRORS: f64 = 4.0;
 const SUSPECT_ERRORS: f64 = 2.0;
+/// Attempts of the old version from which a new version without any is not for lack of traffic.
+const MIN_TRAFFIC: u32 = 20;
 /// Timed attempts from which latency counts.
 const MIN_TIMED: u32 = 8;
 /// Time before the last moment to commit at which the judge decides with what it has; covers the
@@ -170,7 +172,7 @@
         let settled = self
             .full_since_unix_ms
             .is_some_and(|since| now_unix_ms >= since + SETTLE_MS);
-        if settled && finding == Finding::Clean {
+        if settled && finding == Finding::Clean && !self.is_unseen() {
             return Verdict::Finish("evidence is clean at full share".into());
         }
         Verdict::Continue
@@ -181,6 +183,9 @@
         if finding == Finding::Suspect {
             return Verdict::TakeBack(format_smolstr!("suspect at the last moment: {reason}"));
         }
+        if self.is_unseen() {
+            return Verdict::TakeBack("the new version answered nothing".into());
+        }
         let silent = self
             .regions
             .iter()
@@ -193,6 +198,17 @@
         }
     }
 
+    /// Tells whether the service has traffic of which the new version has answered nothing: the
+    /// evidence is missing, or the version cannot be reached.
+    fn is_unseen(&self) -> bool {
+        let (mut old, mut new) = (0, 0);
+        for cell in &self.cells {
+            old += cell.old_total.attempts;
+            new += cell.new_total.attempts;
+        }
+        new == 0 && old >= MIN_TRAFFIC
+    }
+
     fn note_finding(&mut self, finding: Finding, now_unix_ms: u64) {
         if finding == Finding::Clean {
             if now_unix_ms >= self.last_suspect_unix_ms + crate::window::WINDOW_MS {
--- a/crates/moves/tests/owner.rs
+++ b/crates/moves/tests/owner.rs
@@ -197,6 +197,23 @@
     assert_eq!(store.accepted, [(1, MoveAction::Finish)]);
 }
 
+/// Guards against a version that takes over although the service's requests never met it: its
+/// failures were not seen (scenario `move_bad_version`, 1 of 6 runs).
+#[test]
+fn version_without_any_answer_is_taken_back_when_the_service_has_traffic() {
+    let mut store = Store::with_move();
+    let mut judge = owner("node-1", &store, 0);
+    run(&mut judge, &mut store, 0, 2_000);
+    let mut message = evidence(&store, 1, 0, 0);
+    let cell = message.summary.cell("orders", "east").expect("there is room");
+    cell.old.attempts = 200;
+
+    judge.handle(Input::Evidence(message), START_UNIX_MS + 2_000);
+    run(&mut judge, &mut store, 2_250, 112_000);
+
+    assert_eq!(store.status(), MoveStatus::TakenBack);
+}
+
 /// Guards against a stop that waits for the store, and a lost answer that is taken for a failure.
 #[test]
 fn bad_version_is_stopped_first_and_taken_back_once() {
