--- a/crates/hemlockfall/src/cli/arguments.rs
+++ b/crates/hemlockfall/src/cli/arguments.rs
@@ -72,7 +72,10 @@
     #[options(help = "print this help")]
     pub help: bool,
     /// Settings file.
-    #[options(meta = "FILE", help = "settings file; where the platform puts it if not given")]
+    #[options(
+        meta = "FILE",
+        help = "settings file; where the platform puts it if not given"
+    )]
     pub settings: Option<PathBuf>,
 }
 
--- a/crates/moves/tests/owner.rs
+++ b/crates/moves/tests/owner.rs
@@ -205,7 +205,10 @@
     let mut judge = owner("node-1", &store, 0);
     run(&mut judge, &mut store, 0, 2_000);
     let mut message = evidence(&store, 1, 0, 0);
-    let cell = message.summary.cell("orders", "east").expect("there is room");
+    let cell = message
+        .summary
+        .cell("orders", "east")
+        .expect("there is room");
     cell.old.attempts = 200;
 
     judge.handle(Input::Evidence(message), START_UNIX_MS + 2_000);
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -90,12 +90,9 @@
             otherwise: GiveUp::Deliver,
         },
         Outcome::Answered { .. } => NextStep::Deliver,
-        Outcome::NotRun(Refusal::Suspected) => NextStep::GiveUp(not_run),
         Outcome::NotRun(Refusal::ByTarget) if may_arrive => NextStep::Repeat { otherwise: not_run },
-        Outcome::NotRun(Refusal::ByTarget) => NextStep::GiveUp(not_run),
-        Outcome::NotRun(_) if facts.refusals < MAX_REFUSALS && may_arrive => {
-            NextStep::TryElsewhere
-        }
+        Outcome::NotRun(Refusal::Suspected | Refusal::ByTarget) => NextStep::GiveUp(not_run),
+        Outcome::NotRun(_) if facts.refusals < MAX_REFUSALS && may_arrive => NextStep::TryElsewhere,
         Outcome::NotRun(_) => NextStep::GiveUp(not_run),
         Outcome::Failed(_) if is_idempotent && may_arrive => NextStep::Repeat {
             otherwise: GiveUp::Unknown,
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -96,7 +96,11 @@
             return false;
         };
         let requests: u64 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let repeats_milli: u64 = window.buckets.iter().map(|bucket| bucket.repeats_milli).sum();
+        let repeats_milli: u64 = window
+            .buckets
+            .iter()
+            .map(|bucket| bucket.repeats_milli)
+            .sum();
         let nodes = u64::try_from(nodes.max(1)).unwrap_or(u64::MAX);
         let allowed = requests * limits.ratio_permille / 1000 + limits.allowance / nodes;
         let percent = if priority <= URGENT_PRIORITY {
--- a/crates/sidecar/src/fingerprint.rs
+++ b/crates/sidecar/src/fingerprint.rs
@@ -13,7 +13,7 @@
 /// request that runs at a crashing target is suspected with the one that crashes it.
 const CRASH_LIMIT: u8 = 2;
 /// How long a suspicion lasts after the last crash.
-const MEMORY: Duration = Duration::from_secs(60);
+const MEMORY: Duration = Duration::from_mins(1);
 /// Suspected requests that are remembered.
 const CAPACITY: usize = 512;
 
@@ -94,9 +94,7 @@
             .binary_search_by_key(&fingerprint, |entry| entry.fingerprint)
             .ok()
             .and_then(|index| self.entries.get(index))
-            .is_some_and(|entry| {
-                entry.crashes >= CRASH_LIMIT && entry.last_crash + MEMORY > now
-            })
+            .is_some_and(|entry| entry.crashes >= CRASH_LIMIT && entry.last_crash + MEMORY > now)
     }
 
     /// `is_empty` tells whether nothing is suspected.
--- a/crates/sidecar/src/log.rs
+++ b/crates/sidecar/src/log.rs
@@ -109,21 +109,20 @@
                 tv_sec: 0,
                 tv_nsec: 0,
             };
-            if !matches!(rustix::event::poll(&mut descriptors, Some(&no_wait)), Ok(1..)) {
+            if !matches!(
+                rustix::event::poll(&mut descriptors, Some(&no_wait)),
+                Ok(1..)
+            ) {
                 return;
             }
             let chunk = self.buffer.len().min(CHUNK_BYTES);
-            match rustix::io::write(&output, &self.buffer[..chunk]) {
-                Ok(written) => {
-                    self.buffer.drain(..written);
-                }
-                Err(_) => {
-                    // Nobody reads the output; the lines are lost and counted.
-                    metrics::counter!("hemlockfall_log_lines_dropped_total").increment(1);
-                    self.buffer.clear();
-                    return;
-                }
-            }
+            let Ok(written) = rustix::io::write(&output, &self.buffer[..chunk]) else {
+                // Nobody reads the output; the lines are lost and counted.
+                metrics::counter!("hemlockfall_log_lines_dropped_total").increment(1);
+                self.buffer.clear();
+                return;
+            };
+            self.buffer.drain(..written);
         }
     }
 }
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -159,7 +159,10 @@
             .iter()
             .filter(|route| {
                 !delta.removed.contains(&route.name)
-                    && !delta.changed.iter().any(|changed| changed.name == route.name)
+                    && !delta
+                        .changed
+                        .iter()
+                        .any(|changed| changed.name == route.name)
             })
             .cloned()
             .collect();
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -276,7 +276,11 @@
             pending.answer = Some(answer);
         }
         let mut output = Vec::new();
-        while let Some(answer) = caller.pending.front_mut().and_then(|open| open.answer.take()) {
+        while let Some(answer) = caller
+            .pending
+            .front_mut()
+            .and_then(|open| open.answer.take())
+        {
             let Some(pending) = caller.pending.pop_front() else {
                 break;
             };
@@ -327,9 +331,7 @@
                 if now.saturating_sub(since) > LINGER && !caller.stream.has_output() {
                     closed.push(id);
                 }
-            } else if caller.is_idle() && quiet >= idle_timeout
-                || caller.stream.has_output() && quiet >= idle_timeout
-            {
+            } else if quiet >= idle_timeout && (caller.is_idle() || caller.stream.has_output()) {
                 closed.push(id);
             } else if caller.request_started.is_some() && quiet >= header_timeout {
                 late.push(id);
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -125,8 +125,7 @@
         if route.repeat == Repeat::AtMostOnce {
             self.mark_at_most_once(caller, token);
         }
-        let fingerprint =
-            fingerprint::fingerprint(&service, &self.settings.service, &request);
+        let fingerprint = fingerprint::fingerprint(&service, &self.settings.service, &request);
         if self.suspects.is_refused(fingerprint, self.now) {
             self.refuse_early(caller, token, &request_id, 503, CODE_SUSPECTED);
             return;
@@ -136,7 +135,9 @@
             .and_then(|text| text.parse().ok())
             .map_or(route.timeout, Duration::from_millis);
         let nodes = self.live_nodes();
-        let version = self.mesh.version_rule(&service, self.settings.trial_allowance, nodes);
+        let version = self
+            .mesh
+            .version_rule(&service, self.settings.trial_allowance, nodes);
         self.budget.count_request(&service, self.now);
         let share = self.repeated_share(&service);
         if share > 0.0 {
@@ -200,7 +201,11 @@
         let Some(call) = self.calls.get(id) else {
             return;
         };
-        let until = if call.due > now { call.due } else { call.deadline };
+        let until = if call.due > now {
+            call.due
+        } else {
+            call.deadline
+        };
         let time_left = until.saturating_sub(now);
         let candidates = self.candidates(call);
         let demand = Demand {
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -75,9 +75,11 @@
         ];
         let time_left = work.deadline.saturating_sub(self.now);
         let mut request = (*work.request).clone();
-        request
-            .headers
-            .retain(|header| !replaced.iter().any(|name| header.name.eq_ignore_ascii_case(name)));
+        request.headers.retain(|header| {
+            !replaced
+                .iter()
+                .any(|name| header.name.eq_ignore_ascii_case(name))
+        });
         let extra = [
             Header::new(names.deadline_ms, time_left.as_millis().to_string()),
             Header::new(names.expected_instance, instance),
@@ -107,7 +109,11 @@
     /// The idle connection that was used last; the others may be closed by their idle time.
     fn idle_connection(&self, address: SocketAddr, is_idempotent: bool) -> Option<u64> {
         let now = self.now;
-        let limit = if is_idempotent { IDLE_LIMIT } else { FRESH_LIMIT };
+        let limit = if is_idempotent {
+            IDLE_LIMIT
+        } else {
+            FRESH_LIMIT
+        };
         self.connections
             .iter()
             .filter(|(_, open)| {
@@ -335,9 +341,7 @@
                 if now.saturating_sub(open.opened) > CONNECT_TIMEOUT {
                     unconnected.push(id);
                 }
-            } else if open.work.is_none()
-                && now.saturating_sub(open.idle_since) > open.idle_limit
-            {
+            } else if open.work.is_none() && now.saturating_sub(open.idle_since) > open.idle_limit {
                 stale.push(id);
             }
         }
--- a/crates/sidecar/src/node/leaving.rs
+++ b/crates/sidecar/src/node/leaving.rs
@@ -66,8 +66,9 @@
 
     pub(super) fn check_leaving(&mut self) {
         let now = self.now;
-        let (settled, open): (Vec<Leaving>, Vec<Leaving>) =
-            std::mem::take(&mut self.leaving).into_iter().partition(|leaving| {
+        let (settled, open): (Vec<Leaving>, Vec<Leaving>) = std::mem::take(&mut self.leaving)
+            .into_iter()
+            .partition(|leaving| {
                 let waited = now.saturating_sub(leaving.since);
                 leaving.is_stored
                     || (waited >= STORE_WAIT && leaving.copies > 0)
--- /dev/null
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -0,0 +1,296 @@
+//! Calls between nodes: a caller's request for the target of another node, and its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlockfall_http::http::Header;
+use hemlockfall_http::http::HttpAnswer;
+use hemlockfall_http::http::HttpRequest;
+
+use crate::clock::Time;
+use crate::edge::frame;
+use crate::edge::frame::AnswerFrame;
+use crate::edge::frame::CallFrame;
+use crate::edge::frame::Frame;
+use crate::edge::frame::Refusal;
+use crate::fingerprint;
+use crate::model::LoadReport;
+use crate::model::Repeat;
+use crate::model::RequestId;
+use crate::node::Node;
+use crate::node::calls::AttemptEnd;
+use crate::node::calls::Place;
+use crate::node::mesh::VersionRule;
+use crate::node::targets::Work;
+use crate::node::targets::WorkOrigin;
+use crate::node::targets::WorkState;
+
+/// Longest request id that is kept.
+const REQUEST_ID_BYTES: usize = 64;
+
+impl Node {
+    /// Sends a caller's request to another node.
+    pub(super) fn attempt_at_peer(&mut self, id: u64, peer: u64) {
+        let now = self.now;
+        let names = self.names;
+        let caller_service = self.settings.service.clone();
+        let Some(link_id) = self.peers.get(peer).and_then(|peer| peer.link) else {
+            return;
+        };
+        let (Some(call), Some(link)) = (self.calls.get_mut(id), self.links.get_mut(link_id)) else {
+            return;
+        };
+        call.place = Place::Peer {
+            peer,
+            link: link_id,
+        };
+        link.calls.push(id);
+        let writer = &mut link.writer;
+        let request = &call.request;
+        let dropped = [
+            names.deadline_ms,
+            names.expected_instance,
+            names.caller_service,
+        ];
+        let headers: Vec<Header> = request
+            .headers
+            .iter()
+            .filter(|header| {
+                !dropped
+                    .iter()
+                    .any(|name| header.name.eq_ignore_ascii_case(name))
+            })
+            .cloned()
+            .collect();
+        let frame = CallFrame {
+            call: id,
+            service: writer.encode(&call.service),
+            version: match &call.version {
+                VersionRule::Only(version) => Some(writer.encode(version)),
+                VersionRule::Any | VersionRule::Avoid(_) => None,
+            },
+            route: writer.encode(&call.route.name),
+            caller_service: writer.encode(&caller_service),
+            is_idempotent: call.route.repeat == Repeat::Idempotent,
+            is_repeat: call.arrivals > 0,
+            priority: call.route.priority,
+            deadline_ms: whole_ms(call.deadline.saturating_sub(now)),
+            due_ms: signed_ms(call.due, now),
+            target_latency_ms: whole_ms(call.route.target_latency),
+            method: writer.encode(&request.method),
+            path: request.target.clone(),
+            headers: writer.headers(&headers),
+            body: request.body.clone(),
+        };
+        if let Some(found) = self.peers.get_mut(peer) {
+            found.outstanding = found.outstanding.saturating_add(1);
+        }
+        self.tell(link_id, &Frame::Call(Box::new(frame)));
+    }
+
+    /// The outcome of a call on a link no longer matters.
+    pub(super) fn cancel_at_peer(&mut self, id: u64, peer: u64, link: u64) {
+        if self.forget_link_call(link, id) {
+            self.tell(link, &Frame::Cancel { call: id });
+        }
+        self.one_less_outstanding(peer);
+    }
+
+    fn one_less_outstanding(&mut self, peer: u64) {
+        if let Some(found) = self.peers.get_mut(peer) {
+            found.outstanding = found.outstanding.saturating_sub(1);
+        }
+    }
+
+    fn forget_link_call(&mut self, link: u64, call: u64) -> bool {
+        let Some(found) = self.links.get_mut(link) else {
+            return false;
+        };
+        let before = found.calls.len();
+        found.calls.retain(|open| *open != call);
+        found.calls.len() < before
+    }
+
+    pub(super) fn link_call_ended(&mut self, link: u64, call: u64, end: AttemptEnd) {
+        if !self.forget_link_call(link, call) {
+            return;
+        }
+        if let Some(peer) = self.links.get(link).and_then(|link| link.peer) {
+            self.one_less_outstanding(peer);
+        }
+        self.attempt_ended(call, end);
+    }
+
+    pub(super) fn note_link_load(&mut self, link: u64, call: u64, load: LoadReport) {
+        let route = self.calls.get(call).map(|call| call.route.name.clone());
+        if let Some(peer) = self.links.get(link).and_then(|link| link.peer) {
+            self.note_load(peer, route, load);
+        }
+    }
+
+    pub(super) fn take_answer(&mut self, id: u64, answer: AnswerFrame) -> frame::Result<()> {
+        let Some(link) = self.links.get_mut(id) else {
+            return Ok(());
+        };
+        // The texts are taken in also when nobody waits, since later frames refer to them.
+        let mut headers = link.reader.headers(answer.headers)?;
+        self.note_link_load(id, answer.call, answer.load);
+        let Some(call) = self.calls.get(answer.call) else {
+            self.forget_link_call(id, answer.call);
+            return Ok(());
+        };
+        if answer.has_request_id {
+            headers.push(Header::new(self.names.request_id, call.request_id.clone()));
+        }
+        let http = HttpAnswer::new(answer.status, headers, answer.body);
+        self.link_call_ended(id, answer.call, AttemptEnd::Answered(Box::new(http)));
+        Ok(())
+    }
+
+    /// A call of another node for this node's target.
+    pub(super) fn take_call(&mut self, id: u64, frame: CallFrame) -> frame::Result<()> {
+        let Some(link) = self.links.get_mut(id) else {
+            return Ok(());
+        };
+        let reader = &mut link.reader;
+        let service = reader.decode(frame.service)?;
+        let version = frame.version.map(|text| reader.decode(text)).transpose()?;
+        let route = reader.decode(frame.route)?;
+        let caller_service = reader.decode(frame.caller_service)?;
+        let method = reader.decode(frame.method)?;
+        let headers = reader.headers(frame.headers)?;
+        let request = HttpRequest {
+            method,
+            target: frame.path,
+            headers,
+            body: frame.body,
+        };
+        let request_id: RequestId = request
+            .header(self.names.request_id)
+            .unwrap_or_default()
+            .chars()
+            .take(REQUEST_ID_BYTES)
+            .collect();
+        // A node that stops may end before the run does.
+        let fits = !self.is_stopping()
+            && self.target.own.current().is_some_and(|target| {
+                target.service == service && version.is_none_or(|version| version == target.version)
+            });
+        let now = self.now;
+        let due = shifted(now, frame.due_ms);
+        let fingerprint = fingerprint::fingerprint(&service, &caller_service, &request);
+        let origin = WorkOrigin::Link {
+            link: id,
+            call: frame.call,
+        };
+        let work = Work {
+            origin,
+            request: Rc::new(request),
+            request_id,
+            caller_service,
+            route,
+            is_idempotent: frame.is_idempotent,
+            is_repeat: frame.is_repeat,
+            priority: frame.priority,
+            due,
+            deadline: now + Duration::from_millis(frame.deadline_ms.into()),
+            target_latency: Duration::from_millis(frame.target_latency_ms.into()),
+            fingerprint,
+            offered: now,
+            state: WorkState::Waiting,
+        };
+        if !fits {
+            let end = AttemptEnd::NotRun {
+                refusal: Refusal::NoTarget,
+                retry_after: Duration::ZERO,
+            };
+            self.answer_link(id, frame.call, &work.request_id, &work.route, end);
+            return Ok(());
+        }
+        let work = self.target.works.insert(work);
+        self.offer_work(work);
+        Ok(())
+    }
+
+    pub(super) fn take_cancel(&mut self, id: u64, call: u64) {
+        let origin = WorkOrigin::Link { link: id, call };
+        let found = self
+            .target
+            .works
+            .iter()
+            .find(|(_, work)| work.origin == origin)
+            .map(|(work, _)| work);
+        if let Some(work) = found {
+            self.cancel_work(work);
+        }
+    }
+
+    /// Sends the result of a call back.
+    pub(super) fn answer_link(
+        &mut self,
+        id: u64,
+        call: u64,
+        request_id: &RequestId,
+        route: &str,
+        end: AttemptEnd,
+    ) {
+        let load = self.target.gate.load_for(route);
+        let name = self.names.request_id;
+        let Some(link) = self.links.get_mut(id) else {
+            return;
+        };
+        let frame = match end {
+            AttemptEnd::Answered(answer) => {
+                let has_request_id = answer.header(name) == Some(request_id.as_str());
+                let mut headers = answer.headers;
+                headers.retain(|header| {
+                    let is_id = header.name.eq_ignore_ascii_case(name);
+                    let is_length = header.name.eq_ignore_ascii_case("content-length");
+                    !(is_length || has_request_id && is_id)
+                });
+                Frame::Answer(Box::new(AnswerFrame {
+                    call,
+                    status: answer.status,
+                    headers: link.writer.headers(&headers),
+                    body: answer.body,
+                    has_request_id,
+                    load,
+                }))
+            }
+            AttemptEnd::NotRun {
+                refusal,
+                retry_after,
+            } => Frame::NotRun {
+                call,
+                refusal,
+                retry_after_ms: whole_ms(retry_after),
+                load,
+            },
+            AttemptEnd::Failed(failure) => Frame::Failed {
+                call,
+                failure,
+                load,
+            },
+        };
+        self.tell(id, &frame);
+    }
+}
+
+fn whole_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn signed_ms(time: Time, now: Time) -> i32 {
+    let left = i32::try_from(time.saturating_sub(now).as_millis()).unwrap_or(i32::MAX);
+    let over = i32::try_from(now.saturating_sub(time).as_millis()).unwrap_or(i32::MAX);
+    left - over
+}
+
+fn shifted(now: Time, offset_ms: i32) -> Time {
+    let offset = Duration::from_millis(offset_ms.unsigned_abs().into());
+    if offset_ms >= 0 {
+        now + offset
+    } else {
+        now.saturating_sub(offset)
+    }
+}
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -1,12 +1,8 @@
 //! Links between nodes. Each node opens one link to every other node and sends its calls on it;
 //! answers come back on the same link.
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use hemlockfall_http::http::Header;
-use hemlockfall_http::http::HttpAnswer;
-use hemlockfall_http::http::HttpRequest;
 use rand::RngExt;
 use serde_json::json;
 use stakker_mio::Ready;
@@ -15,31 +11,20 @@
 use crate::balance::Distance;
 use crate::clock::Time;
 use crate::edge::frame;
-use crate::edge::frame::AnswerFrame;
-use crate::edge::frame::CallFrame;
 use crate::edge::frame::Failure;
 use crate::edge::frame::Frame;
 use crate::edge::frame::FrameError;
-use crate::edge::frame::Refusal;
 use crate::edge::frame::TextReader;
 use crate::edge::frame::TextWriter;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
-use crate::fingerprint;
 use crate::fingerprint::Fingerprint;
-use crate::model::LoadReport;
 use crate::model::NodeRecord;
-use crate::model::Repeat;
-use crate::model::RequestId;
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::calls::AttemptEnd;
-use crate::node::calls::Place;
-use crate::node::mesh::VersionRule;
 use crate::node::ms;
-use crate::node::targets::Work;
 use crate::node::targets::WorkOrigin;
-use crate::node::targets::WorkState;
 
 /// Silence with calls outstanding after which a sign of life is asked for.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -49,7 +34,7 @@
 const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Silence on an idle link after which a sign of life is asked for; grows with the number of
 /// nodes, so that the traffic of a node stays bounded.
-const IDLE_PING: Duration = Duration::from_millis(1000);
+const IDLE_PING: Duration = Duration::from_secs(1);
 const IDLE_PING_PER_NODE: Duration = Duration::from_millis(60);
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -60,9 +45,6 @@
 /// from then on. A node that comes back opens its own link at once.
 const GONE_FAILURES: u32 = 10;
 const DIAL_GONE: Duration = Duration::from_secs(10);
-/// Longest request id that is kept.
-const REQUEST_ID_BYTES: usize = 64;
-
 /// `Link` is a connection with another node.
 pub(crate) struct Link {
     stream: Stream,
@@ -70,13 +52,13 @@
     /// The peer that this node opened the link to, or that has said its name.
     pub(super) peer: Option<u64>,
     pub(super) is_dialed: bool,
-    writer: TextWriter,
-    reader: TextReader,
+    pub(super) writer: TextWriter,
+    pub(super) reader: TextReader,
     opened: Time,
     last_heard: Time,
     ping_sent: Option<Time>,
     /// Calls without an answer.
-    calls: Vec<u64>,
+    pub(super) calls: Vec<u64>,
 }
 
 impl Link {
@@ -469,260 +451,4 @@
     pub(super) fn tell_suspect(&mut self, fingerprint: Fingerprint) {
         self.tell_all(&Frame::Suspect(fingerprint));
     }
-
-    /// Sends a caller's request to another node.
-    pub(super) fn attempt_at_peer(&mut self, id: u64, peer: u64) {
-        let now = self.now;
-        let names = self.names;
-        let caller_service = self.settings.service.clone();
-        let Some(link_id) = self.peers.get(peer).and_then(|peer| peer.link) else {
-            return;
-        };
-        let (Some(call), Some(link)) = (self.calls.get_mut(id), self.links.get_mut(link_id)) else {
-            return;
-        };
-        call.place = Place::Peer {
-            peer,
-            link: link_id,
-        };
-        link.calls.push(id);
-        let writer = &mut link.writer;
-        let request = &call.request;
-        let dropped = [names.deadline_ms, names.expected_instance, names.caller_service];
-        let headers: Vec<Header> = request
-            .headers
-            .iter()
-            .filter(|header| !dropped.iter().any(|name| header.name.eq_ignore_ascii_case(name)))
-            .cloned()
-            .collect();
-        let frame = CallFrame {
-            call: id,
-            service: writer.encode(&call.service),
-            version: match &call.version {
-                VersionRule::Only(version) => Some(writer.encode(version)),
-                VersionRule::Any | VersionRule::Avoid(_) => None,
-            },
-            route: writer.encode(&call.route.name),
-            caller_service: writer.encode(&caller_service),
-            is_idempotent: call.route.repeat == Repeat::Idempotent,
-            is_repeat: call.arrivals > 0,
-            priority: call.route.priority,
-            deadline_ms: whole_ms(call.deadline.saturating_sub(now)),
-            due_ms: signed_ms(call.due, now),
-            target_latency_ms: whole_ms(call.route.target_latency),
-            method: writer.encode(&request.method),
-            path: request.target.clone(),
-            headers: writer.headers(&headers),
-            body: request.body.clone(),
-        };
-        if let Some(found) = self.peers.get_mut(peer) {
-            found.outstanding = found.outstanding.saturating_add(1);
-        }
-        self.tell(link_id, &Frame::Call(Box::new(frame)));
-    }
-
-    /// The outcome of a call on a link no longer matters.
-    pub(super) fn cancel_at_peer(&mut self, id: u64, peer: u64, link: u64) {
-        if self.forget_link_call(link, id) {
-            self.tell(link, &Frame::Cancel { call: id });
-        }
-        self.one_less_outstanding(peer);
-    }
-
-    fn one_less_outstanding(&mut self, peer: u64) {
-        if let Some(found) = self.peers.get_mut(peer) {
-            found.outstanding = found.outstanding.saturating_sub(1);
-        }
-    }
-
-    fn forget_link_call(&mut self, link: u64, call: u64) -> bool {
-        let Some(found) = self.links.get_mut(link) else {
-            return false;
-        };
-        let before = found.calls.len();
-        found.calls.retain(|open| *open != call);
-        found.calls.len() < before
-    }
-
-    fn link_call_ended(&mut self, link: u64, call: u64, end: AttemptEnd) {
-        if !self.forget_link_call(link, call) {
-            return;
-        }
-        if let Some(peer) = self.links.get(link).and_then(|link| link.peer) {
-            self.one_less_outstanding(peer);
-        }
-        self.attempt_ended(call, end);
-    }
-
-    fn note_link_load(&mut self, link: u64, call: u64, load: LoadReport) {
-        let route = self.calls.get(call).map(|call| call.route.name.clone());
-        if let Some(peer) = self.links.get(link).and_then(|link| link.peer) {
-            self.note_load(peer, route, load);
-        }
-    }
-
-    fn take_answer(&mut self, id: u64, answer: AnswerFrame) -> frame::Result<()> {
-        let Some(link) = self.links.get_mut(id) else {
-            return Ok(());
-        };
-        // The texts are taken in also when nobody waits, since later frames refer to them.
-        let mut headers = link.reader.headers(answer.headers)?;
-        self.note_link_load(id, answer.call, answer.load);
-        let Some(call) = self.calls.get(answer.call) else {
-            self.forget_link_call(id, answer.call);
-            return Ok(());
-        };
-        if answer.has_request_id {
-            headers.push(Header::new(self.names.request_id, call.request_id.clone()));
-        }
-        let http = HttpAnswer::new(answer.status, headers, answer.body);
-        self.link_call_ended(id, answer.call, AttemptEnd::Answered(Box::new(http)));
-        Ok(())
-    }
-
-    /// A call of another node for this node's target.
-    fn take_call(&mut self, id: u64, frame: CallFrame) -> frame::Result<()> {
-        let Some(link) = self.links.get_mut(id) else {
-            return Ok(());
-        };
-        let reader = &mut link.reader;
-        let service = reader.decode(frame.service)?;
-        let version = frame.version.map(|text| reader.decode(text)).transpose()?;
-        let route = reader.decode(frame.route)?;
-        let caller_service = reader.decode(frame.caller_service)?;
-        let method = reader.decode(frame.method)?;
-        let headers = reader.headers(frame.headers)?;
-        let request = HttpRequest {
-            method,
-            target: frame.path,
-            headers,
-            body: frame.body,
-        };
-        let request_id: RequestId = request
-            .header(self.names.request_id)
-            .unwrap_or_default()
-            .chars()
-            .take(REQUEST_ID_BYTES)
-            .collect();
-        let fits = self.target.own.current().is_some_and(|target| {
-            target.service == service && version.is_none_or(|version| version == target.version)
-        });
-        let now = self.now;
-        let due = shifted(now, frame.due_ms);
-        let fingerprint = fingerprint::fingerprint(&service, &caller_service, &request);
-        let origin = WorkOrigin::Link {
-            link: id,
-            call: frame.call,
-        };
-        let work = Work {
-            origin,
-            request: Rc::new(request),
-            request_id,
-            caller_service,
-            route,
-            is_idempotent: frame.is_idempotent,
-            is_repeat: frame.is_repeat,
-            priority: frame.priority,
-            due,
-            deadline: now + Duration::from_millis(frame.deadline_ms.into()),
-            target_latency: Duration::from_millis(frame.target_latency_ms.into()),
-            fingerprint,
-            offered: now,
-            state: WorkState::Waiting,
-        };
-        if !fits {
-            let end = AttemptEnd::NotRun {
-                refusal: Refusal::NoTarget,
-                retry_after: Duration::ZERO,
-            };
-            self.answer_link(id, frame.call, &work.request_id, &work.route, end);
-            return Ok(());
-        }
-        let work = self.target.works.insert(work);
-        self.offer_work(work);
-        Ok(())
-    }
-
-    fn take_cancel(&mut self, id: u64, call: u64) {
-        let origin = WorkOrigin::Link { link: id, call };
-        let found = self
-            .target
-            .works
-            .iter()
-            .find(|(_, work)| work.origin == origin)
-            .map(|(work, _)| work);
-        if let Some(work) = found {
-            self.cancel_work(work);
-        }
-    }
-
-    /// Sends the result of a call back.
-    pub(super) fn answer_link(
-        &mut self,
-        id: u64,
-        call: u64,
-        request_id: &RequestId,
-        route: &str,
-        end: AttemptEnd,
-    ) {
-        let load = self.target.gate.load_for(route);
-        let name = self.names.request_id;
-        let Some(link) = self.links.get_mut(id) else {
-            return;
-        };
-        let frame = match end {
-            AttemptEnd::Answered(answer) => {
-                let has_request_id = answer.header(name) == Some(request_id.as_str());
-                let mut headers = answer.headers;
-                headers.retain(|header| {
-                    !header.name.eq_ignore_ascii_case("content-length")
-                        && !(has_request_id && header.name.eq_ignore_ascii_case(name))
-                });
-                Frame::Answer(Box::new(AnswerFrame {
-                    call,
-                    status: answer.status,
-                    headers: link.writer.headers(&headers),
-                    body: answer.body,
-                    has_request_id,
-                    load,
-                }))
-            }
-            AttemptEnd::NotRun {
-                refusal,
-                retry_after,
-            } => Frame::NotRun {
-                call,
-                refusal,
-                retry_after_ms: whole_ms(retry_after),
-                load,
-            },
-            AttemptEnd::Failed(failure) => Frame::Failed {
-                call,
-                failure,
-                load,
-            },
-        };
-        self.tell(id, &frame);
-    }
-}
-
-fn whole_ms(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn signed_ms(time: Time, now: Time) -> i32 {
-    if time >= now {
-        i32::try_from((time - now).as_millis()).unwrap_or(i32::MAX)
-    } else {
-        -i32::try_from((now - time).as_millis()).unwrap_or(i32::MAX)
-    }
-}
-
-fn shifted(now: Time, offset_ms: i32) -> Time {
-    let offset = Duration::from_millis(offset_ms.unsigned_abs().into());
-    if offset_ms >= 0 {
-        now + offset
-    } else {
-        now.saturating_sub(offset)
-    }
 }
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -301,7 +301,10 @@
             "finish_in_ms": ms(rollout.finish_in), "age_ms": ms(age), "source": source,
         });
         let service = rollout.service.clone();
-        let known = self.mesh.trial(&service).map(|trial| trial.rollout.target_version.clone());
+        let known = self
+            .mesh
+            .trial(&service)
+            .map(|trial| trial.rollout.target_version.clone());
         let is_new_order = known.as_ref() != Some(&rollout.target_version);
         let first_seen = self.now.saturating_sub(age);
         if !self.mesh.take_rollout(rollout, first_seen) {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod control;
 mod leaving;
+mod link_calls;
 mod links;
 mod mesh;
 mod peers;
@@ -12,6 +13,7 @@
 mod signals;
 mod stop;
 mod store;
+mod store_replies;
 mod targets;
 mod trials;
 
@@ -202,7 +204,10 @@
     }
 
     fn open(&mut self) -> std::io::Result<()> {
-        self.signals = Some(SignalPipe::open(&self.poll, self.ready_fwd(Socket::Signals))?);
+        self.signals = Some(SignalPipe::open(
+            &self.poll,
+            self.ready_fwd(Socket::Signals),
+        )?);
         let addresses = [
             (Port::Callers, self.settings.caller_address),
             (Port::Peers, self.settings.peer_address),
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -94,7 +94,10 @@
         }
         let own = (&self.settings.data_centre, &self.settings.region);
         let distance = Distance::between(own, (&record.data_centre, &record.region));
-        self.state_line("peer_known", json!({ "peer": record.node, "distance": format!("{distance:?}") }));
+        self.state_line(
+            "peer_known",
+            json!({ "peer": record.node, "distance": format!("{distance:?}") }),
+        );
         self.peers.insert(Peer {
             record,
             distance,
@@ -153,7 +156,10 @@
         let Some(route) = route.filter(|_| load.route_run_ms > 0) else {
             return;
         };
-        match peer.route_runs.binary_search_by(|(name, _)| name.cmp(&route)) {
+        match peer
+            .route_runs
+            .binary_search_by(|(name, _)| name.cmp(&route))
+        {
             Ok(index) => peer.route_runs[index].1 = load.route_run_ms,
             Err(index) if peer.route_runs.len() < MAX_ROUTES => {
                 peer.route_runs.insert(index, (route, load.route_run_ms));
--- a/crates/sidecar/src/node/run.rs
+++ b/crates/sidecar/src/node/run.rs
@@ -36,8 +36,13 @@
     let metrics = install_metrics()?;
     let poll = Poll::new().map_err(|error| error.to_string())?;
     let mut stakker = Stakker::new(Instant::now());
-    let poll = MioPoll::new(&mut stakker, poll, Events::with_capacity(EVENTS), WAKER_PRIORITY)
-        .map_err(|error| error.to_string())?;
+    let poll = MioPoll::new(
+        &mut stakker,
+        poll,
+        Events::with_capacity(EVENTS),
+        WAKER_PRIORITY,
+    )
+    .map_err(|error| error.to_string())?;
     let parts = Parts {
         settings,
         settings_file: settings_file.to_owned(),
--- a/crates/sidecar/src/node/signals.rs
+++ b/crates/sidecar/src/node/signals.rs
@@ -34,11 +34,7 @@
     }
 }
 
-fn watch(
-    poll: &MioPoll,
-    signals: &[i32],
-    ready: Fwd<Ready>,
-) -> io::Result<MioSource<UnixStream>> {
+fn watch(poll: &MioPoll, signals: &[i32], ready: Fwd<Ready>) -> io::Result<MioSource<UnixStream>> {
     let (reader, writer) = UnixStream::pair()?;
     let writer = OwnedFd::from(writer);
     for signal in signals {
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -18,18 +18,14 @@
 use crate::edge::frame::Frame;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
-use crate::model::NodeRecord;
 use crate::model::ObjectRevision;
-use crate::model::TargetKey;
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::Timer;
 use crate::node::ms;
 use crate::platform::NodeEntry;
 use crate::platform::StoreCall;
-use crate::platform::StoreEvent;
 use crate::platform::StoreKind;
-use crate::platform::StoreObject;
 use crate::platform::StoreReply;
 
 /// Nodes that follow the store; more than one, so that the loss of one delays nothing.
@@ -37,7 +33,7 @@
 /// Wait of a watch. A connection that went silent is noticed after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Time for an answer besides the wait.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest and longest time between failed calls.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 const BACKOFF_MAX: Duration = Duration::from_millis(1200);
@@ -51,8 +47,6 @@
 const BEAT_ROUNDS: u64 = 5;
 const BEAT_ROUNDS_LARGE: u64 = 10;
 const LARGE_MESH: usize = 40;
-/// Time after which a target is believed although nobody could be asked about earlier leaves.
-const LONGEST_DOUBT: Duration = Duration::from_millis(2500);
 /// Calls that may wait.
 const QUEUE_CAPACITY: usize = 64;
 /// Limits on the store's answers: an answer holds about 1 MB.
@@ -72,34 +66,38 @@
 const CHANNELS: [Channel; 3] = [Channel::Calls, Channel::Config, Channel::Rollouts];
 
 /// `StoreSync` is the state of the exchange with the store.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each tells whether one independent step has been done"
+)]
 pub(crate) struct StoreSync {
-    calls: Lane,
-    config: Lane,
-    rollouts: Lane,
-    queue: VecDeque<StoreCall>,
+    pub(super) calls: Lane,
+    pub(super) config: Lane,
+    pub(super) rollouts: Lane,
+    pub(super) queue: VecDeque<StoreCall>,
     /// Revision of this node's entry, once it is known.
-    entry_revision: Option<ObjectRevision>,
-    entry_is_due: bool,
+    pub(super) entry_revision: Option<ObjectRevision>,
+    pub(super) entry_is_due: bool,
     /// Whether this node's entry of an earlier process has been looked at.
     pub(super) entry_is_known: bool,
-    nodes_listed: bool,
-    nodes_after: Option<smol_str::SmolStr>,
-    is_lost: bool,
-    started: Time,
+    pub(super) nodes_listed: bool,
+    pub(super) nodes_after: Option<smol_str::SmolStr>,
+    pub(super) is_lost: bool,
+    pub(super) started: Time,
 }
 
 /// `Lane` is one connection with its call.
-struct Lane {
-    stream: Option<Stream>,
-    input: Vec<u8>,
-    reader: Option<ResponseReader>,
-    current: Option<StoreCall>,
-    give_up_at: Time,
-    not_before: Time,
-    failures: u32,
+pub(super) struct Lane {
+    pub(super) stream: Option<Stream>,
+    pub(super) input: Vec<u8>,
+    pub(super) reader: Option<ResponseReader>,
+    pub(super) current: Option<StoreCall>,
+    pub(super) give_up_at: Time,
+    pub(super) not_before: Time,
+    pub(super) failures: u32,
     /// Revision to watch from; `None` until the objects were listed.
-    revision: Option<ObjectRevision>,
-    last_success: Option<Time>,
+    pub(super) revision: Option<ObjectRevision>,
+    pub(super) last_success: Option<Time>,
 }
 
 impl Lane {
@@ -117,7 +115,7 @@
         }
     }
 
-    fn close(&mut self) {
+    pub(super) fn close(&mut self) {
         self.stream = None;
         self.input.clear();
         self.reader = None;
@@ -141,7 +139,7 @@
         }
     }
 
-    fn lane(&mut self, channel: Channel) -> &mut Lane {
+    pub(super) fn lane(&mut self, channel: Channel) -> &mut Lane {
         match channel {
             Channel::Calls => &mut self.calls,
             Channel::Config => &mut self.config,
@@ -216,13 +214,12 @@
         };
         match revision {
             None if self.should_list() => Some(StoreCall::List { kind, after: None }),
-            None => None,
             Some(revision) if self.should_follow() => Some(StoreCall::Watch {
                 kind,
                 revision,
                 wait: WATCH_WAIT,
             }),
-            Some(_) => None,
+            _ => None,
         }
     }
 
@@ -391,7 +388,7 @@
             }
         };
         match read {
-            Some(read) => self.store_answered(channel, read, reading),
+            Some(read) => self.store_answered(channel, &read, reading),
             None if reading != Reading::Open => {
                 self.store_call_failed(channel, "the connection ended");
             }
@@ -399,7 +396,7 @@
         }
     }
 
-    fn store_answered(&mut self, channel: Channel, read: ReadResponse, reading: Reading) {
+    fn store_answered(&mut self, channel: Channel, read: &ReadResponse, reading: Reading) {
         let now = self.now;
         let lane = self.store.lane(channel);
         lane.reader = None;
@@ -437,7 +434,9 @@
         let lane = self.store.lane(channel);
         lane.close();
         let call = lane.current.take();
-        let backoff = BACKOFF_MIN.saturating_mul(1 << lane.failures.min(4)).min(BACKOFF_MAX);
+        let backoff = BACKOFF_MIN
+            .saturating_mul(1 << lane.failures.min(4))
+            .min(BACKOFF_MAX);
         lane.failures += 1;
         let not_before = now + backoff.mul_f64(jitter);
         lane.not_before = not_before;
@@ -462,139 +461,6 @@
             self.store.queue.push_back(call);
         }
     }
-
-    fn take_store_reply(&mut self, channel: Channel, call: StoreCall, reply: StoreReply) {
-        match (call, reply) {
-            (
-                StoreCall::List { kind, .. },
-                StoreReply::Listed {
-                    objects,
-                    next,
-                    revision,
-                },
-            ) => {
-                for object in objects {
-                    self.take_store_object(object);
-                }
-                match kind {
-                    StoreKind::Nodes => {
-                        self.store.nodes_listed = next.is_none();
-                        self.store.nodes_after = next;
-                        self.store.entry_is_known = self.store.nodes_listed;
-                    }
-                    StoreKind::Config | StoreKind::Rollouts => {
-                        self.store.lane(channel).revision = Some(revision);
-                    }
-                }
-            }
-            (StoreCall::Watch { .. }, StoreReply::Changed { events, revision }) => {
-                for event in events {
-                    self.take_store_event(event);
-                }
-                self.store.lane(channel).revision = Some(revision);
-            }
-            (StoreCall::Watch { .. }, StoreReply::HistoryGone) => {
-                self.state_line("store_history_gone", json!({ "channel": format!("{channel:?}") }));
-                self.store.lane(channel).revision = None;
-            }
-            (
-                StoreCall::CreateNode(entry) | StoreCall::ReplaceNode { entry, .. },
-                StoreReply::Stored { revision },
-            ) => {
-                self.store.entry_revision = Some(revision);
-                self.store.entry_is_known = true;
-                self.store.entry_is_due = entry.left != self.target.own.left();
-                if !self.store.entry_is_due {
-                    self.leaves_stored();
-                }
-            }
-            (
-                StoreCall::CreateNode(_) | StoreCall::ReplaceNode { .. },
-                StoreReply::Conflict { object },
-            ) => match object {
-                Some(object) => self.take_store_object(object),
-                None => self.store.nodes_listed = false,
-            },
-            (StoreCall::ReplaceNode { .. }, StoreReply::Missing) => {
-                self.store.entry_revision = None;
-            }
-            (StoreCall::SetRolloutState { rollout, state }, StoreReply::Stored { revision }) => {
-                let mut rollout = rollout;
-                rollout.state = state;
-                rollout.revision = revision;
-                self.adopt_rollout(rollout, Duration::ZERO, "store");
-            }
-            (StoreCall::SetRolloutState { .. }, _) => {
-                // Another node was first, or the order has changed.
-                self.store.rollouts.revision = None;
-                let lane = &mut self.store.rollouts;
-                if matches!(lane.current, Some(StoreCall::Watch { .. })) {
-                    lane.current = None;
-                    lane.close();
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn take_store_event(&mut self, event: StoreEvent) {
-        match event.object {
-            Some(object) => self.take_store_object(object),
-            None => self.mesh.forget_rollout(&event.name),
-        }
-    }
-
-    fn take_store_object(&mut self, object: StoreObject) {
-        match object {
-            StoreObject::Config(config) => self.adopt_config(*config, "store"),
-            StoreObject::Rollout(rollout) => {
-                self.adopt_rollout(rollout, Duration::ZERO, "store");
-            }
-            StoreObject::Node { entry, revision } => self.take_node_entry(entry, revision),
-            StoreObject::Unreadable { name, reason } => {
-                self.state_line("object_unreadable", json!({ "name": name, "reason": reason }));
-            }
-        }
-    }
-
-    fn take_node_entry(&mut self, entry: NodeEntry, revision: ObjectRevision) {
-        if entry.node == self.settings.name {
-            self.store.entry_revision = Some(revision);
-            self.store.entry_is_known = true;
-            let is_current = entry.peer_address == self.settings.advertised();
-            self.keep_leaves(entry.left.clone());
-            self.store.entry_is_due = !is_current || self.target.own.left() != entry.left;
-            if !self.store.entry_is_due {
-                self.leaves_stored();
-            }
-            return;
-        }
-        self.take_record(NodeRecord {
-            node: entry.node,
-            peer_address: entry.peer_address,
-            data_centre: entry.data_centre,
-            region: entry.region,
-            incarnation: entry.incarnation,
-            sequence: 0,
-            is_stopping: false,
-            target: None,
-            left: entry.left,
-        });
-    }
-
-    /// Takes over which targets have left, as an earlier process of this node knew it.
-    pub(super) fn keep_leaves(&mut self, left: Vec<TargetKey>) {
-        for key in left {
-            self.target.own.remember_left(key);
-        }
-    }
-
-    /// Tells whether no earlier leave can be unknown: the store or another node was asked.
-    pub(super) fn leaves_are_known(&self) -> bool {
-        self.store.entry_is_known
-            || self.now.saturating_sub(self.store.started) > LONGEST_DOUBT
-            || self.live_nodes() > 1
-    }
 }
 
 /// Order in which nodes are chosen to follow the store; spread over the data centres.
--- /dev/null
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -0,0 +1,166 @@
+//! What follows from the store's answers.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::model::NodeRecord;
+use crate::model::ObjectRevision;
+use crate::model::TargetKey;
+use crate::node::Node;
+use crate::node::store::Channel;
+use crate::platform::NodeEntry;
+use crate::platform::StoreCall;
+use crate::platform::StoreEvent;
+use crate::platform::StoreKind;
+use crate::platform::StoreObject;
+use crate::platform::StoreReply;
+
+/// Time after which a target is believed although nobody could be asked about earlier leaves.
+const LONGEST_DOUBT: Duration = Duration::from_millis(2500);
+
+impl Node {
+    pub(super) fn take_store_reply(
+        &mut self,
+        channel: Channel,
+        call: StoreCall,
+        reply: StoreReply,
+    ) {
+        match (call, reply) {
+            (
+                StoreCall::List { kind, .. },
+                StoreReply::Listed {
+                    objects,
+                    next,
+                    revision,
+                },
+            ) => {
+                for object in objects {
+                    self.take_store_object(object);
+                }
+                match kind {
+                    StoreKind::Nodes => {
+                        self.store.nodes_listed = next.is_none();
+                        self.store.nodes_after = next;
+                        self.store.entry_is_known = self.store.nodes_listed;
+                    }
+                    StoreKind::Config | StoreKind::Rollouts => {
+                        self.store.lane(channel).revision = Some(revision);
+                    }
+                }
+            }
+            (StoreCall::Watch { .. }, StoreReply::Changed { events, revision }) => {
+                for event in events {
+                    self.take_store_event(event);
+                }
+                self.store.lane(channel).revision = Some(revision);
+            }
+            (StoreCall::Watch { .. }, StoreReply::HistoryGone) => {
+                self.state_line(
+                    "store_history_gone",
+                    json!({ "channel": format!("{channel:?}") }),
+                );
+                self.store.lane(channel).revision = None;
+            }
+            (
+                StoreCall::CreateNode(entry) | StoreCall::ReplaceNode { entry, .. },
+                StoreReply::Stored { revision },
+            ) => {
+                self.store.entry_revision = Some(revision);
+                self.store.entry_is_known = true;
+                self.store.entry_is_due = entry.left != self.target.own.left();
+                if !self.store.entry_is_due {
+                    self.leaves_stored();
+                }
+            }
+            (
+                StoreCall::CreateNode(_) | StoreCall::ReplaceNode { .. },
+                StoreReply::Conflict { object },
+            ) => match object {
+                Some(object) => self.take_store_object(object),
+                None => self.store.nodes_listed = false,
+            },
+            (StoreCall::ReplaceNode { .. }, StoreReply::Missing) => {
+                self.store.entry_revision = None;
+            }
+            (StoreCall::SetRolloutState { rollout, state }, StoreReply::Stored { revision }) => {
+                let mut rollout = rollout;
+                rollout.state = state;
+                rollout.revision = revision;
+                self.adopt_rollout(rollout, Duration::ZERO, "store");
+            }
+            (StoreCall::SetRolloutState { .. }, _) => {
+                // Another node was first, or the order has changed.
+                self.store.rollouts.revision = None;
+                let lane = &mut self.store.rollouts;
+                if matches!(lane.current, Some(StoreCall::Watch { .. })) {
+                    lane.current = None;
+                    lane.close();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_store_event(&mut self, event: StoreEvent) {
+        match event.object {
+            Some(object) => self.take_store_object(object),
+            None => self.mesh.forget_rollout(&event.name),
+        }
+    }
+
+    fn take_store_object(&mut self, object: StoreObject) {
+        match object {
+            StoreObject::Config(config) => self.adopt_config(*config, "store"),
+            StoreObject::Rollout(rollout) => {
+                self.adopt_rollout(rollout, Duration::ZERO, "store");
+            }
+            StoreObject::Node { entry, revision } => self.take_node_entry(entry, revision),
+            StoreObject::Unreadable { name, reason } => {
+                self.state_line(
+                    "object_unreadable",
+                    json!({ "name": name, "reason": reason }),
+                );
+            }
+        }
+    }
+
+    fn take_node_entry(&mut self, entry: NodeEntry, revision: ObjectRevision) {
+        if entry.node == self.settings.name {
+            self.store.entry_revision = Some(revision);
+            self.store.entry_is_known = true;
+            let is_current = entry.peer_address == self.settings.advertised();
+            self.keep_leaves(entry.left.clone());
+            self.store.entry_is_due = !is_current || self.target.own.left() != entry.left;
+            if !self.store.entry_is_due {
+                self.leaves_stored();
+            }
+            return;
+        }
+        self.take_record(NodeRecord {
+            node: entry.node,
+            peer_address: entry.peer_address,
+            data_centre: entry.data_centre,
+            region: entry.region,
+            incarnation: entry.incarnation,
+            sequence: 0,
+            is_stopping: false,
+            target: None,
+            left: entry.left,
+        });
+    }
+
+    /// Takes over which targets have left, as an earlier process of this node knew it.
+    pub(super) fn keep_leaves(&mut self, left: Vec<TargetKey>) {
+        for key in left {
+            self.target.own.remember_left(key);
+        }
+    }
+
+    /// Tells whether no earlier leave can be unknown: the store or another node was asked.
+    pub(super) fn leaves_are_known(&self) -> bool {
+        self.store.entry_is_known
+            || self.now.saturating_sub(self.store.started) > LONGEST_DOUBT
+            || self.live_nodes() > 1
+    }
+}
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -93,9 +93,7 @@
 impl Node {
     /// Tells whether the target takes new requests.
     pub(super) fn is_target_open(&self) -> bool {
-        self.target.own.is_admitting()
-            && !self.target.is_unreachable
-            && self.leaves_are_known()
+        self.target.own.is_admitting() && !self.target.is_unreachable && self.leaves_are_known()
     }
 
     /// Tells other nodes when the target begins or ceases to take requests.
@@ -368,7 +366,9 @@
                 (Urgency::Success, format!("status {}", answer.status))
             }
             AttemptEnd::Answered(answer) => (Urgency::Failure, format!("status {}", answer.status)),
-            AttemptEnd::NotRun { refusal, .. } => (Urgency::Failure, format!("not run {refusal:?}")),
+            AttemptEnd::NotRun { refusal, .. } => {
+                (Urgency::Failure, format!("not run {refusal:?}"))
+            }
             AttemptEnd::Failed(failure) => (Urgency::Failure, format!("unknown {failure:?}")),
         };
         if !self.log.admits(urgency, self.now) {
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -42,7 +42,11 @@
     pub fn select(&self, host: &str, path: &str) -> Option<Rc<Route>> {
         let host = host.split_once(':').map_or(host, |(name, _)| name);
         // Prefixes end with a slash, so each candidate is the path up to one of its slashes.
-        let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
+        let slashes = path
+            .bytes()
+            .enumerate()
+            .rev()
+            .filter(|(_, byte)| *byte == b'/');
         for (index, _) in slashes {
             let prefix = &path[..=index];
             let found = self.routes.binary_search_by(|route| {
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -116,7 +116,11 @@
             Err(index) => self.left.insert(index, key),
         }
         if self.left.len() > LEFT_CAPACITY {
-            let oldest = self.left.iter().enumerate().min_by_key(|(_, key)| key.born_unix_ms);
+            let oldest = self
+                .left
+                .iter()
+                .enumerate()
+                .min_by_key(|(_, key)| key.born_unix_ms);
             if let Some((index, _)) = oldest {
                 self.left.remove(index);
             }
@@ -152,9 +156,9 @@
     /// `is_silent` tells whether several heartbeats of the target are missing.
     #[must_use]
     pub fn is_silent(&self, period: Duration, now: Time) -> bool {
-        self.current
-            .as_ref()
-            .is_some_and(|current| now.saturating_sub(current.heard_at) > period * MISSED_HEARTBEATS)
+        self.current.as_ref().is_some_and(|current| {
+            now.saturating_sub(current.heard_at) > period * MISSED_HEARTBEATS
+        })
     }
 
     /// `heard_ago` is the age of the last heartbeat.
--- a/crates/sidecar/tests/admission.rs
+++ b/crates/sidecar/tests/admission.rs
@@ -55,7 +55,9 @@
 fn a_burst_is_rejected_as_soon_as_the_queue_is_too_long_to_be_in_time() {
     let mut gate = full_gate();
 
-    let admissions: Vec<Admission> = (0..20).map(|id| gate.offer(offer(id, 1, 300), at(0))).collect();
+    let admissions: Vec<Admission> = (0..20)
+        .map(|id| gate.offer(offer(id, 1, 300), at(0)))
+        .collect();
 
     let waiting = admissions
         .iter()
@@ -63,7 +65,11 @@
         .count();
     // A slot is free each 50 ms and a run takes 100 ms: the fourth would just end after 300 ms.
     assert_eq!(waiting, 4);
-    let Some(Admission::Reject { reason, retry_after }) = admissions.last() else {
+    let Some(Admission::Reject {
+        reason,
+        retry_after,
+    }) = admissions.last()
+    else {
         panic!("the last request of the burst was admitted");
     };
     assert_eq!(*reason, RejectReason::TooLate);
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -42,7 +42,12 @@
 }
 
 fn choose(candidates: &[Candidate], demand: &Demand) -> Option<u64> {
-    balance::choose(candidates, demand, at(1_010), &mut SmallRng::seed_from_u64(1))
+    balance::choose(
+        candidates,
+        demand,
+        at(1_010),
+        &mut SmallRng::seed_from_u64(1),
+    )
 }
 
 /// Load: a data centre that is busy but in time. Guards against large answers that cross data
@@ -123,7 +128,9 @@
     let mut random = SmallRng::seed_from_u64(7);
 
     let near = (0..200)
-        .filter(|_| balance::choose(&candidates, &demand(1.0), at(1_010), &mut random) == Some(NEAR))
+        .filter(|_| {
+            balance::choose(&candidates, &demand(1.0), at(1_010), &mut random) == Some(NEAR)
+        })
         .count();
 
     assert!((60..140).contains(&near), "{near} of 200");
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -54,7 +54,12 @@
     }
 }
 
-pub fn heartbeat(instance: &str, born_unix_ms: u64, sequence: u64, state: TargetState) -> Heartbeat {
+pub fn heartbeat(
+    instance: &str,
+    born_unix_ms: u64,
+    sequence: u64,
+    state: TargetState,
+) -> Heartbeat {
     Heartbeat {
         instance: instance.into(),
         born_unix_ms,
--- a/crates/sidecar/tests/frames.rs
+++ b/crates/sidecar/tests/frames.rs
@@ -38,7 +38,10 @@
 /// Guards against a link that goes on after the ends disagree.
 #[test]
 fn an_unknown_text_is_an_error() {
-    assert_eq!(TextReader::default().decode(Text::Known(3)), Err(FrameError::UnknownText));
+    assert_eq!(
+        TextReader::default().decode(Text::Known(3)),
+        Err(FrameError::UnknownText)
+    );
 }
 
 /// Guards against memory that grows with the number of different texts.
--- a/crates/sidecar/tests/judge.rs
+++ b/crates/sidecar/tests/judge.rs
@@ -60,8 +60,16 @@
 #[test]
 fn a_version_that_fails_on_one_route_is_rejected() {
     let judge = judge(vec![
-        evidence("old", false, &[("a", tally(500, 0, 90)), ("b", tally(50, 0, 90))]),
-        evidence("new", true, &[("a", tally(300, 0, 90)), ("b", tally(12, 5, 90))]),
+        evidence(
+            "old",
+            false,
+            &[("a", tally(500, 0, 90)), ("b", tally(50, 0, 90))],
+        ),
+        evidence(
+            "new",
+            true,
+            &[("a", tally(300, 0, 90)), ("b", tally(12, 5, 90))],
+        ),
     ]);
 
     assert!(is_rejected(&judge));
--- a/crates/sidecar/tests/limits.rs
+++ b/crates/sidecar/tests/limits.rs
@@ -45,7 +45,10 @@
 
     assert!(other * 2 < whole_budget, "{other} of {whole_budget}");
     assert!(urgent > 0);
-    assert!(other + urgent < whole_budget, "{other} and {urgent} of {whole_budget}");
+    assert!(
+        other + urgent < whole_budget,
+        "{other} and {urgent} of {whole_budget}"
+    );
 }
 
 /// Load: a called service sheds while the callers' requests are repeated as well. Guards against
--- a/crates/sidecar/tests/routing.rs
+++ b/crates/sidecar/tests/routing.rs
@@ -46,7 +46,9 @@
 #[test]
 fn a_split_route_follows_its_weights() {
     let mut router = router();
-    let route = router.select("shop.example", "/s/x").expect("the route exists");
+    let route = router
+        .select("shop.example", "/s/x")
+        .expect("the route exists");
 
     let feed = (0..1000)
         .filter(|_| router.choose_part(&route).as_deref() == Some("feed"))
@@ -100,8 +102,14 @@
     let failed = Outcome::Failed(Failure::ConnectionLost);
     let otherwise = GiveUp::Unknown;
 
-    assert_eq!(next_step(failed, facts(Repeat::Idempotent)), NextStep::Repeat { otherwise });
-    assert_eq!(next_step(failed, facts(Repeat::AtMostOnce)), NextStep::GiveUp(GiveUp::Unknown));
+    assert_eq!(
+        next_step(failed, facts(Repeat::Idempotent)),
+        NextStep::Repeat { otherwise }
+    );
+    assert_eq!(
+        next_step(failed, facts(Repeat::AtMostOnce)),
+        NextStep::GiveUp(GiveUp::Unknown)
+    );
 }
 
 /// Guards against telling a caller that a request has not run although an earlier attempt may
--- a/xtask/src/soak/caller.rs
+++ b/xtask/src/soak/caller.rs
@@ -101,7 +101,13 @@
         let was_kept = connection.is_kept();
         let was_calm = parts.calm.is_calm();
         let (ended, keep) = connection.send(&sent);
-        note(parts, &sent, &ended, was_kept, was_calm && parts.calm.is_calm());
+        note(
+            parts,
+            &sent,
+            &ended,
+            was_kept,
+            was_calm && parts.calm.is_calm(),
+        );
         if keep && random.random_bool(0.8) {
             kept = Some(connection);
         }
@@ -111,7 +117,10 @@
 fn request(random: &mut SmallRng) -> Sent {
     let id = format!("{:016x}", random.random::<u64>());
     let (path, body) = match random.random_range(0..3) {
-        0 => (format!("/orders/{}", random.random_range(0..50)), b"order".to_vec()),
+        0 => (
+            format!("/orders/{}", random.random_range(0..50)),
+            b"order".to_vec(),
+        ),
         1 => (format!("/stock/{}", random.random_range(0..50)), Vec::new()),
         _ => (format!("/feed/{}", random.random_range(0..50)), Vec::new()),
     };
@@ -135,6 +144,7 @@
             let ms = after.as_millis();
             ledger.broken(format!("LOST: {} was cut off after {ms} ms", sent.id));
         }
-        Ended::Served | Ended::Failed(_) | Ended::Cut { .. } | Ended::NotSent | Ended::TimedOut => {}
+        Ended::Served | Ended::Failed(_) | Ended::Cut { .. } | Ended::NotSent | Ended::TimedOut => {
+        }
     }
 }
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -144,7 +144,10 @@
             world.sites[index].node.signal(Signal::Term)?;
             let id = world.sites[index].node.id();
             let ended = Instant::now() + GRACE;
-            pending.push((Instant::now() + POLL, Later::NodeAfterStop(index, id, ended)));
+            pending.push((
+                Instant::now() + POLL,
+                Later::NodeAfterStop(index, id, ended),
+            ));
         }
         Fault::FreezeNode => {
             world.sites[index].node.signal(Signal::Stop)?;
@@ -167,8 +170,12 @@
             pending.push((until, Later::TargetBack(index)));
         }
         Fault::TargetLeaves => target_leaves(world, index, until, pending),
-        Fault::TargetConnections => connections(world, index, |site| &site.target_proxy, until, pending),
-        Fault::LinkConnections => connections(world, index, |site| &site.link_proxy, until, pending),
+        Fault::TargetConnections => {
+            connections(world, index, |site| &site.target_proxy, until, pending);
+        }
+        Fault::LinkConnections => {
+            connections(world, index, |site| &site.link_proxy, until, pending);
+        }
         Fault::Configuration => world.write_config(),
         Fault::ConfigurationStorm => {
             for _ in 0..5 {
@@ -198,7 +205,9 @@
                 site.restart_node()?;
             } else if Instant::now() > ended && world.calm.is_calm() {
                 let name = &site.name;
-                world.ledger.broken(format!("STOP: {name} still runs after its grace time"));
+                world
+                    .ledger
+                    .broken(format!("STOP: {name} still runs after its grace time"));
                 site.restart_node()?;
             } else if Instant::now() > ended + GRACE {
                 site.restart_node()?;
@@ -240,7 +249,9 @@
     };
     let instance = target.instance().to_owned();
     if target.leave(says_draining) {
-        world.ledger.leave_acknowledged(&instance, Instant::now() + DRAIN);
+        world
+            .ledger
+            .leave_acknowledged(&instance, Instant::now() + DRAIN);
     }
     let gone = until + DRAIN;
     pending.push((until, Later::LateHeartbeat(index)));
@@ -281,7 +292,11 @@
         return Ok(());
     };
     ledger.trial_ordered(&version);
-    world.store.put("rollouts", service, wire::rollout(service, &version, FINISH_IN));
+    world.store.put(
+        "rollouts",
+        service,
+        wire::rollout(service, &version, FINISH_IN),
+    );
     world.sites[*first].start_bad_version(&version, &ledger)?;
     world.trial = Some((service, version, Instant::now() + FINISH_IN));
     Ok(())
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -133,12 +133,16 @@
             let found = seen.runs.binary_search_by(|(known, ..)| known.cmp(id));
             // An idempotent request promises the same: a refusal means that it has not run.
             if found.is_ok() {
-                broken.push(format!("NOT RUN: {id} ran although its caller was told otherwise"));
+                broken.push(format!(
+                    "NOT RUN: {id} ran although its caller was told otherwise"
+                ));
             }
         }
         let (all, bad) = seen.trial_runs;
         if bad > all / TRIAL_SHARE + TRIAL_ALLOWANCE {
-            broken.push(format!("EXPOSURE: the bad version ran {bad} of {all} requests"));
+            broken.push(format!(
+                "EXPOSURE: the bad version ran {bad} of {all} requests"
+            ));
         }
         broken
     }
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -38,7 +38,11 @@
     #[options(no_short, meta = "N", help = "nodes with a target each (default 6)")]
     pub nodes: Option<usize>,
     /// Where logs of the processes go.
-    #[options(no_short, meta = "DIR", help = "directory for logs (default target/soak)")]
+    #[options(
+        no_short,
+        meta = "DIR",
+        help = "directory for logs (default target/soak)"
+    )]
     pub logs: Option<PathBuf>,
 }
 
@@ -83,7 +87,9 @@
     let directory = logs.join(seed.to_string());
     std::fs::create_dir_all(&directory)
         .map_err(|error| Error::resource(directory.display().to_string(), error))?;
-    let mut world = World::start(seed, nodes, &directory)?;
+    // Another program may take a port between its choice and its use.
+    let mut world =
+        World::start(seed, nodes, &directory).or_else(|_| World::start(seed, nodes, &directory))?;
     world.wait_until_served();
     faults::inject(&mut world, FAULT_TIME)?;
     world.heal()?;
--- a/xtask/src/soak/proxy.rs
+++ b/xtask/src/soak/proxy.rs
@@ -88,12 +88,20 @@
 
     /// `set_mode` changes what happens to the bytes from now on.
     pub fn set_mode(&self, mode: Mode) {
-        *self.shared.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+        *self
+            .shared
+            .mode
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
     /// `reset` ends all open connections; new ones can be made.
     pub fn reset(&self) {
-        let mut open = self.shared.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut open = self
+            .shared
+            .open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         for stream in open.drain(..) {
             // A connection that has ended needs no reset.
             let _ = stream.shutdown(Shutdown::Both);
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -30,8 +30,8 @@
 use crate::harness::process::Signal;
 use crate::harness::programs::Programs;
 use crate::soak::caller;
-use crate::soak::caller::Calm;
 use crate::soak::caller::CallerParts;
+use crate::soak::caller::Calm;
 use crate::soak::caller::HOST;
 use crate::soak::ledger::Ledger;
 use crate::soak::proxy::Mode;
@@ -156,9 +156,16 @@
         ];
         for shown in (2..=version).step_by(2) {
             let prefix = format!("/probe-{shown}/");
-            routes.push(wire::route(&format!("p{shown}"), HOST, &prefix, "feed", true));
+            routes.push(wire::route(
+                &format!("p{shown}"),
+                HOST,
+                &prefix,
+                "feed",
+                true,
+            ));
         }
-        self.store.put("config", "main", wire::config(version, &routes, &SERVICES));
+        self.store
+            .put("config", "main", wire::config(version, &routes, &SERVICES));
         self.config = (version, Instant::now());
     }
 
@@ -198,8 +205,9 @@
                 Some(false) if is_due => {
                     let name = &self.sites[index].name;
                     let ms = written.elapsed().as_millis();
-                    self.ledger
-                        .broken(format!("CONFIG: {name} lacks version {version} after {ms} ms"));
+                    self.ledger.broken(format!(
+                        "CONFIG: {name} lacks version {version} after {ms} ms"
+                    ));
                 }
                 _ => {}
             }
@@ -257,8 +265,9 @@
         let status = self.store.status("rollouts", service);
         if Instant::now() > *due && status["state"] != "rolled_back" {
             let state = &status["state"];
-            self.ledger
-                .broken(format!("ROLL-OUT: {service} {version} is {state} at its deadline"));
+            self.ledger.broken(format!(
+                "ROLL-OUT: {service} {version} is {state} at its deadline"
+            ));
         }
     }
 
@@ -345,7 +354,7 @@
     /// [`Error::Resource`] when the address cannot be bound.
     pub fn start_bad_version(&mut self, version: &str, ledger: &Arc<Ledger>) -> Result<()> {
         self.target = None;
-        self.version = version.to_owned();
+        version.clone_into(&mut self.version);
         self.fails_permille = 600;
         self.start_target(ledger)
     }
