--- a/crates/hemlockfall/src/cli/check.rs
+++ b/crates/hemlockfall/src/cli/check.rs
@@ -10,6 +10,7 @@
 use hemlockfall_core::catalogue::file::RouteFile;
 use hemlockfall_core::catalogue::file::ServiceFile;
 use hemlockfall_core::errors::Error;
+use hemlockfall_core::kernel::Program;
 use hemlockfall_core::settings::Settings;
 use hemlockfall_core::units;
 use smol_str::SmolStr;
@@ -28,7 +29,7 @@
         let services = load_catalogue(path)?;
         return output::print(&format!("{}: {}\n", path.display(), summary(&services)));
     }
-    Settings::load(path)?;
+    Settings::load_for(program_of(path), path)?;
     output::print(&format!("{}: the settings are valid\n", path.display()))
 }
 
@@ -42,6 +43,19 @@
     text
 }
 
+/// The settings of a sidecar have a section of that name; all others are those of a node.
+fn program_of(path: &Path) -> Program {
+    let has_sidecar = std::fs::read_to_string(path)
+        .ok()
+        .and_then(|text| text.parse::<Table>().ok())
+        .is_some_and(|table| table.contains_key("sidecar"));
+    if has_sidecar {
+        Program::Sidecar
+    } else {
+        Program::Node
+    }
+}
+
 /// A catalogue file has services; everything else is checked as settings.
 fn is_catalogue(path: &Path) -> bool {
     let Ok(text) = std::fs::read_to_string(path) else {
--- a/crates/hemlockfall/src/cli/pages.rs
+++ b/crates/hemlockfall/src/cli/pages.rs
@@ -104,13 +104,13 @@
     )
 }
 
-/// `settings_markdown` is the settings table of `docs/operations.md`.
+/// `settings_markdown` is the settings table of `docs/OPERATIONS.md`.
 #[must_use]
 pub fn settings_markdown() -> String {
     tables::render_markdown(&SETTINGS_HEADER, &setting_rows("`"))
 }
 
-/// `metrics_markdown` is the metrics table of `docs/operations.md`.
+/// `metrics_markdown` is the metrics table of `docs/OPERATIONS.md`.
 #[must_use]
 pub fn metrics_markdown() -> String {
     let mut rows = Vec::new();
--- a/crates/hemlockfall/tests/operator/pages.rs
+++ b/crates/hemlockfall/tests/operator/pages.rs
@@ -4,6 +4,7 @@
 
 use hemlockfall::cli::pages;
 use hemlockfall_core::kernel;
+use hemlockfall_core::kernel::Program;
 use hemlockfall_core::settings::Settings;
 
 use crate::file;
@@ -27,7 +28,7 @@
 #[test]
 fn committed_pages_equal_the_registry() {
     let errors = page("errors.md");
-    let operations = page("operations.md");
+    let operations = page("OPERATIONS.md");
 
     let settings_table = between(&operations, "settings");
     let metrics_table = between(&operations, "metrics");
@@ -45,14 +46,14 @@
     let settings = hemlockfall(&["settings", "--format", "markdown"]);
 
     assert_eq!(String::from_utf8_lossy(&errors.stdout), page("errors.md"));
-    let table = between(&page("operations.md"), "settings");
+    let table = between(&page("OPERATIONS.md"), "settings");
     assert!(String::from_utf8_lossy(&settings.stdout).starts_with(&table));
 }
 
 /// Guards against documented examples that the product refuses.
 #[test]
 fn documented_examples_are_valid() {
-    let operations = page("operations.md");
+    let operations = page("OPERATIONS.md");
     let blocks = operations.split("```toml\n").skip(1);
     let examples: Vec<&str> = blocks.filter_map(|rest| rest.split("```").next()).collect();
 
@@ -65,7 +66,7 @@
         })
         .collect();
 
-    assert_eq!(outputs.len(), 2);
+    assert_eq!(outputs.len(), 3);
     for output in outputs {
         assert_eq!(output.status.code(), Some(0), "{output:?}");
     }
@@ -92,8 +93,25 @@
 /// required key with a type for which this test knows no example.
 #[test]
 fn every_default_passes_its_own_check() {
+    for program in [Program::Node, Program::Sidecar] {
+        let text = settings_with_defaults(program);
+
+        let checked = Settings::parse_for(program, "defaults", &text);
+
+        assert!(
+            checked.is_ok(),
+            "{}",
+            checked.err().map_or(String::new(), |e| e.to_string())
+        );
+    }
+}
+
+/// A settings file of a program with every key.
+fn settings_with_defaults(program: Program) -> String {
     let mut text = String::new();
-    for plugin in kernel::plugins() {
+    let mut plugins = kernel::plugins();
+    plugins.retain(|plugin| plugin.program == program);
+    for plugin in plugins {
         writeln!(text, "[{}]", plugin.section).expect("writes to text");
         for spec in plugin.settings {
             let example = match spec.kind {
@@ -104,12 +122,5 @@
             writeln!(text, "{} = {value}", spec.key).expect("writes to text");
         }
     }
-
-    let checked = Settings::parse("defaults", &text);
-
-    assert!(
-        checked.is_ok(),
-        "{}",
-        checked.err().map_or(String::new(), |e| e.to_string())
-    );
+    text
 }
--- a/crates/sidecar/src/log.rs
+++ b/crates/sidecar/src/log.rs
@@ -72,7 +72,7 @@
         let has_room = self.buffer.len() < BUFFER_BYTES;
         if self.window_lines >= limit || !has_room {
             self.dropped += 1;
-            metrics::counter!("hemlockfall_log_lines_dropped_total").increment(1);
+            metrics::counter!("hemlockfall_sidecar_log_lines_dropped_total").increment(1);
             return false;
         }
         self.window_lines += 1;
@@ -118,7 +118,7 @@
             let chunk = self.buffer.len().min(CHUNK_BYTES);
             let Ok(written) = rustix::io::write(&output, &self.buffer[..chunk]) else {
                 // Nobody reads the output; the lines are lost and counted.
-                metrics::counter!("hemlockfall_log_lines_dropped_total").increment(1);
+                metrics::counter!("hemlockfall_sidecar_log_lines_dropped_total").increment(1);
                 self.buffer.clear();
                 return;
             };
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -178,12 +178,14 @@
                 json!({ "id": id, "status": status, "code": code, "config": config }),
             );
         }
-        metrics::counter!("hemlockfall_requests_total", "outcome" => "refused").increment(1);
+        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "refused")
+            .increment(1);
         self.answer_caller(caller, token, own_answer(status, code, Some(RETRY_SOON)));
     }
 
     fn log_unrouted(&mut self, id: &RequestId, host: &str, path: &str, version: u64) {
-        metrics::counter!("hemlockfall_requests_total", "outcome" => "no_route").increment(1);
+        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "no_route")
+            .increment(1);
         if self.log.admits(Urgency::Failure, self.now) {
             self.log.write(
                 "request",
@@ -214,6 +216,10 @@
         };
         let choice = balance::choose(&candidates, &demand, now, &mut self.random);
         let Some(node) = choice else {
+            if self.leave_trial(id) {
+                self.attempt(id);
+                return;
+            }
             let wait = candidates
                 .iter()
                 .map(|candidate| candidate.expected_wait_ms(now))
@@ -233,11 +239,25 @@
         }
     }
 
+    /// Sends a request that was meant for a version under trial to the others, when the version
+    /// has no target that can answer in time; tells whether that changed anything.
+    fn leave_trial(&mut self, id: u64) -> bool {
+        let Some(call) = self.calls.get_mut(id) else {
+            return false;
+        };
+        let is_trial = matches!(call.version, VersionRule::Only(_))
+            && !self.mesh.is_preference(&call.service);
+        if is_trial {
+            call.version = self.mesh.repeat_rule(&call.service);
+        }
+        is_trial
+    }
+
     fn no_candidate(&mut self, id: u64, refusal: Refusal, wait_ms: Option<f64>) {
         let Some(call) = self.calls.get_mut(id) else {
             return;
         };
-        call.trace.push(format!("entry:{refusal:?}"));
+        call.trace.push(format!("no candidate: {refusal:?}"));
         let wait = wait_ms.map_or(RETRY_SOON, |wait_ms| {
             Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
         });
@@ -282,12 +302,16 @@
     /// Takes in how an attempt ended and does what follows.
     pub(super) fn attempt_ended(&mut self, id: u64, end: AttemptEnd) {
         let now = self.now;
+        let Some(place) = self.calls.get(id).map(|call| call.place) else {
+            return;
+        };
+        let place_name = self.place_name(place);
         let Some(call) = self.calls.get_mut(id) else {
             return;
         };
-        let (node, place) = match call.place {
-            Place::Peer { peer, .. } => (peer, format!("peer{peer}")),
-            Place::Own(_) | Place::None => (OWN_NODE, "own".to_owned()),
+        let node = match place {
+            Place::Peer { peer, .. } => peer,
+            Place::Own(_) | Place::None => OWN_NODE,
         };
         call.place = Place::None;
         let outcome = match end {
@@ -317,7 +341,7 @@
                 Outcome::Failed(failure)
             }
         };
-        call.trace.push(format!("{place}:{outcome:?}"));
+        call.trace.push(format!("{place_name}: {outcome:?}"));
         call.tried.push(node);
         let facts = Facts {
             repeat: call.route.repeat,
@@ -348,7 +372,7 @@
             self.attempt(id);
         } else {
             if let Some(call) = self.calls.get_mut(id) {
-                call.trace.push("budget_used_up".to_owned());
+                call.trace.push("retry budget used up".to_owned());
             }
             self.give_up(id, otherwise);
         }
@@ -384,6 +408,10 @@
                 Place::Own(work) => self.is_waiting(work),
                 Place::Peer { .. } => false,
             };
+        let place_name = self.place_name(place);
+        if let Some(call) = self.calls.get_mut(id) {
+            call.trace.push(format!("{place_name}: no answer in time"));
+        }
         self.cancel_attempt(id, place);
         let answer = if has_not_run {
             own_answer(503, CODE_NO_TARGET, None)
@@ -408,7 +436,8 @@
         let Some(call) = self.calls.remove(id) else {
             return;
         };
-        metrics::counter!("hemlockfall_requests_total", "outcome" => "caller_gone").increment(1);
+        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "caller_gone")
+            .increment(1);
         if self.log.admits(Urgency::Failure, self.now) {
             let waited_ms = ms(self.now.saturating_sub(call.arrived));
             self.log.write(
@@ -421,6 +450,18 @@
         }
     }
 
+    /// Names the node of an attempt for the log.
+    fn place_name(&self, place: Place) -> String {
+        match place {
+            Place::None => "nowhere".to_owned(),
+            Place::Own(_) => "own target".to_owned(),
+            Place::Peer { peer, .. } => self.peers.get(peer).map_or_else(
+                || "unknown node".to_owned(),
+                |peer| peer.record.node.to_string(),
+            ),
+        }
+    }
+
     fn cancel_attempt(&mut self, id: u64, place: Place) {
         match place {
             Place::None => {}
@@ -434,8 +475,8 @@
             return;
         };
         let waited = self.now.saturating_sub(call.arrived);
-        metrics::counter!("hemlockfall_requests_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("hemlockfall_request_seconds").record(waited.as_secs_f64());
+        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("hemlockfall_sidecar_request_seconds").record(waited.as_secs_f64());
         let urgency = if answer.status < 400 {
             Urgency::Success
         } else {
@@ -468,7 +509,7 @@
         Outcome::NotRun(_) => "not_run",
         Outcome::Failed(_) => "unknown",
     };
-    metrics::counter!("hemlockfall_attempts_total", "result" => result).increment(1);
+    metrics::counter!("hemlockfall_sidecar_attempts_total", "result" => result).increment(1);
 }
 
 /// `is_allowed` tells whether a rule admits a version.
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -308,7 +308,7 @@
         if !link.is_dialed {
             return;
         }
-        metrics::counter!("hemlockfall_links_lost_total").increment(1);
+        metrics::counter!("hemlockfall_sidecar_links_lost_total").increment(1);
         let now = self.now;
         if let Some(found) = self.peers.get_mut(peer)
             && found.link == Some(id)
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -195,7 +195,7 @@
         }
         let age = self.mesh.config_age(self.now);
         if before.is_some() {
-            metrics::histogram!("hemlockfall_config_age_seconds").record(age.as_secs_f64());
+            metrics::histogram!("hemlockfall_sidecar_config_age_seconds").record(age.as_secs_f64());
         }
         self.state_line(
             "config_adopted",
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -420,7 +420,7 @@
         let lane = self.store.lane(channel);
         lane.failures = 0;
         lane.last_success = Some(now);
-        metrics::counter!("hemlockfall_store_calls_total", "result" => "done").increment(1);
+        metrics::counter!("hemlockfall_sidecar_store_calls_total", "result" => "done").increment(1);
         if std::mem::take(&mut self.store.is_lost) {
             self.state_line("store_regained", json!({}));
         }
@@ -441,7 +441,8 @@
         let not_before = now + backoff.mul_f64(jitter);
         lane.not_before = not_before;
         self.set_timer(not_before, Timer::Store);
-        metrics::counter!("hemlockfall_store_calls_total", "result" => "failed").increment(1);
+        metrics::counter!("hemlockfall_sidecar_store_calls_total", "result" => "failed")
+            .increment(1);
         if !std::mem::replace(&mut self.store.is_lost, true) {
             let last_success_ms = self
                 .store
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -219,7 +219,7 @@
     }
 
     fn reject_work(&mut self, id: WorkId, refusal: Refusal, retry_after: Duration) {
-        metrics::counter!("hemlockfall_rejected_total", "reason" => format!("{refusal:?}"))
+        metrics::counter!("hemlockfall_sidecar_rejected_total", "reason" => format!("{refusal:?}"))
             .increment(1);
         self.end_work(
             id,
@@ -336,7 +336,7 @@
             AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => {
                 self.target.gate.finished(&route, took, !has_failed);
                 self.tally(&route, has_failed, took);
-                metrics::histogram!("hemlockfall_run_seconds").record(took.as_secs_f64());
+                metrics::histogram!("hemlockfall_sidecar_run_seconds").record(took.as_secs_f64());
             }
         }
         if !has_failed && !self.suspects.is_empty() {
--- a/docs/generate.sh
+++ b/docs/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Rewrites docs/errors.md and the generated tables of docs/operations.md from the registry.
+# Rewrites docs/errors.md and the generated tables of docs/OPERATIONS.md from the registry.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,5 +16,5 @@
   !skipping { print }
   /^<!-- settings: begin -->$/ { print ENVIRON["SETTINGS"]; skipping = 1 }
   /^<!-- metrics: begin -->$/ { print ENVIRON["METRICS"]; skipping = 1 }
-' docs/operations.md)
-printf '%s\n' "$page" > docs/operations.md
+' docs/OPERATIONS.md)
+printf '%s\n' "$page" > docs/OPERATIONS.md
