Keep one link to a node that is known under two names

The node dials both, both links lead to the same process, and the second took the place of the first, which was closed 100 ms to 800 ms later with the calls on it. The target's node then cut the runs. Now the record of the dialled name is dropped, and the first link is kept.

--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -267,13 +267,16 @@
         let peer = self.take_record(record.clone());
         if is_new && self.follows_store() {
             // Nodes that start together may have missed each other in the store's list.
-            self.tell_all(&Frame::Record(record));
+            self.tell_all(&Frame::Record(record.clone()));
         }
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
-        link.peer = Some(peer);
+        let dialed_for = link.peer.replace(peer);
         if link.is_dialed {
+            if let Some(other) = dialed_for.filter(|other| *other != peer) {
+                self.address_taken_over(other, &record);
+            }
             self.link_established(peer, id);
         } else {
             let hello = Frame::Hello(self.own_record());
@@ -281,16 +284,44 @@
         }
     }
 
+    /// Another node than the dialled one has answered at an address: the record of the dialled
+    /// one is out of date, since its VM was replaced or since it was a seed without a name.
+    fn address_taken_over(&mut self, peer: u64, by: &NodeRecord) {
+        let Some(found) = self.peers.get_mut(peer) else {
+            return;
+        };
+        found.link = None;
+        let (name, is_older) = (
+            found.record.node.clone(),
+            found.record.incarnation <= by.incarnation,
+        );
+        self.state_line(
+            "address_taken_over",
+            json!({ "peer": name, "by": by.node, "is_forgotten": is_older }),
+        );
+        if is_older {
+            self.peers.remove(peer);
+        } else {
+            self.dial_failed(peer);
+        }
+    }
+
     fn link_established(&mut self, peer: u64, link: u64) {
         let now = self.now;
-        if let Some(found) = self.peers.get_mut(peer) {
-            found.link = Some(link);
-            found.is_linked = true;
-            found.dial_failures = 0;
-            found.load_at = now;
-            let name = found.record.node.clone();
-            self.state_line("link_established", json!({ "peer": name }));
+        let Some(found) = self.peers.get_mut(peer) else {
+            return;
+        };
+        if found.is_linked && found.link != Some(link) {
+            // The node was dialled under two names. The first link may have calls on it.
+            self.links.remove(link);
+            return;
         }
+        found.link = Some(link);
+        found.is_linked = true;
+        found.dial_failures = 0;
+        found.load_at = now;
+        let name = found.record.node.clone();
+        self.state_line("link_established", json!({ "peer": name }));
         if self.mesh.config().is_none() {
             self.ask_for_config(link);
         }
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// `runs_of` returns how often a request has run.
+    #[must_use]
+    pub fn runs_of(&self, id: &str) -> u32 {
+        let seen = self.lock();
+        let found = seen
+            .runs
+            .binary_search_by(|(known, ..)| known.as_str().cmp(id));
+        found.map_or(0, |index| seen.runs[index].2)
+    }
+
     /// `told_not_run` takes in that a caller was told that its request has not run.
     pub fn told_not_run(&self, id: &str) {
         self.lock().not_run.push(id.to_owned());
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -5,9 +5,9 @@
 
 mod caller;
 mod faults;
-mod ledger;
-mod proxy;
-mod world;
+pub mod ledger;
+pub mod proxy;
+pub mod world;
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -18,9 +18,13 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::soak::world::World;
+use crate::soak::world::WorldOptions;
 
 /// Time for which faults are injected.
 const FAULT_TIME: Duration = Duration::from_secs(9);
+const CALLERS_PER_NODE: u64 = 2;
+const RUN_TIME: Duration = Duration::from_millis(15);
+const SLOTS: u32 = 8;
 
 /// `SoakOptions` are the options of `soak`.
 #[derive(Clone, Debug, Options)]
@@ -88,8 +92,16 @@
     std::fs::create_dir_all(&directory)
         .map_err(|error| Error::resource(directory.display().to_string(), error))?;
     // Another program may take a port between its choice and its use.
-    let mut world =
-        World::start(seed, nodes, &directory).or_else(|_| World::start(seed, nodes, &directory))?;
+    let options = WorldOptions {
+        seed,
+        nodes,
+        callers_per_node: CALLERS_PER_NODE,
+        run_time: RUN_TIME,
+        slots: SLOTS,
+        ends_connections: false,
+        directory,
+    };
+    let mut world = World::start(&options).or_else(|_| World::start(&options))?;
     world.wait_until_served();
     faults::inject(&mut world, FAULT_TIME)?;
     world.heal()?;
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -39,10 +39,7 @@
 
 /// Services of the mesh; the targets take turns.
 pub const SERVICES: [&str; 2] = ["desk", "feed"];
-const CALLERS_PER_NODE: u64 = 2;
 const HEARTBEAT: Duration = Duration::from_millis(500);
-const RUN_TIME: Duration = Duration::from_millis(15);
-const SLOTS: u32 = 8;
 /// Time in which a fresh mesh must serve.
 const START_TIME: Duration = Duration::from_secs(12);
 /// Time after the last fault until the mesh must serve again.
@@ -53,6 +50,44 @@
 /// Time for a configuration to be in force at a node that nothing disturbs.
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
+/// `WorldOptions` say what is started.
+#[derive(Clone, Debug)]
+pub struct WorldOptions {
+    /// Seed of all choices.
+    pub seed: u64,
+    /// Nodes with a target each.
+    pub nodes: usize,
+    /// Callers that send requests all the time at each node.
+    pub callers_per_node: u64,
+    /// Time of a run at a target.
+    pub run_time: Duration,
+    /// Requests that a target runs at once.
+    pub slots: u32,
+    /// Whether targets end each connection with its first answer.
+    pub ends_connections: bool,
+    /// Where settings and logs go.
+    pub directory: PathBuf,
+}
+
+/// `SiteOptions` describe one VM.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// Name of the node.
+    pub name: String,
+    /// Service of the target.
+    pub service: &'static str,
+    /// Whether the VM starts for the first time.
+    pub is_first_start: bool,
+    /// Time of a run at the target.
+    pub run_time: Duration,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Whether the target ends each connection with its first answer.
+    pub ends_connections: bool,
+    /// Where settings and logs go.
+    pub directory: PathBuf,
+}
+
 /// `Site` is one VM: a node, its target and the proxies around them.
 pub struct Site {
     /// Name of the node.
@@ -61,8 +96,9 @@
     pub node: Process,
     /// Caller address of the node.
     pub callers: SocketAddr,
-    control: SocketAddr,
-    target_address: SocketAddr,
+    options: SiteOptions,
+    addresses: Addresses,
+    program: PathBuf,
     /// Service of the target.
     pub service: &'static str,
     /// Version of the target.
@@ -99,6 +135,8 @@
     pub config: (u64, Instant),
     /// Order of a bad version: service, version, and when it must have ended.
     pub trial: Option<(&'static str, String, Instant)>,
+    options: WorldOptions,
+    programs: Programs,
     stop: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
 }
@@ -108,35 +146,35 @@
     ///
     /// # Errors
     /// A process or a stand-in cannot be started.
-    pub fn start(seed: u64, nodes: usize, directory: &Path) -> Result<Self> {
+    pub fn start(options: &WorldOptions) -> Result<Self> {
         let store_address = ports::free_address()?;
         let store = Store::start(store_address).map_err(|error| Error::resource("store", error))?;
         let ledger: Arc<Ledger> = Arc::default();
         let calm: Arc<Calm> = Arc::default();
         let stop: Arc<AtomicBool> = Arc::default();
-        let programs = Programs::locate()?;
         let mut world = Self {
-            random: SmallRng::seed_from_u64(seed),
+            random: SmallRng::seed_from_u64(options.seed),
             store,
             sites: Vec::new(),
             ledger,
             calm,
             config: (0, Instant::now()),
             trial: None,
+            options: options.clone(),
+            programs: Programs::locate()?,
             stop,
             callers: Vec::new(),
         };
         world.write_config();
-        for index in 0..nodes {
-            let site = Site::start(index, &programs, store_address, directory, &world.ledger)?;
-            world.sites.push(site);
+        for index in 0..options.nodes {
+            world.add_site(&format!("n{index}"), SERVICES[index % SERVICES.len()], true)?;
         }
         for (index, site) in world.sites.iter().enumerate() {
-            for number in 0..CALLERS_PER_NODE {
+            for number in 0..options.callers_per_node {
                 let index = u64::try_from(index).unwrap_or(0);
                 world.callers.push(caller::start(CallerParts {
                     node: site.callers,
-                    seed: seed * 1000 + index * CALLERS_PER_NODE + number,
+                    seed: options.seed * 1000 + index * options.callers_per_node + number,
                     ledger: Arc::clone(&world.ledger),
                     calm: Arc::clone(&world.calm),
                     stop: Arc::clone(&world.stop),
@@ -146,6 +184,31 @@
         Ok(world)
     }
 
+    /// `add_site` starts one more VM.
+    ///
+    /// # Errors
+    /// A process or a stand-in cannot be started.
+    pub fn add_site(
+        &mut self,
+        name: &str,
+        service: &'static str,
+        is_first_start: bool,
+    ) -> Result<()> {
+        let options = SiteOptions {
+            name: name.to_owned(),
+            service,
+            is_first_start,
+            run_time: self.options.run_time,
+            slots: self.options.slots,
+            ends_connections: self.options.ends_connections,
+            directory: self.options.directory.clone(),
+        };
+        let store = self.store.address();
+        let site = Site::start(options, &self.programs, store, &self.ledger)?;
+        self.sites.push(site);
+        Ok(())
+    }
+
     /// `write_config` writes the next configuration; each adds a route that shows it is in force.
     pub fn write_config(&mut self) {
         let version = self.config.0 + 2;
@@ -286,28 +349,24 @@
 
 impl Site {
     fn start(
-        index: usize,
+        options: SiteOptions,
         programs: &Programs,
         store: SocketAddr,
-        directory: &Path,
         ledger: &Arc<Ledger>,
     ) -> Result<Self> {
-        let name = format!("n{index}");
-        let service = SERVICES[index % SERVICES.len()];
         let addresses = Addresses::choose()?;
         let store_proxy = Proxy::start(addresses.store, store)?;
         let target_proxy = Proxy::start(addresses.announced, addresses.target)?;
         let link_proxy = Proxy::start(addresses.advertised, addresses.peers)?;
-        let settings = write_settings(&name, service, &addresses, directory)?;
-        let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
-        let node = Process::start(&name, &programs.hemlockfall, arguments, directory)?;
+        let node = start_node(&options, &addresses, &programs.hemlockfall)?;
         let mut site = Self {
-            name,
+            name: options.name.clone(),
             node,
             callers: addresses.callers,
-            control: addresses.control,
-            target_address: addresses.target,
-            service,
+            service: options.service,
+            options,
+            addresses,
+            program: programs.hemlockfall.clone(),
             version: "v1".to_owned(),
             target: None,
             store_proxy,
@@ -322,6 +381,20 @@
         Ok(site)
     }
 
+    /// `replace_node` starts a node of another name at the addresses of this one, which ended
+    /// before, as when a VM is replaced by one that gets its address.
+    ///
+    /// # Errors
+    /// [`Error::Process`] when it cannot be started.
+    pub fn replace_node(&mut self, name: &str) -> Result<()> {
+        name.clone_into(&mut self.options.name);
+        name.clone_into(&mut self.name);
+        self.shown_version = 0;
+        self.calm_since = Instant::now();
+        self.node = start_node(&self.options, &self.addresses, &self.program)?;
+        Ok(())
+    }
+
     /// `start_target` starts the next life of the target.
     ///
     /// # Errors
@@ -332,18 +405,19 @@
             instance: format!("i-{}-{}", self.name, self.lives),
             service: self.service.to_owned(),
             version: self.version.clone(),
-            address: self.target_address,
-            announced: self.target_proxy.address(),
-            control: self.control,
+            address: self.addresses.target,
+            announced: self.addresses.announced,
+            control: self.addresses.control,
             heartbeat: HEARTBEAT,
-            run_time: RUN_TIME,
-            slots: SLOTS,
+            run_time: self.options.run_time,
+            slots: self.options.slots,
             fails_permille: self.fails_permille,
+            ends_connections: self.options.ends_connections,
         };
         let ledger = Arc::clone(ledger);
         let observer: RunObserver = Arc::new(move |run| ledger.run(&run));
         let target = Target::start(options, observer)
-            .map_err(|error| Error::resource(self.target_address.to_string(), error))?;
+            .map_err(|error| Error::resource(self.addresses.target.to_string(), error))?;
         self.target = Some(target);
         Ok(())
     }
@@ -405,18 +479,20 @@
     }
 }
 
-fn write_settings(
-    name: &str,
-    service: &str,
-    addresses: &Addresses,
-    directory: &Path,
-) -> Result<PathBuf> {
+fn start_node(options: &SiteOptions, addresses: &Addresses, program: &Path) -> Result<Process> {
+    let settings = write_settings(options, addresses)?;
+    let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
+    Process::start(&options.name, program, arguments, &options.directory)
+}
+
+fn write_settings(options: &SiteOptions, addresses: &Addresses) -> Result<PathBuf> {
+    let (name, service) = (&options.name, options.service);
     let text = format!(
         "[sidecar]\nname = \"{name}\"\nservice = \"{service}\"\ndata_centre = \"a\"\n\
          region = \"west\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
          advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
          metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
-         heartbeat_s = 0.5\nis_first_start = true\nlog_lines_per_s = 2000\n",
+         heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n",
         addresses.callers,
         addresses.peers,
         addresses.advertised,
@@ -425,8 +501,9 @@
         addresses.metrics,
         addresses.target,
         addresses.store,
+        options.is_first_start,
     );
-    let path = directory.join(format!("{name}.toml"));
+    let path = options.directory.join(format!("{name}.toml"));
     std::fs::write(&path, text)
         .map_err(|error| Error::resource(path.display().to_string(), error))?;
     Ok(path)
--- /dev/null
+++ b/xtask/tests/mesh.rs
@@ -0,0 +1,223 @@
+//! Small meshes of real nodes in situations that broke a promise before.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_standins::caller::Connection;
+use hemlockfall_standins::caller::Ended;
+use hemlockfall_standins::caller::Sent;
+use hemlockfall_standins::store::StoreFault;
+use xtask::harness::process::Signal;
+use xtask::soak::proxy::Mode;
+use xtask::soak::world::World;
+use xtask::soak::world::WorldOptions;
+
+const HOST: &str = "mesh.example";
+/// Time in which a fresh or changed mesh must serve.
+const SERVES_WITHIN: Duration = Duration::from_secs(12);
+const POLL: Duration = Duration::from_millis(50);
+
+fn world(test: &str, nodes: usize) -> WorldOptions {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join("mesh")
+        .join(test);
+    std::fs::create_dir_all(&directory).expect("the directory can be made");
+    WorldOptions {
+        seed: 1,
+        nodes,
+        callers_per_node: 0,
+        run_time: Duration::from_millis(15),
+        slots: 8,
+        ends_connections: false,
+        directory,
+    }
+}
+
+fn start(options: &WorldOptions) -> World {
+    // Another program may take a port between its choice and its use.
+    World::start(options)
+        .or_else(|_| World::start(options))
+        .expect("the mesh can be started")
+}
+
+/// A request of `path`; with a body it may run once at most.
+fn request(number: usize, path: &str, is_at_most_once: bool, deadline: Duration) -> Sent {
+    Sent {
+        id: format!("{path}-{number}-{:?}", thread::current().id()),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        body: if is_at_most_once {
+            b"order".to_vec()
+        } else {
+            Vec::new()
+        },
+        deadline,
+    }
+}
+
+fn send(node: SocketAddr, sent: &Sent) -> Ended {
+    match Connection::open(node) {
+        Ok(mut connection) => connection.send(sent).0,
+        Err(_) => Ended::NotSent,
+    }
+}
+
+/// Waits until a path is served through a node; tells whether it is.
+fn is_served_within(node: SocketAddr, path: &str, bound: Duration) -> bool {
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < bound {
+        number += 1;
+        let sent = request(number, path, false, Duration::from_secs(1));
+        if matches!(send(node, &sent), Ended::Served) {
+            return true;
+        }
+        thread::sleep(POLL);
+    }
+    false
+}
+
+/// Sends requests one after the other from several threads and returns the ends of those that
+/// were not served.
+fn unserved(nodes: &[SocketAddr], path: &'static str, lasts: Duration) -> Vec<String> {
+    let threads: Vec<_> = nodes
+        .iter()
+        .map(|node| {
+            let node = *node;
+            thread::spawn(move || {
+                let started = Instant::now();
+                let mut ends = Vec::new();
+                let mut number = 0;
+                while started.elapsed() < lasts {
+                    number += 1;
+                    let sent = request(number, path, true, Duration::from_millis(1500));
+                    let ended = send(node, &sent);
+                    if !matches!(ended, Ended::Served) {
+                        ends.push(format!("{}: {ended:?}", sent.id));
+                    }
+                }
+                ends
+            })
+        })
+        .collect();
+    threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("the caller ends"))
+        .collect()
+}
+
+/// Takes a target away so that its node knows.
+fn remove_target(world: &mut World, site: usize) {
+    let target = world.sites[site].target.take().expect("the target runs");
+    assert!(target.leave(false), "the leave is acknowledged");
+}
+
+/// Guards against a second link to a node that closes the first one with the calls on it: other
+/// nodes know the address of a replaced VM under the names of the old and of the new node.
+#[test]
+fn a_node_at_a_reused_address_loses_no_calls() {
+    let mut options = world("reused_address", 4);
+    options.run_time = Duration::from_millis(300);
+    let mut world = start(&options);
+    let first = world.sites[0].callers;
+    assert!(is_served_within(first, "/stock/1", SERVES_WITHIN));
+    remove_target(&mut world, 0);
+    world.sites[2]
+        .node
+        .signal(Signal::Kill)
+        .expect("the node runs");
+    thread::sleep(Duration::from_secs(4));
+
+    world.sites[2]
+        .replace_node("n2-new")
+        .expect("the node starts");
+    assert!(is_served_within(first, "/stock/1", SERVES_WITHIN));
+    let others = [0, 1, 3].map(|index| world.sites[index].callers);
+    let lost = unserved(&others.repeat(2), "/orders/1", Duration::from_secs(5));
+
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
+/// Guards against a request that is sent on a connection whose end has arrived together with
+/// the answer before it.
+#[test]
+fn a_connection_that_has_ended_gets_no_request() {
+    let mut options = world("ended_connection", 1);
+    options.slots = 1;
+    options.run_time = Duration::from_millis(20);
+    options.ends_connections = true;
+    let world = start(&options);
+    let node = world.sites[0].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+
+    let lost = unserved(&[node; 4], "/orders/1", Duration::from_secs(2));
+
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
+/// Guards against two nodes that start together and never hear of each other, as neither was in
+/// the store's list that the other has read.
+#[test]
+fn nodes_that_start_together_find_each_other() {
+    let mut world = start(&world("started_together", 3));
+    let first = world.sites[0].callers;
+    assert!(is_served_within(first, "/feed/1", SERVES_WITHIN));
+    for site in &world.sites {
+        site.store_proxy.set_mode(Mode::Silence);
+    }
+    thread::sleep(Duration::from_secs(5));
+    remove_target(&mut world, 1);
+    world
+        .store
+        .set_fault(StoreFault::Slow(Duration::from_millis(400)));
+
+    world.add_site("a", "desk", false).expect("the node starts");
+    world.add_site("b", "feed", false).expect("the node starts");
+    let found = is_served_within(world.sites[3].callers, "/feed/1", SERVES_WITHIN);
+
+    assert!(
+        found,
+        "a does not reach the only target of the service, beside b"
+    );
+}
+
+/// Guards against a node that has stood still and then runs calls whose callers have left.
+#[test]
+fn calls_that_waited_at_a_frozen_node_do_not_run() {
+    let mut world = start(&world("frozen_node", 2));
+    let node = world.sites[1].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    world.sites[0]
+        .node
+        .signal(Signal::Stop)
+        .expect("the node runs");
+    let threads: Vec<_> = (0..6)
+        .map(|number| {
+            thread::spawn(move || {
+                let sent = request(number, "/stock/2", false, Duration::from_millis(250));
+                let ended = send(node, &sent);
+                (sent.id, ended)
+            })
+        })
+        .collect();
+    let sent: Vec<(String, Ended)> = threads
+        .into_iter()
+        .map(|thread| thread.join().expect("the caller ends"))
+        .collect();
+    thread::sleep(Duration::from_millis(900));
+
+    world.sites[0]
+        .node
+        .signal(Signal::Continue)
+        .expect("the node runs");
+    thread::sleep(Duration::from_secs(1));
+
+    let late: Vec<_> = sent
+        .iter()
+        .filter(|(id, _)| world.ledger.runs_of(id) > 0)
+        .collect();
+    assert!(late.is_empty(), "{late:#?}");
+}
