Let calls age while they wait on a link, and begin none that is cancelled behind it

A call that had waited 1.4 s at a node that stood still ran as if fresh, was cancelled by the next frame, and reached the target 0.9 s after its caller had left. Now a call bears the sender's clock, the receiver subtracts what it waited beyond the shortest way seen lately, and a call whose cancelling or whose link's end has arrived with it is not begun.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -80,6 +80,8 @@
     pub is_repeat: bool,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// When it was sent, in milliseconds of the sender's clock.
+    pub sent_ms: u32,
     /// Time left until nobody waits, in milliseconds.
     pub deadline_ms: u32,
     /// Time left until the answer loses credit, in milliseconds; negative when it is late.
@@ -185,7 +187,10 @@
         load: LoadReport,
     },
     /// Asks for a sign of life.
-    Ping,
+    Ping {
+        /// When it was sent, in milliseconds of the sender's clock.
+        sent_ms: u32,
+    },
     /// A sign of life.
     Pong,
     /// A node that follows the store says what it knows.
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod frame;
 pub mod stream;
+pub mod transit;
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -13,6 +13,7 @@
 use crate::edge::frame::CallFrame;
 use crate::edge::frame::Frame;
 use crate::edge::frame::Refusal;
+use crate::edge::transit;
 use crate::fingerprint;
 use crate::model::LoadReport;
 use crate::model::Repeat;
@@ -74,6 +75,7 @@
             is_idempotent: call.route.repeat == Repeat::Idempotent,
             is_repeat: call.arrivals > 0,
             priority: call.route.priority,
+            sent_ms: transit::clock_ms(now),
             deadline_ms: whole_ms(call.deadline.saturating_sub(now)),
             due_ms: signed_ms(call.due, now),
             target_latency_ms: whole_ms(call.route.target_latency),
@@ -147,11 +149,19 @@
         Ok(())
     }
 
-    /// A call of another node for this node's target.
-    pub(super) fn take_call(&mut self, id: u64, frame: CallFrame) -> frame::Result<()> {
+    /// A call of another node for this node's target; `is_over` when its cancelling, or the end
+    /// of the link, has arrived with it.
+    pub(super) fn take_call(
+        &mut self,
+        id: u64,
+        frame: CallFrame,
+        is_over: bool,
+    ) -> frame::Result<()> {
         let Some(link) = self.links.get_mut(id) else {
             return Ok(());
         };
+        let now = self.now;
+        let waited = link.transit.delay(frame.sent_ms, now);
         let reader = &mut link.reader;
         let service = reader.decode(frame.service)?;
         let version = frame.version.map(|text| reader.decode(text)).transpose()?;
@@ -159,6 +169,9 @@
         let caller_service = reader.decode(frame.caller_service)?;
         let method = reader.decode(frame.method)?;
         let headers = reader.headers(frame.headers)?;
+        if is_over {
+            return Ok(());
+        }
         let request = HttpRequest {
             method,
             target: frame.path,
@@ -176,8 +189,10 @@
             && self.target.own.current().is_some_and(|target| {
                 target.service == service && version.is_none_or(|version| version == target.version)
             });
-        let now = self.now;
-        let due = shifted(now, frame.due_ms);
+        // The times left were true when the call was sent.
+        let sent = now.saturating_sub(waited);
+        let due = shifted(sent, frame.due_ms);
+        let deadline = sent + Duration::from_millis(frame.deadline_ms.into());
         let fingerprint = fingerprint::fingerprint(&service, &caller_service, &request);
         let origin = WorkOrigin::Link {
             link: id,
@@ -193,15 +208,22 @@
             is_repeat: frame.is_repeat,
             priority: frame.priority,
             due,
-            deadline: now + Duration::from_millis(frame.deadline_ms.into()),
+            deadline,
             target_latency: Duration::from_millis(frame.target_latency_ms.into()),
             fingerprint,
             offered: now,
             state: WorkState::Waiting,
         };
-        if !fits {
+        let refusal = if !fits {
+            Some(Refusal::NoTarget)
+        } else if deadline <= now {
+            Some(Refusal::TooLate)
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
             let end = AttemptEnd::NotRun {
-                refusal: Refusal::NoTarget,
+                refusal,
                 retry_after: Duration::ZERO,
             };
             self.answer_link(id, frame.call, &work.request_id, &work.route, end);
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -18,6 +18,8 @@
 use crate::edge::frame::TextWriter;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::edge::transit;
+use crate::edge::transit::Transit;
 use crate::fingerprint::Fingerprint;
 use crate::model::NodeRecord;
 use crate::node::Node;
@@ -57,6 +59,7 @@
     opened: Time,
     last_heard: Time,
     ping_sent: Option<Time>,
+    pub(super) transit: Transit,
     /// Calls without an answer.
     pub(super) calls: Vec<u64>,
 }
@@ -93,6 +96,7 @@
             opened: self.now,
             last_heard: self.now,
             ping_sent: None,
+            transit: Transit::default(),
             calls: Vec::new(),
         })
     }
@@ -111,6 +115,9 @@
                 }
                 let hello = Frame::Hello(self.own_record());
                 self.tell(link, &hello);
+                // The other end learns the shortest way before the first call.
+                let sent_ms = transit::clock_ms(self.now);
+                self.tell(link, &Frame::Ping { sent_ms });
             }
             Err(_) => self.dial_failed(peer),
         }
@@ -150,7 +157,7 @@
             link.last_heard = self.now;
             link.ping_sent = None;
         }
-        self.read_frames(id);
+        self.read_frames(id, reading != Reading::Open);
         match reading {
             Reading::Open => {}
             Reading::Ended => self.link_lost(id, "closed"),
@@ -158,31 +165,43 @@
         }
     }
 
-    fn read_frames(&mut self, id: u64) {
+    /// Takes the frames that have arrived. Calls are not begun when their cancelling, or the end
+    /// of the link, has arrived as well.
+    fn read_frames(&mut self, id: u64, is_over: bool) {
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
-        let input = std::mem::take(&mut link.input);
+        let mut frames = Vec::new();
+        let mut cancelled = Vec::new();
         let mut used = 0;
+        let mut failure = None;
         loop {
-            match frame::decode(&input[used..]) {
+            match frame::decode(&link.input[used..]) {
                 Ok(Some((frame, bytes))) => {
                     used += bytes;
-                    if let Err(error) = self.take_frame(id, frame) {
-                        self.link_malformed(id, error);
-                        return;
+                    if let Frame::Cancel { call } = frame {
+                        cancelled.push(call);
                     }
+                    frames.push(frame);
                 }
                 Ok(None) => break,
                 Err(error) => {
-                    self.link_malformed(id, error);
-                    return;
+                    failure = Some(error);
+                    break;
                 }
             }
         }
-        if let Some(link) = self.links.get_mut(id) {
-            link.input = input;
-            link.input.drain(..used);
+        link.input.drain(..used);
+        for frame in frames {
+            let is_cancelled =
+                matches!(&frame, Frame::Call(call) if cancelled.contains(&call.call));
+            if let Err(error) = self.take_frame(id, frame, is_over || is_cancelled) {
+                failure = Some(error);
+                break;
+            }
+        }
+        if let Some(error) = failure {
+            self.link_malformed(id, error);
         }
     }
 
@@ -190,7 +209,7 @@
         self.link_lost(id, &format!("{error:?}"));
     }
 
-    fn take_frame(&mut self, id: u64, frame: Frame) -> frame::Result<()> {
+    fn take_frame(&mut self, id: u64, frame: Frame, is_over: bool) -> frame::Result<()> {
         match frame {
             Frame::Hello(record) => self.take_hello(id, record),
             Frame::Record(record) => {
@@ -200,7 +219,7 @@
             }
             Frame::Left(left) => self.keep_leaves(left),
             Frame::RecordAck { sequence } => self.leaves_copied(sequence),
-            Frame::Call(call) => self.take_call(id, *call)?,
+            Frame::Call(call) => self.take_call(id, *call, is_over)?,
             Frame::Cancel { call } => self.take_cancel(id, call),
             Frame::Answer(answer) => self.take_answer(id, *answer)?,
             Frame::NotRun {
@@ -225,7 +244,12 @@
                 self.note_link_load(id, call, load);
                 self.link_call_ended(id, call, AttemptEnd::Failed(failure));
             }
-            Frame::Ping => self.tell(id, &Frame::Pong),
+            Frame::Ping { sent_ms } => {
+                if let Some(link) = self.links.get_mut(id) {
+                    link.transit.delay(sent_ms, self.now);
+                }
+                self.tell(id, &Frame::Pong);
+            }
             Frame::Pong => {}
             Frame::Beat { config, rollouts } => self.take_beat(id, config, rollouts),
             Frame::ConfigDelta(delta) => self.take_config_delta(id, *delta),
@@ -438,7 +462,8 @@
         if let Some(link) = self.links.get_mut(id) {
             link.ping_sent = Some(self.now);
         }
-        self.tell(id, &Frame::Ping);
+        let sent_ms = transit::clock_ms(self.now);
+        self.tell(id, &Frame::Ping { sent_ms });
     }
 
     /// After a pause every link may be gone without this node having noticed.
