Compare notes on the members of the mesh with a near node

Ruled out: a silent watch of the followers. yahata-3 had the change after 25 ms. Now each node sends a sum over its linked nodes to one near node 0.8 s and 2.5 s after its start and every 5 s, and is told the records when the sums differ.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -157,6 +157,13 @@
         /// Sequence of the record.
         sequence: u64,
     },
+    /// Says with which nodes the sender is connected; a node with others names its own.
+    Members {
+        /// Sum over the nodes, the sender included.
+        digest: u64,
+    },
+    /// Records of the nodes with which the sender is connected.
+    Peers(Vec<NodeRecord>),
     /// A request.
     Call(Box<CallFrame>),
     /// The caller no longer waits.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod edge;
 pub mod exposure;
 pub mod fingerprint;
+pub mod following;
 pub mod judge;
 pub mod log;
 pub mod model;
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -219,6 +219,8 @@
             }
             Frame::Left(left) => self.keep_leaves(left),
             Frame::RecordAck { sequence } => self.leaves_copied(sequence),
+            Frame::Members { digest } => self.take_members(id, digest),
+            Frame::Peers(records) => self.take_peers(records),
             Frame::Call(call) => self.take_call(id, *call, is_over)?,
             Frame::Cancel { call } => self.take_cancel(id, call),
             Frame::Answer(answer) => self.take_answer(id, *answer)?,
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod link_calls;
 mod links;
+mod members;
 mod mesh;
 mod peers;
 mod run;
@@ -296,6 +297,7 @@
         }
         self.check_callers();
         self.check_links();
+        self.check_members();
         self.check_connections();
         self.check_target();
         self.check_leaving();
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -18,6 +18,7 @@
 use crate::edge::frame::Frame;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::following::rank_of;
 use crate::model::ObjectRevision;
 use crate::node::Node;
 use crate::node::Socket;
@@ -463,10 +464,3 @@
         }
     }
 }
-
-/// Order in which nodes are chosen to follow the store; spread over the data centres.
-fn rank_of(name: &str) -> [u8; 8] {
-    let mut rank = [0; 8];
-    rank.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    rank
-}
