Replace followers of the store before the last one is lost

Now two followers must be heard; a node that loses the store says so at once, and a new follower gives its first sign at once.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -207,6 +207,8 @@
         /// Highest revision of a roll-out.
         rollouts: ObjectRevision,
     },
+    /// The sender no longer follows the store.
+    BeatsEnd,
     /// What changed since the configuration before.
     ConfigDelta(Box<ConfigDelta>),
     /// Asks for the whole configuration and the roll-outs.
--- a/crates/sidecar/src/following.rs
+++ b/crates/sidecar/src/following.rs
@@ -1,4 +1,22 @@
 //! Which nodes follow the store.
+//!
+//! Each waiting call to the store is charged, so a few nodes follow it and tell the others. The
+//! first ones in an order that all nodes share do so. When fewer than two of them are heard, since
+//! the others are cut off from the store or refused by it, further nodes follow as well, each a
+//! little later than the one before it.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+
+/// Nodes that follow whatever they hear.
+pub const FOLLOWERS: usize = 3;
+/// Followers to be heard. With a single one, the next change is late when it loses the store.
+const MIN_HEARD: usize = 2;
+/// Time beyond the interval of its signs after which a follower counts as silent.
+const SILENCE_MARGIN: Duration = Duration::from_millis(800);
+/// Lead of a node over the next one in the order, so that not all call a store that is away.
+const LEAD: Duration = Duration::from_millis(300);
 
 /// `Rank` is a node's place in an order that all nodes share.
 pub type Rank = [u8; 8];
@@ -11,3 +29,60 @@
     rank.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
     rank
 }
+
+/// `LinkedNode` is a node with which this one is connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkedNode {
+    /// Its place in the order.
+    pub rank: Rank,
+    /// When it last said that it follows the store.
+    pub heard_at: Option<Time>,
+}
+
+/// `Following` decides whether this node follows the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Following {
+    started: Time,
+    /// Since when too few followers are heard.
+    thin_since: Option<Time>,
+    is_follower: bool,
+}
+
+impl Following {
+    /// `new` begins with a node that does not follow.
+    #[must_use]
+    pub fn new(started: Time) -> Self {
+        Self {
+            started,
+            thin_since: None,
+            is_follower: false,
+        }
+    }
+
+    /// `is_follower` returns the last decision.
+    #[must_use]
+    pub fn is_follower(&self) -> bool {
+        self.is_follower
+    }
+
+    /// `update` decides again; `interval` is the time between two signs of a follower.
+    pub fn update(&mut self, own: Rank, linked: &[LinkedNode], interval: Duration, now: Time) {
+        let before = linked.iter().filter(|node| node.rank < own).count();
+        let silence = interval + SILENCE_MARGIN;
+        let heard = linked
+            .iter()
+            .filter_map(|node| node.heard_at)
+            .filter(|at| now.saturating_sub(*at) <= silence)
+            .count();
+        // A node that has just started has not had the time to hear any.
+        let is_new = now.saturating_sub(self.started) <= silence;
+        if before < FOLLOWERS || heard >= MIN_HEARD || is_new {
+            self.thin_since = None;
+            self.is_follower = before < FOLLOWERS;
+            return;
+        }
+        let since = *self.thin_since.get_or_insert(now);
+        let place = u32::try_from(before - FOLLOWERS).unwrap_or(u32::MAX);
+        self.is_follower = now.saturating_sub(since) >= LEAD.saturating_mul(place);
+    }
+}
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -254,6 +254,7 @@
             }
             Frame::Pong => {}
             Frame::Beat { config, rollouts } => self.take_beat(id, config, rollouts),
+            Frame::BeatsEnd => self.take_beats_end(id),
             Frame::ConfigDelta(delta) => self.take_config_delta(id, *delta),
             Frame::ConfigRequest => self.take_config_request(id),
             Frame::Config(config) => self.adopt_config(*config, "peer"),
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -274,6 +274,15 @@
         }
     }
 
+    /// A node has lost the store or leaves the following to others.
+    pub(super) fn take_beats_end(&mut self, link: u64) {
+        if let Some(peer) = self.links.get(link).and_then(|link| link.peer)
+            && let Some(peer) = self.peers.get_mut(peer)
+        {
+            peer.beat_at = None;
+        }
+    }
+
     pub(super) fn take_rollout_news(&mut self, news: Vec<RolloutNews>) {
         for item in news {
             let age = Duration::from_millis(item.age_ms.into());
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -303,6 +303,7 @@
         self.check_leaving();
         self.check_trials();
         self.check_stop();
+        self.check_following();
         self.drive_store();
         if self.rounds.is_multiple_of(FLUSH_ROUNDS) {
             self.log.flush();
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -18,10 +18,14 @@
 use crate::edge::frame::Frame;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::following::FOLLOWERS;
+use crate::following::Following;
+use crate::following::LinkedNode;
 use crate::following::rank_of;
 use crate::model::ObjectRevision;
 use crate::node::Node;
 use crate::node::Socket;
+use crate::node::TICK;
 use crate::node::Timer;
 use crate::node::ms;
 use crate::platform::NodeEntry;
@@ -29,8 +33,6 @@
 use crate::platform::StoreKind;
 use crate::platform::StoreReply;
 
-/// Nodes that follow the store; more than one, so that the loss of one delays nothing.
-const FOLLOWERS: usize = 3;
 /// Wait of a watch. A connection that went silent is noticed after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Time for an answer besides the wait.
@@ -38,10 +40,6 @@
 /// Shortest and longest time between failed calls.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 const BACKOFF_MAX: Duration = Duration::from_millis(1200);
-/// Age of the last sign of a follower after which the next node follows by itself; each further
-/// node in the order waits a little longer, so that not all call a store that is away.
-const UNLED_AFTER: Duration = Duration::from_millis(1300);
-const UNLED_STEP: Duration = Duration::from_millis(300);
 /// Time in which a starting node that does not follow waits for another node's configuration.
 const PEER_CONFIG_WAIT: Duration = Duration::from_millis(700);
 /// Rounds between two signs of a follower; more with many nodes, since all hear them.
@@ -85,6 +83,9 @@
     pub(super) nodes_after: Option<smol_str::SmolStr>,
     pub(super) is_lost: bool,
     pub(super) started: Time,
+    pub(super) following: Following,
+    /// Whether other nodes were last told that this one follows the store.
+    was_following: bool,
 }
 
 /// `Lane` is one connection with its call.
@@ -137,6 +138,8 @@
             nodes_after: None,
             is_lost: false,
             started: now,
+            following: Following::new(now),
+            was_following: false,
         }
     }
 
@@ -194,6 +197,7 @@
                 self.begin_store_call(channel, call);
             }
         }
+        self.note_following();
         if self.rounds.is_multiple_of(self.beat_rounds()) && self.last_tick == self.now {
             self.send_beat();
         }
@@ -215,7 +219,7 @@
         };
         match revision {
             None if self.should_list() => Some(StoreCall::List { kind, after: None }),
-            Some(revision) if self.should_follow() => Some(StoreCall::Watch {
+            Some(revision) if self.store.following.is_follower() => Some(StoreCall::Watch {
                 kind,
                 revision,
                 wait: WATCH_WAIT,
@@ -254,26 +258,23 @@
         }
     }
 
-    /// Tells whether this node is one of those that follow the store, or hears of none.
-    fn should_follow(&self) -> bool {
-        let own = rank_of(&self.settings.name);
-        let before = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.is_linked && rank_of(&peer.record.node) < own)
-            .count();
-        if before < FOLLOWERS {
-            return true;
-        }
-        let place = u32::try_from(before - FOLLOWERS).unwrap_or(u32::MAX);
-        let now = self.now;
-        let last_beat = self
+    /// Decides again whether this node follows the store.
+    pub(super) fn check_following(&mut self) {
+        let linked: Vec<LinkedNode> = self
             .peers
             .iter()
-            .filter_map(|(_, peer)| peer.beat_at)
-            .max()
-            .unwrap_or(self.store.started);
-        now.saturating_sub(last_beat) > UNLED_AFTER + UNLED_STEP.saturating_mul(place)
+            .filter(|(_, peer)| peer.is_linked)
+            .map(|(_, peer)| LinkedNode {
+                rank: rank_of(&peer.record.node),
+                heard_at: peer.beat_at,
+            })
+            .collect();
+        let rounds = u32::try_from(self.beat_rounds()).unwrap_or(u32::MAX);
+        let own = rank_of(&self.settings.name);
+        let interval = TICK.saturating_mul(rounds);
+        self.store
+            .following
+            .update(own, &linked, interval, self.now);
     }
 
     /// Tells whether this node reads the objects itself: it follows the store, or has waited for
@@ -290,7 +291,7 @@
             .count();
         let waited = self.now.saturating_sub(self.store.started);
         let is_without = self.mesh.config().is_none() && waited > PEER_CONFIG_WAIT;
-        before < FOLLOWERS || is_without || (waited > UNLED_AFTER && self.should_follow())
+        before < FOLLOWERS || is_without || self.store.following.is_follower()
     }
 
     /// Tells whether this node's watch on the configuration is in order.
@@ -303,6 +304,19 @@
         is_watching && is_recent && lane.failures == 0
     }
 
+    /// Tells other nodes at once when this node begins or ceases to follow the store.
+    fn note_following(&mut self) {
+        let follows = self.follows_store();
+        if std::mem::replace(&mut self.store.was_following, follows) == follows {
+            return;
+        }
+        if follows {
+            self.send_beat();
+        } else {
+            self.tell_all(&Frame::BeatsEnd);
+        }
+    }
+
     fn send_beat(&mut self) {
         if self.follows_store() {
             let beat = Frame::Beat {
@@ -458,6 +472,7 @@
                 }),
             );
         }
+        self.note_following();
         // An outcome that was not written is queued again by whoever decided it.
         if let Some(call @ StoreCall::RemoveNode(_)) = call {
             self.store.queue.push_back(call);
