Count a target's own rejections as failures of it

Cause: a target that rejects requests at once (grey failure of the kind shed) has free slots and short runs, so it looked idle and drew requests, each of which cost an arrival and mostly a repeat. Only failed runs counted against it. Test a_target_that_sheds_is_passed_over fails without the change.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// `rejected` returns the slot of a request that the target itself rejected. It answers fast
+    /// and would look idle, so the rejection counts as a failure.
+    pub fn rejected(&mut self) {
+        self.release();
+        self.failed_share += (1.0 - self.failed_share) * FAILURE_WEIGHT;
+    }
+
     /// `release` returns the slot of a request that did not run.
     pub fn release(&mut self) {
         self.running = self.running.saturating_sub(1);
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -332,6 +332,10 @@
             AttemptEnd::NotRun { .. } | AttemptEnd::Failed(_) => true,
         };
         match &end {
+            AttemptEnd::NotRun {
+                refusal: Refusal::ByTarget,
+                ..
+            } => self.target.gate.rejected(),
             AttemptEnd::NotRun { .. } => self.target.gate.release(),
             AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => {
                 self.target.gate.finished(&route, took, !has_failed);
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use common::at;
+use hemlockfall_sidecar::admission::Gate;
+use hemlockfall_sidecar::admission::Offer;
 use hemlockfall_sidecar::balance;
 use hemlockfall_sidecar::balance::Candidate;
 use hemlockfall_sidecar::balance::Demand;
@@ -34,6 +36,17 @@
     }
 }
 
+fn offer(id: u64) -> Offer {
+    Offer {
+        id,
+        route: "lookup".into(),
+        priority: 1,
+        due: at(300),
+        deadline: at(800),
+        target_latency: Duration::from_millis(300),
+    }
+}
+
 fn demand(answer_kib: f64) -> Demand {
     Demand {
         time_left: Duration::from_millis(300),
@@ -135,3 +148,26 @@
 
     assert!((60..140).contains(&near), "{near} of 200");
 }
+
+/// Load: a target that rejects half of its requests at once while its queue is empty. Guards
+/// against taking it for an idle one, which draws requests from the targets that run them.
+#[test]
+fn a_target_that_sheds_is_passed_over() {
+    let mut gate = Gate::default();
+    gate.set_slots(12);
+    for id in 0..60 {
+        gate.offer(offer(id), at(0));
+        if id % 2 == 0 {
+            gate.rejected();
+        } else {
+            gate.finished(&"lookup".into(), Duration::from_millis(100), true);
+        }
+    }
+    let shedding = Candidate {
+        load: gate.load_for("lookup"),
+        ..candidate(NEAR, Distance::DataCentre, 0)
+    };
+    let busy = candidate(OTHER, Distance::DataCentre, 16);
+
+    assert_eq!(choose(&[shedding, busy], &demand(1.0)), Some(OTHER));
+}
