Tell a record that changed while a link was made on the link

Now a link that is established gets the record if it has changed since the greeting, and the comparison of notes covers the state of the records as well as the names. Test a_target_that_opens_while_links_are_made_is_known fails before, passes twice.

--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -60,6 +60,8 @@
     last_heard: Time,
     ping_sent: Option<Time>,
     pub(super) transit: Transit,
+    /// Sequence of this node's record when the link was opened; it greets with that record.
+    greeted_with: u64,
     /// Calls without an answer.
     pub(super) calls: Vec<u64>,
 }
@@ -97,6 +99,7 @@
             last_heard: self.now,
             ping_sent: None,
             transit: Transit::default(),
+            greeted_with: self.record_sequence,
             calls: Vec::new(),
         })
     }
@@ -349,6 +352,12 @@
         found.load_at = now;
         let name = found.record.node.clone();
         self.state_line("link_established", json!({ "peer": name }));
+        let greeted_with = self.links.get(link).map(|link| link.greeted_with);
+        if greeted_with != Some(self.record_sequence) {
+            // What changed meanwhile was told on established links only.
+            let record = self.own_record();
+            self.tell(link, &Frame::Record(record));
+        }
         if self.mesh.config().is_none() {
             self.ask_for_config(link);
         }
--- a/crates/sidecar/src/node/members.rs
+++ b/crates/sidecar/src/node/members.rs
@@ -1,12 +1,12 @@
 //! Comparing the members of the mesh with another node.
 //!
 //! A node reads the list of nodes from the store once, when it starts. Two nodes that start
-//! together may both miss the other in it, so each node compares notes from time to time.
+//! together may both miss the other in it, and the news of a node may be lost with a link, so each
+//! node compares notes from time to time.
 
 use rand::RngExt;
 
 use crate::edge::frame::Frame;
-use crate::following::Rank;
 use crate::following::rank_of;
 use crate::model::NodeRecord;
 use crate::node::Node;
@@ -60,13 +60,17 @@
         }
     }
 
-    /// Does not depend on the order of the nodes.
+    /// Sums up the members and the state of their records, in any order.
     fn members_digest(&self) -> u64 {
-        let number = |rank: Rank| u64::from_le_bytes(rank);
         self.peers
             .iter()
             .filter(|(_, peer)| peer.is_linked)
-            .map(|(_, peer)| number(rank_of(&peer.record.node)))
-            .fold(number(rank_of(&self.settings.name)), u64::wrapping_add)
+            .map(|(_, peer)| number_of(&peer.record))
+            .fold(number_of(&self.own_record()), u64::wrapping_add)
     }
 }
+
+fn number_of(record: &NodeRecord) -> u64 {
+    let state = record.incarnation.wrapping_mul(31) ^ record.sequence;
+    u64::from_le_bytes(rank_of(&record.node)).wrapping_mul(state.wrapping_mul(2) | 1)
+}
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -221,3 +221,23 @@
         .collect();
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Guards against a target that no other node uses: its node has told the others about it before
+/// their links stood, and the greeting on the links was sent before the target was there.
+#[test]
+fn a_target_that_opens_while_links_are_made_is_known() {
+    let mut world = start(&world("opens_early", 2));
+    let other = world.sites[1].callers;
+    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    world.sites[1]
+        .link_proxy
+        .set_mode(Mode::Delay(Duration::from_millis(250)));
+
+    for round in 0..3 {
+        world.sites[0].restart_node().expect("the node starts");
+        thread::sleep(Duration::from_secs(1));
+
+        let is_served = is_served_within(other, "/stock/1", Duration::from_secs(3));
+        assert!(is_served, "round {round}");
+    }
+}
