Let requests that come back be due by the caller's first request

Now a refused request is remembered until its caller stops waiting. The same request with the same last moment, within 25 ms, is the same caller, and its answer is due by its first request. Pattern and guards against taking one caller for another: tests/returning.rs.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod model;
 pub mod node;
 pub mod platform;
+pub mod returning;
 pub mod router;
 pub mod settings;
 pub mod sizes;
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -49,6 +49,9 @@
 const MIN_RETRY: Duration = Duration::from_millis(40);
 const MAX_RETRY: Duration = Duration::from_millis(400);
 
+/// Lowest status after which callers come back.
+const FIRST_UNSERVED: u16 = 408;
+
 /// `Call` is one request of a caller.
 pub(crate) struct Call {
     caller: u64,
@@ -60,6 +63,10 @@
     pub(crate) version: VersionRule,
     fingerprint: Fingerprint,
     arrived: Time,
+    /// When the caller first asked for the same; earlier than `arrived` when it has come back.
+    since: Time,
+    /// When the caller stops waiting.
+    until: Time,
     pub(crate) due: Time,
     pub(crate) deadline: Time,
     /// Nodes that refused or failed the request.
@@ -144,6 +151,11 @@
             self.budget.count_call(&service, share, self.now);
         }
         let deadline = self.now + waits.min(route.timeout);
+        let until = self.now + waits;
+        let since = self
+            .returning
+            .first_asked(fingerprint, until)
+            .unwrap_or(self.now);
         let call = Call {
             caller,
             token,
@@ -153,7 +165,9 @@
             version,
             fingerprint,
             arrived: self.now,
-            due: self.now + route.target_latency,
+            since,
+            until,
+            due: since + route.target_latency,
             deadline,
             route,
             tried: Vec::new(),
@@ -475,6 +489,10 @@
             return;
         };
         let waited = self.now.saturating_sub(call.arrived);
+        if answer.status >= FIRST_UNSERVED {
+            self.returning
+                .refused(call.fingerprint, call.until, call.since, self.now);
+        }
         metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("hemlockfall_sidecar_request_seconds").record(waited.as_secs_f64());
         let urgency = if answer.status < 400 {
@@ -490,7 +508,9 @@
                 json!({
                     "id": call.request_id, "route": call.route.name, "service": call.service,
                     "version_rule": format!("{:?}", call.version), "status": answer.status,
-                    "outcome": outcome, "waited_ms": ms(waited), "attempts": call.trace,
+                    "outcome": outcome, "waited_ms": ms(waited),
+                    "asked_before_ms": ms(call.arrived.saturating_sub(call.since)),
+                    "priority": call.route.priority, "attempts": call.trace,
                     "config": config, "config_age_ms": config_age_ms,
                 }),
             );
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -57,6 +57,7 @@
 use crate::node::targets::TargetSide;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
+use crate::returning::Returning;
 use crate::settings::SidecarSettings;
 use crate::sizes::AnswerSizes;
 use crate::table::Table;
@@ -143,6 +144,7 @@
     budget: RetryBudget,
     suspects: Suspects,
     answer_sizes: AnswerSizes,
+    returning: Returning,
     mesh: Mesh,
     target: TargetSide,
     connections: Table<TargetConnection>,
@@ -180,6 +182,7 @@
             budget: RetryBudget::new(settings.budget()),
             suspects: Suspects::default(),
             answer_sizes: AnswerSizes::default(),
+            returning: Returning::default(),
             mesh: Mesh::default(),
             target: TargetSide::default(),
             connections: Table::default(),
--- /dev/null
+++ b/crates/sidecar/src/returning.rs
@@ -0,0 +1,70 @@
+//! Callers that come back after a refusal.
+//!
+//! A caller counts from its first request, so a request that comes back must be answered that
+//! much sooner to be in time. It does not say that it comes back, but it is the same request, and
+//! the caller stops waiting at the same moment as before.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::fingerprint::Fingerprint;
+
+/// Largest difference between the moments at which the same caller stops waiting: a caller says
+/// how long it waits in whole milliseconds, and its connection takes some to be made.
+const TOLERANCE: Duration = Duration::from_millis(25);
+/// Refused requests that are kept; a node that refuses more knows those refused last.
+const CAPACITY: usize = 4096;
+
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    fingerprint: Fingerprint,
+    /// When the caller stops waiting.
+    until: Time,
+    /// When it first asked.
+    since: Time,
+}
+
+/// `Returning` remembers refused and failed requests until their callers stop waiting.
+#[derive(Debug, Default)]
+pub struct Returning {
+    /// Sorted by fingerprint.
+    refused: Vec<Refused>,
+}
+
+impl Returning {
+    /// `refused` takes in that a request was not served: when its caller stops waiting, and when
+    /// it first asked.
+    pub fn refused(&mut self, fingerprint: Fingerprint, until: Time, since: Time, now: Time) {
+        if self.refused.len() >= CAPACITY {
+            self.refused.retain(|entry| entry.until > now);
+        }
+        if self.refused.len() >= CAPACITY {
+            let middle = now + (until.saturating_sub(now)) / 2;
+            self.refused.retain(|entry| entry.until > middle);
+        }
+        let index = self
+            .refused
+            .partition_point(|entry| entry.fingerprint <= fingerprint);
+        let entry = Refused {
+            fingerprint,
+            until,
+            since,
+        };
+        self.refused.insert(index, entry);
+    }
+
+    /// `first_asked` returns when the caller of a request first asked for it, if it comes back.
+    pub fn first_asked(&mut self, fingerprint: Fingerprint, until: Time) -> Option<Time> {
+        let start = self
+            .refused
+            .partition_point(|entry| entry.fingerprint < fingerprint);
+        let same = self.refused[start..]
+            .iter()
+            .take_while(|entry| entry.fingerprint == fingerprint);
+        let offset = same
+            .enumerate()
+            .find(|(_, entry)| entry.until.abs_diff(until) <= TOLERANCE)
+            .map(|(offset, _)| offset)?;
+        Some(self.refused.remove(start + offset).since)
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/returning.rs
@@ -0,0 +1,77 @@
+//! Tests of callers that come back after a refusal.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use hemlockfall_sidecar::fingerprint::Fingerprint;
+use hemlockfall_sidecar::returning::Returning;
+
+const STOCK: Fingerprint = 7;
+const OTHER: Fingerprint = 8;
+
+/// Load: half of a crowd was refused and comes back with what is left of its time. Guards against
+/// serving them as if they had just asked: their answers come late and take the slots of those
+/// that can be in time.
+#[test]
+fn a_caller_that_comes_back_has_waited() {
+    let mut returning = Returning::default();
+    for number in 0..100 {
+        returning.refused(
+            STOCK,
+            at(800 + number * 60),
+            at(number * 60),
+            at(number * 60),
+        );
+    }
+
+    let asked: Vec<Option<Duration>> = (0..100)
+        .map(|number| returning.first_asked(STOCK, at(803 + number * 60)))
+        .collect();
+
+    let expected: Vec<Option<Duration>> = (0..100).map(|number| Some(at(number * 60))).collect();
+    assert_eq!(asked, expected);
+}
+
+/// Guards against holding back another caller that asks for the same: it stops waiting at another
+/// moment.
+#[test]
+fn another_caller_of_the_same_request_has_not_waited() {
+    let mut returning = Returning::default();
+    returning.refused(STOCK, at(800), at(0), at(10));
+
+    let asked = [
+        returning.first_asked(STOCK, at(900)),
+        returning.first_asked(STOCK, at(700)),
+        returning.first_asked(OTHER, at(800)),
+    ];
+
+    assert_eq!(asked, [None; 3]);
+}
+
+/// Guards against one refusal that counts for two callers.
+#[test]
+fn a_refusal_counts_for_one_return() {
+    let mut returning = Returning::default();
+    returning.refused(STOCK, at(800), at(0), at(10));
+
+    let asked = [at(805), at(805)].map(|until| returning.first_asked(STOCK, until));
+
+    assert_eq!(asked, [Some(at(0)), None]);
+}
+
+/// Guards against memory that grows with a storm of refusals.
+#[test]
+fn a_storm_of_refusals_forgets_the_oldest() {
+    let mut returning = Returning::default();
+    for number in 0..50_000 {
+        let now = at(number);
+        returning.refused(number % 1000, at(number + 5_000), now, now);
+    }
+
+    let latest = returning.first_asked(999, at(49_999 + 5_000));
+    let oldest = returning.first_asked(0, at(5_000));
+
+    assert_eq!((latest, oldest), (Some(at(49_999)), None));
+}
