Let new nodes judge by all known nodes whether to follow the store

Cause: the decision that came with the replacement of followers counted linked nodes only, and a node that has just started has no links yet; nearly every node of a large mesh read the configuration from the store.

--- a/crates/sidecar/src/following.rs
+++ b/crates/sidecar/src/following.rs
@@ -30,11 +30,13 @@
     rank
 }
 
-/// `LinkedNode` is a node with which this one is connected.
+/// `KnownNode` is another node of the mesh.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LinkedNode {
+pub struct KnownNode {
     /// Its place in the order.
     pub rank: Rank,
+    /// Whether this node is connected with it.
+    pub is_linked: bool,
     /// When it last said that it follows the store.
     pub heard_at: Option<Time>,
 }
@@ -66,16 +68,20 @@
     }
 
     /// `update` decides again; `interval` is the time between two signs of a follower.
-    pub fn update(&mut self, own: Rank, linked: &[LinkedNode], interval: Duration, now: Time) {
-        let before = linked.iter().filter(|node| node.rank < own).count();
+    pub fn update(&mut self, own: Rank, nodes: &[KnownNode], interval: Duration, now: Time) {
         let silence = interval + SILENCE_MARGIN;
-        let heard = linked
+        // A node that has just started has not had the time to make its links and to hear any.
+        let is_new = now.saturating_sub(self.started) <= silence;
+        let before = nodes
+            .iter()
+            .filter(|node| node.rank < own && (node.is_linked || is_new))
+            .count();
+        let heard = nodes
             .iter()
+            .filter(|node| node.is_linked)
             .filter_map(|node| node.heard_at)
             .filter(|at| now.saturating_sub(*at) <= silence)
             .count();
-        // A node that has just started has not had the time to hear any.
-        let is_new = now.saturating_sub(self.started) <= silence;
         if before < FOLLOWERS || heard >= MIN_HEARD || is_new {
             self.thin_since = None;
             self.is_follower = before < FOLLOWERS;
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -20,7 +20,7 @@
 use crate::edge::stream::Stream;
 use crate::following::FOLLOWERS;
 use crate::following::Following;
-use crate::following::LinkedNode;
+use crate::following::KnownNode;
 use crate::following::rank_of;
 use crate::model::ObjectRevision;
 use crate::node::Node;
@@ -260,21 +260,19 @@
 
     /// Decides again whether this node follows the store.
     pub(super) fn check_following(&mut self) {
-        let linked: Vec<LinkedNode> = self
+        let nodes: Vec<KnownNode> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.is_linked)
-            .map(|(_, peer)| LinkedNode {
+            .map(|(_, peer)| KnownNode {
                 rank: rank_of(&peer.record.node),
+                is_linked: peer.is_linked,
                 heard_at: peer.beat_at,
             })
             .collect();
         let rounds = u32::try_from(self.beat_rounds()).unwrap_or(u32::MAX);
         let own = rank_of(&self.settings.name);
         let interval = TICK.saturating_mul(rounds);
-        self.store
-            .following
-            .update(own, &linked, interval, self.now);
+        self.store.following.update(own, &nodes, interval, self.now);
     }
 
     /// Tells whether this node reads the objects itself: it follows the store, or has waited for
--- a/crates/sidecar/tests/following.rs
+++ b/crates/sidecar/tests/following.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlockfall_sidecar::following::Following;
-use hemlockfall_sidecar::following::LinkedNode;
+use hemlockfall_sidecar::following::KnownNode;
 use hemlockfall_sidecar::following::Rank;
 
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -20,6 +20,8 @@
     following: Vec<Following>,
     heard_at: Vec<Option<Duration>>,
     has_store: Vec<bool>,
+    /// When all links stand.
+    linked_at: Duration,
     now: Duration,
 }
 
@@ -28,6 +30,7 @@
         following: vec![Following::new(STARTED); count.into()],
         heard_at: vec![None; count.into()],
         has_store: vec![true; count.into()],
+        linked_at: STARTED,
         now: STARTED,
     }
 }
@@ -40,17 +43,18 @@
             self.now += Duration::from_millis(100);
             for index in 0..self.following.len() {
                 let own = u8::try_from(index).expect("few nodes");
-                let linked: Vec<LinkedNode> = (0_u8..)
+                let known: Vec<KnownNode> = (0_u8..)
                     .zip(&self.heard_at)
                     .filter(|(place, _)| *place != own)
-                    .map(|(place, heard_at)| LinkedNode {
+                    .map(|(place, heard_at)| KnownNode {
                         rank: rank(place),
+                        is_linked: self.now >= self.linked_at,
                         heard_at: *heard_at,
                     })
                     .collect();
                 let following = &mut self.following[index];
                 let was_follower = following.is_follower();
-                following.update(rank(own), &linked, INTERVAL, self.now);
+                following.update(rank(own), &known, INTERVAL, self.now);
                 let is_beat = self.now.as_millis() % INTERVAL.as_millis() == 0;
                 let is_heard = following.is_follower() && self.has_store[index];
                 if is_heard && (is_beat || !was_follower) {
@@ -138,3 +142,15 @@
 
     assert_eq!((while_refused, after), (vec![0, 1, 2, 3], vec![0, 1, 2]));
 }
+
+/// Load: all nodes start at once and need a while to connect. Guards against a herd that reads
+/// the store, each because it sees no other node.
+#[test]
+fn nodes_without_links_do_not_all_follow_at_the_start() {
+    let mut nodes = nodes(70);
+    nodes.linked_at = STARTED + Duration::from_millis(900);
+
+    nodes.pass(Duration::from_millis(800));
+
+    assert_eq!(nodes.followers(), [0, 1, 2]);
+}
