Let new nodes wait for their links only before they follow the store

Cause: counting every known node kept new nodes waiting for entries of nodes that are gone for good; after a loss of all machines the configuration came 0.7 s later. Now a node takes all known nodes to live for 150 ms and 5 ms for each of them.

--- a/crates/sidecar/src/following.rs
+++ b/crates/sidecar/src/following.rs
@@ -18,6 +18,11 @@
 /// Lead of a node over the next one in the order, so that not all call a store that is away.
 const LEAD: Duration = Duration::from_millis(300);
 
+/// Time that a node needs after its start to connect with those that live, and for each node that
+/// it knows of. Until then it takes all of them to live.
+const LINK_TIME: Duration = Duration::from_millis(150);
+const LINK_TIME_PER_NODE: Duration = Duration::from_millis(5);
+
 /// `Rank` is a node's place in an order that all nodes share.
 pub type Rank = [u8; 8];
 
@@ -70,11 +75,12 @@
     /// `update` decides again; `interval` is the time between two signs of a follower.
     pub fn update(&mut self, own: Rank, nodes: &[KnownNode], interval: Duration, now: Time) {
         let silence = interval + SILENCE_MARGIN;
-        // A node that has just started has not had the time to make its links and to hear any.
-        let is_new = now.saturating_sub(self.started) <= silence;
+        let age = now.saturating_sub(self.started);
+        let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX);
+        let is_linking = age <= LINK_TIME + LINK_TIME_PER_NODE.saturating_mul(count);
         let before = nodes
             .iter()
-            .filter(|node| node.rank < own && (node.is_linked || is_new))
+            .filter(|node| node.rank < own && (node.is_linked || is_linking))
             .count();
         let heard = nodes
             .iter()
@@ -82,6 +88,8 @@
             .filter_map(|node| node.heard_at)
             .filter(|at| now.saturating_sub(*at) <= silence)
             .count();
+        // A node that has just started has not had the time to hear any.
+        let is_new = age <= silence;
         if before < FOLLOWERS || heard >= MIN_HEARD || is_new {
             self.thin_since = None;
             self.is_follower = before < FOLLOWERS;
