--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -4,8 +4,6 @@
 //! a link are sent once and referred to by number afterwards, since traffic between data centres
 //! is charged.
 
-use std::collections::VecDeque;
-
 use hemlockfall_core::ids::ServiceName;
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_http::http::Header;
@@ -225,8 +223,6 @@
         service: ServiceName,
         /// New version.
         version: VersionName,
-        /// Revision of the order.
-        order: ObjectRevision,
         /// Counts.
         evidence: Evidence,
     },
@@ -251,7 +247,7 @@
 /// `TextWriter` numbers the texts that were sent on a link.
 #[derive(Debug, Default)]
 pub struct TextWriter {
-    texts: VecDeque<SmolStr>,
+    texts: Vec<SmolStr>,
 }
 
 /// `TextReader` remembers the texts that arrived on a link.
@@ -271,7 +267,7 @@
         if self.texts.len() >= MAX_TEXTS || text.len() > MAX_TEXT_BYTES {
             return Text::Once(text.into());
         }
-        self.texts.push_back(text.into());
+        self.texts.push(text.into());
         Text::New(text.into())
     }
 
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -214,7 +214,7 @@
 
     fn take_frame(&mut self, id: u64, frame: Frame, is_over: bool) -> frame::Result<()> {
         match frame {
-            Frame::Hello(record) => self.take_hello(id, record),
+            Frame::Hello(record) => self.take_hello(id, &record),
             Frame::Record(record) => {
                 let sequence = record.sequence;
                 self.take_record(record);
@@ -268,7 +268,6 @@
             Frame::Evidence {
                 service,
                 version,
-                order: _,
                 evidence,
             } => self.take_evidence(&service, &version, evidence),
             Frame::StopTrial { service, version } => {
@@ -278,7 +277,7 @@
         Ok(())
     }
 
-    fn take_hello(&mut self, id: u64, record: NodeRecord) {
+    fn take_hello(&mut self, id: u64, record: &NodeRecord) {
         if record.node == self.settings.name {
             // An old entry of this node's own address.
             self.link_lost(id, "a link to itself");
@@ -305,7 +304,7 @@
         let dialed_for = link.peer.replace(peer);
         if link.is_dialed {
             if let Some(other) = dialed_for.filter(|other| *other != peer) {
-                self.address_taken_over(other, &record);
+                self.address_taken_over(other, record);
             }
             self.link_established(peer, id);
         } else {
@@ -412,6 +411,9 @@
             .filter(|(_, work)| matches!(work.origin, WorkOrigin::Link { link, .. } if link == id))
             .map(|(work, _)| work)
             .collect();
+        if !works.is_empty() {
+            self.state_line("link_lost_with_runs", json!({ "runs": works.len() }));
+        }
         for work in works {
             self.cancel_work(work);
         }
