--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -117,9 +117,13 @@
             }
             StoreObject::Node { entry, revision } => self.take_node_entry(entry, revision),
             StoreObject::Unreadable { name, reason } => {
+                metrics::counter!("hemlockfall_sidecar_objects_refused_total").increment(1);
                 self.state_line(
                     "object_unreadable",
-                    json!({ "name": name, "reason": reason }),
+                    json!({
+                        "name": name, "reason": reason,
+                        "config_in_force": self.mesh.config_version(),
+                    }),
                 );
             }
         }
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -96,6 +96,8 @@
     pub node: Process,
     /// Caller address of the node.
     pub callers: SocketAddr,
+    /// Address of the node's metrics page.
+    pub metrics: SocketAddr,
     options: SiteOptions,
     addresses: Addresses,
     program: PathBuf,
@@ -363,6 +365,7 @@
             name: options.name.clone(),
             node,
             callers: addresses.callers,
+            metrics: addresses.metrics,
             service: options.service,
             options,
             addresses,
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_standins::caller as wire;
 use hemlockfall_standins::caller::Connection;
 use hemlockfall_standins::caller::Ended;
 use hemlockfall_standins::caller::Sent;
 use hemlockfall_standins::store::StoreFault;
 use xtask::harness::process::Signal;
 use xtask::soak::proxy::Mode;
+use xtask::soak::world::CONFIG_APPLY;
+use xtask::soak::world::SERVICES;
 use xtask::soak::world::World;
 use xtask::soak::world::WorldOptions;
 
@@ -241,3 +244,42 @@
         assert!(is_served, "round {round}");
     }
 }
+
+/// Guards against a configuration that is taken over in part, or that takes what was in force with
+/// it, when one of its routes is of an unknown kind.
+#[test]
+fn an_unreadable_configuration_leaves_the_one_before_in_force() {
+    let mut world = start(&world("unknown_kind", 2));
+    let node = world.sites[0].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    let mut unknown = wire::route("odd", HOST, "/odd/", "desk", true);
+    unknown["type"] = "sometimes".into();
+    let version = world.config.0 + 1;
+
+    world
+        .store
+        .put("config", "main", wire::config(version, &[unknown], &SERVICES));
+    thread::sleep(Duration::from_secs(2));
+
+    let odd = send(node, &request(1, "/odd/1", false, Duration::from_secs(1)));
+    assert!(matches!(odd, Ended::NoRoute), "{odd:?}");
+    assert!(is_served_within(node, "/stock/2", POLL));
+    assert!(metrics_of(&world).contains("objects_refused_total 1"));
+    world.write_config();
+    let shown = format!("/probe-{}/x", world.config.0);
+    assert!(is_served_within(node, &shown, CONFIG_APPLY));
+}
+
+/// The metrics pages of all nodes; one or more of them follow the store.
+fn metrics_of(world: &World) -> String {
+    world
+        .sites
+        .iter()
+        .map(|site| {
+            ureq::get(format!("http://{}/metrics", site.metrics))
+                .call()
+                .and_then(|mut answer| answer.body_mut().read_to_string())
+                .expect("the metrics page is served")
+        })
+        .collect()
+}
