Treat the VM's link as a resource like the slots

Bodies were written to the sockets whole, so calls, beats and configurations waited behind them; requests were admitted by slots alone; and the price of a KiB, fitted to answers of a few KiB, kept every download in its data centre. Change: large answers are sent in parts at the rate of the link, earliest due first, so that small frames wait behind one part at most. The target's node counts the answers in progress and refuses a request whose answer the link cannot carry in time, before it runs. Nodes report the time until their link is free, and the choice of a node weighs it. The price of a way is relative to the mean size of the answers that a node has seen. Ruled out: measuring the rate of the link; the settings name it.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -42,6 +42,32 @@
     pub deadline: Time,
     /// Time in which the route's answers are worth their full credit.
     pub target_latency: Duration,
+    /// Room that the answer needs on the VM's link.
+    pub link: LinkNeed,
+}
+
+/// `LinkNeed` is what a large answer needs of the VM's link; nothing for a small one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkNeed {
+    /// When the link has carried the large answers of the requests taken on before.
+    pub free_at: Time,
+    /// Time that the link needs for the answer.
+    pub send: Duration,
+}
+
+impl LinkNeed {
+    /// `arrival` is when the answer of a run that ends at a time has been sent.
+    fn arrival(self, run_end: Time) -> Time {
+        if self.send.is_zero() {
+            return run_end;
+        }
+        run_end.max(self.free_at) + self.send
+    }
+
+    /// Tells whether the link, and not the run, decides when the answer is sent.
+    fn binds(self, run_end: Time) -> bool {
+        !self.send.is_zero() && self.free_at > run_end
+    }
 }
 
 /// `RejectReason` tells why a request was not given a slot; it has not run.
@@ -104,7 +130,9 @@
     pub fn offer(&mut self, offer: Offer, now: Time) -> Admission {
         let run = self.expected_run(&offer.route, offer.target_latency);
         if self.running < self.slots && self.waiting.is_empty() {
-            if now >= offer.deadline {
+            let is_late_on_link = offer.link.binds(now + run)
+                && offer.link.arrival(now + run) > latest_answer(&offer);
+            if now >= offer.deadline || is_late_on_link {
                 return self.reject(RejectReason::TooLate, &offer);
             }
             self.running += 1;
@@ -114,7 +142,8 @@
             return self.reject(RejectReason::QueueFull, &offer);
         }
         let index = self.place(&offer);
-        if now + self.expected_wait(index) + run > latest_answer(&offer) {
+        let run_end = now + self.expected_wait(index) + run;
+        if offer.link.arrival(run_end) > latest_answer(&offer) {
             return self.reject(RejectReason::TooLate, &offer);
         }
         self.waiting.insert(index, offer);
@@ -170,7 +199,7 @@
         while self.running < self.slots && !self.waiting.is_empty() {
             let offer = self.waiting.remove(0);
             let run = self.expected_run(&offer.route, offer.target_latency);
-            if now + run / 2 > latest_answer(&offer) {
+            if now + run / 2 + offer.link.send > latest_answer(&offer) {
                 dispatch.expired.push(offer.id);
                 continue;
             }
@@ -195,6 +224,8 @@
             run_ms: rounded(self.mean_run_ms),
             route_run_ms: 0,
             failed_permille: rounded(self.failed_share * 1000.0),
+            link_busy_ms: 0,
+            route_send_ms: 0,
         }
     }
 
@@ -235,7 +266,8 @@
         let mut index = from;
         while let Some(offer) = self.waiting.get(index) {
             let run = self.expected_run(&offer.route, offer.target_latency);
-            if now + self.expected_wait(index) + run > latest_answer(offer) {
+            let run_end = now + self.expected_wait(index) + run;
+            if offer.link.arrival(run_end) > latest_answer(offer) {
                 displaced.push(self.waiting.remove(index).id);
             } else {
                 index += 1;
--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -27,13 +27,19 @@
 const LATE_LOSS: f64 = 0.9;
 /// Part of its credit that a failed run loses; most are sent again.
 const FAILURE_LOSS: f64 = 0.7;
-/// Price of a KiB between data centres and between regions, in credits of one request.
-const DATA_CENTRE_PRICE: f64 = 0.10;
-const REGION_PRICE: f64 = 0.17;
+/// Price of the way of a request with an answer of the mean size, between data centres and between
+/// regions, in credits of one request. Bytes between data centres are charged by volume; what they
+/// cost is only known relative to what the mesh carries.
+const DATA_CENTRE_PRICE: f64 = 0.20;
+const REGION_PRICE: f64 = 0.18;
+/// Largest price of a way. Below the loss of a late answer, so that a request that its own data
+/// centre cannot answer in time goes elsewhere.
+const MAX_DATA_CENTRE_PRICE: f64 = 0.5;
+const MAX_REGION_PRICE: f64 = 0.8;
 /// Size of a request and its answer besides the answer's body, in KiB.
 const FRAME_KIB: f64 = 0.3;
 /// Size of an answer until one was seen, in KiB.
-const FIRST_ANSWER_KIB: f64 = 1.0;
+const FIRST_ANSWER_KIB: f64 = 2.0;
 /// Candidates within this distance of the best are chosen among at random, so that nodes that
 /// see the same reports do not all pick the same target.
 const TIE: f64 = 0.01;
@@ -67,12 +73,13 @@
         }
     }
 
-    /// Price of a KiB, in credits of one request.
-    fn price_per_kib(self) -> f64 {
+    /// Price of the way of a request, in credits of one request; `size` is that of its frames
+    /// relative to the mean.
+    fn price(self, size: f64) -> f64 {
         match self {
             Self::Own | Self::DataCentre => 0.0,
-            Self::Region => DATA_CENTRE_PRICE,
-            Self::Far => REGION_PRICE,
+            Self::Region => (DATA_CENTRE_PRICE * size).min(MAX_DATA_CENTRE_PRICE),
+            Self::Far => (REGION_PRICE * size).min(MAX_REGION_PRICE),
         }
     }
 
@@ -95,6 +102,16 @@
     pub time_left: Duration,
     /// Size of the answer's body, if answers of the route were seen, in KiB.
     pub answer_kib: Option<f64>,
+    /// Mean size of the answers of all routes, if any was seen, in KiB.
+    pub mean_kib: Option<f64>,
+}
+
+impl Demand {
+    /// Size of the request's frames relative to the mean.
+    fn size(&self) -> f64 {
+        let mean_kib = self.mean_kib.unwrap_or(FIRST_ANSWER_KIB);
+        (self.answer_kib.unwrap_or(mean_kib) + FRAME_KIB) / (mean_kib + FRAME_KIB)
+    }
 }
 
 /// `Candidate` is a node whose target runs the service.
@@ -126,11 +143,24 @@
         excess * known_or_first(self.load.run_ms) / slots
     }
 
+    /// Time beyond the end of a run until the answer has been sent on the node's link: as reported
+    /// while the report is fresh, then fading to what this node asked for itself.
+    fn link_wait_ms(&self, run_end_ms: f64, now: Time) -> f64 {
+        let send_ms = f64::from(self.load.route_send_ms);
+        if send_ms == 0.0 || self.distance == Distance::Own {
+            return 0.0;
+        }
+        let reported_ms = f64::from(self.load.link_busy_ms) * self.report_weight(now);
+        let busy_ms = reported_ms.max(f64::from(self.outstanding) * send_ms);
+        (busy_ms - run_end_ms).max(0.0) + send_ms
+    }
+
     /// `is_known_full` tells whether a fresh report rules out an answer within a time.
     #[must_use]
     pub fn is_known_full(&self, within: Duration, now: Time) -> bool {
         let is_fresh = now.saturating_sub(self.load_at) < FRESH;
-        is_fresh && self.expected_wait_ms(now) > within.as_secs_f64() * 1000.0
+        let wait_ms = self.expected_wait_ms(now);
+        is_fresh && wait_ms + self.link_wait_ms(wait_ms, now) > within.as_secs_f64() * 1000.0
     }
 
     /// Requests at the target: as reported while the report is fresh, then fading to those that
@@ -138,9 +168,12 @@
     fn busy(&self, now: Time) -> f64 {
         let reported = f64::from(self.load.running) + f64::from(self.load.queued);
         let own = f64::from(self.outstanding);
+        own.max(reported * self.report_weight(now))
+    }
+
+    fn report_weight(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.load_at);
-        let weight = (1.0 - age.as_secs_f64() / (3.0 * FRESH.as_secs_f64())).max(0.0);
-        own.max(reported * weight)
+        (1.0 - age.as_secs_f64() / (3.0 * FRESH.as_secs_f64())).max(0.0)
     }
 
     /// Credit that is expected to be lost by choosing this candidate.
@@ -150,13 +183,13 @@
             run_ms => f64::from(run_ms),
         };
         let way_ms = self.distance.round_trip().as_secs_f64() * 1000.0;
-        let wait_ms = self.expected_wait_ms(now) + way_ms;
+        let slot_ms = self.expected_wait_ms(now);
+        let wait_ms = slot_ms + way_ms + self.link_wait_ms(slot_ms + run_ms, now);
         let left_ms = demand.time_left.as_secs_f64() * 1000.0 - wait_ms;
-        let kib = demand.answer_kib.unwrap_or(FIRST_ANSWER_KIB) + FRAME_KIB;
         let failures = f64::from(self.load.failed_permille) / 1000.0;
         late_chance(run_ms, left_ms) * LATE_LOSS
             + failures * FAILURE_LOSS
-            + self.distance.price_per_kib() * kib
+            + self.distance.price(demand.size())
     }
 }
 
--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -93,6 +93,7 @@
     /// Header fields.
     pub headers: Vec<(Text, Text)>,
     /// Body.
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
 }
 
@@ -105,14 +106,27 @@
     pub status: u16,
     /// Header fields, without the id of the request if the target repeats it.
     pub headers: Vec<(Text, Text)>,
-    /// Body.
+    /// Body; empty when it follows in parts.
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
+    /// Bytes of the body that follow in parts.
+    pub parts_bytes: u32,
     /// Whether the answer bears the id of the request.
     pub has_request_id: bool,
     /// Load of the target.
     pub load: LoadReport,
 }
 
+/// `PartFrame` is the next piece of the body of a large answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartFrame {
+    /// The call.
+    pub call: u64,
+    /// The piece.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
 /// `Refusal` tells why a call has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
@@ -171,6 +185,8 @@
     },
     /// A target's answer.
     Answer(Box<AnswerFrame>),
+    /// A piece of the body of an answer that was begun.
+    AnswerPart(PartFrame),
     /// The request has not run and never will.
     NotRun {
         /// The call.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod sizes;
 pub mod table;
 pub mod target;
+pub mod uplink;
 
 mod plugin;
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -314,4 +314,9 @@
     pub route_run_ms: u16,
     /// Failed runs of late, in permille.
     pub failed_permille: u16,
+    /// Time until the VM's link has carried the large answers in progress, in milliseconds.
+    pub link_busy_ms: u16,
+    /// Time that the link needs for a usual answer of the route that the report came with, in
+    /// milliseconds; 0 for small answers.
+    pub route_send_ms: u16,
 }
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -227,6 +227,7 @@
         let demand = Demand {
             time_left,
             answer_kib: self.answer_sizes.kib(&call.route.name),
+            mean_kib: self.answer_sizes.overall_kib(),
         };
         let choice = balance::choose(&candidates, &demand, now, &mut self.random);
         let Some(node) = choice else {
@@ -304,6 +305,7 @@
             target_latency: call.route.target_latency,
             fingerprint: call.fingerprint,
             offered: self.now,
+            answer_bytes: 0,
             state: WorkState::Waiting,
         };
         let work = self.target.works.insert(work);
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -110,6 +110,7 @@
         };
         let before = found.calls.len();
         found.calls.retain(|open| *open != call);
+        found.incoming.retain(|incoming| incoming.call != call);
         found.calls.len() < before
     }
 
@@ -145,6 +146,10 @@
             headers.push(Header::new(self.names.request_id, call.request_id.clone()));
         }
         let http = HttpAnswer::new(answer.status, headers, answer.body);
+        if answer.parts_bytes > 0 {
+            self.expect_parts(id, answer.call, http, answer.parts_bytes);
+            return Ok(());
+        }
         self.link_call_ended(id, answer.call, AttemptEnd::Answered(Box::new(http)));
         Ok(())
     }
@@ -212,6 +217,7 @@
             target_latency: Duration::from_millis(frame.target_latency_ms.into()),
             fingerprint,
             offered: now,
+            answer_bytes: 0,
             state: WorkState::Waiting,
         };
         let refusal = if !fits {
@@ -226,15 +232,22 @@
                 refusal,
                 retry_after: Duration::ZERO,
             };
-            self.answer_link(id, frame.call, &work.request_id, &work.route, end);
+            self.answer_link(id, frame.call, &work, end);
             return Ok(());
         }
-        let work = self.target.works.insert(work);
+        let answer_bytes = self.large_answer_bytes(&work.route);
+        let work = self.target.works.insert(Work {
+            answer_bytes,
+            ..work
+        });
         self.offer_work(work);
         Ok(())
     }
 
     pub(super) fn take_cancel(&mut self, id: u64, call: u64) {
+        if self.cancel_transfer(id, call) {
+            return;
+        }
         let origin = WorkOrigin::Link { link: id, call };
         let found = self
             .target
@@ -248,22 +261,22 @@
     }
 
     /// Sends the result of a call back.
-    pub(super) fn answer_link(
-        &mut self,
-        id: u64,
-        call: u64,
-        request_id: &RequestId,
-        route: &str,
-        end: AttemptEnd,
-    ) {
-        let load = self.target.gate.load_for(route);
+    pub(super) fn answer_link(&mut self, id: u64, call: u64, work: &Work, end: AttemptEnd) {
+        let load = self.load_for(&work.route);
         let name = self.names.request_id;
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
+        let mut large_body = None;
         let frame = match end {
             AttemptEnd::Answered(answer) => {
-                let has_request_id = answer.header(name) == Some(request_id.as_str());
+                let has_request_id = answer.header(name) == Some(work.request_id.as_str());
+                let mut body = answer.body;
+                let mut parts_bytes = 0;
+                if self.uplink.is_large(body.len()) {
+                    parts_bytes = u32::try_from(body.len()).unwrap_or(u32::MAX);
+                    large_body = Some(std::mem::take(&mut body));
+                }
                 let mut headers = answer.headers;
                 headers.retain(|header| {
                     let is_id = header.name.eq_ignore_ascii_case(name);
@@ -274,7 +287,8 @@
                     call,
                     status: answer.status,
                     headers: link.writer.headers(&headers),
-                    body: answer.body,
+                    body,
+                    parts_bytes,
                     has_request_id,
                     load,
                 }))
@@ -295,6 +309,9 @@
             },
         };
         self.tell(id, &frame);
+        if let Some(body) = large_body {
+            self.begin_transfer(id, call, body, work.due);
+        }
     }
 }
 
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -27,6 +27,7 @@
 use crate::node::calls::AttemptEnd;
 use crate::node::ms;
 use crate::node::targets::WorkOrigin;
+use crate::node::transfers::Incoming;
 
 /// Silence with calls outstanding after which a sign of life is asked for.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -64,6 +65,8 @@
     greeted_with: u64,
     /// Calls without an answer.
     pub(super) calls: Vec<u64>,
+    /// Large answers that have not arrived whole.
+    pub(super) incoming: Vec<Incoming>,
 }
 
 impl Link {
@@ -101,6 +104,7 @@
             transit: Transit::default(),
             greeted_with: self.record_sequence,
             calls: Vec::new(),
+            incoming: Vec::new(),
         })
     }
 
@@ -227,6 +231,7 @@
             Frame::Call(call) => self.take_call(id, *call, is_over)?,
             Frame::Cancel { call } => self.take_cancel(id, call),
             Frame::Answer(answer) => self.take_answer(id, *answer)?,
+            Frame::AnswerPart(part) => self.take_part(id, &part)?,
             Frame::NotRun {
                 call,
                 refusal,
@@ -368,6 +373,7 @@
             return;
         };
         self.works_without_link(id);
+        self.cancel_transfers_on(id);
         let Some(peer) = link.peer else {
             return;
         };
@@ -501,6 +507,7 @@
         };
         let mut bytes = Vec::new();
         frame::encode(frame, &mut bytes);
+        self.uplink.note_sent(bytes.len(), self.now);
         // A failed link shows in its next event, or by its silence.
         let _ = link.stream.send(&bytes);
     }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod store;
 mod store_replies;
 mod targets;
+mod transfers;
 mod trials;
 
 use std::cmp::Reverse;
@@ -55,12 +56,14 @@
 use crate::node::signals::SignalPipe;
 use crate::node::store::StoreSync;
 use crate::node::targets::TargetSide;
+use crate::node::transfers::Outgoing;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
 use crate::returning::Returning;
 use crate::settings::SidecarSettings;
 use crate::sizes::AnswerSizes;
 use crate::table::Table;
+use crate::uplink::Uplink;
 
 pub use run::run;
 
@@ -104,6 +107,8 @@
     Work(WorkId),
     /// A call to the store is due or has taken too long.
     Store,
+    /// The VM's link takes the next part of a large answer.
+    Uplink,
 }
 
 /// `Parts` is what a node is made of.
@@ -151,6 +156,9 @@
     leaving: Vec<Leaving>,
     peers: Table<Peer>,
     links: Table<Link>,
+    uplink: Uplink,
+    uplink_timer: Option<Time>,
+    transfers: Table<Outgoing>,
     record_sequence: u64,
     store: StoreSync,
     stopping_since: Option<Time>,
@@ -189,6 +197,9 @@
             leaving: Vec::new(),
             peers: Table::default(),
             links: Table::default(),
+            uplink: Uplink::new(settings.link_bytes_per_s()),
+            uplink_timer: None,
+            transfers: Table::default(),
             record_sequence: 1,
             store: StoreSync::new(now),
             stopping_since: None,
@@ -286,6 +297,7 @@
             Timer::Call(id) => self.call_overdue(id),
             Timer::Work(id) => self.work_overdue(id),
             Timer::Store => self.drive_store(),
+            Timer::Uplink => self.drive_uplink(),
         }
     }
 
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -38,18 +38,25 @@
     pub(super) dial_failures: u32,
     pub(super) load: LoadReport,
     pub(super) load_at: Time,
-    /// Mean run times by route, sorted, in milliseconds.
-    pub(super) route_runs: Vec<(RouteName, u16)>,
+    /// Mean run times and times on the link by route, sorted.
+    pub(super) route_runs: Vec<(RouteName, RouteTimes)>,
     pub(super) outstanding: u16,
     /// When the node last said that it follows the store.
     pub(super) beat_at: Option<Time>,
 }
 
+/// `RouteTimes` are what a node has reported of a route.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RouteTimes {
+    run_ms: u16,
+    send_ms: u16,
+}
+
 impl Peer {
-    fn route_run_ms(&self, route: &RouteName) -> u16 {
+    fn route_times(&self, route: &RouteName) -> RouteTimes {
         self.route_runs
             .binary_search_by(|(name, _)| name.cmp(route))
-            .map_or(0, |index| self.route_runs[index].1)
+            .map_or(RouteTimes::default(), |index| self.route_runs[index].1)
     }
 }
 
@@ -156,13 +163,17 @@
         let Some(route) = route.filter(|_| load.route_run_ms > 0) else {
             return;
         };
+        let times = RouteTimes {
+            run_ms: load.route_run_ms,
+            send_ms: load.route_send_ms,
+        };
         match peer
             .route_runs
             .binary_search_by(|(name, _)| name.cmp(&route))
         {
-            Ok(index) => peer.route_runs[index].1 = load.route_run_ms,
+            Ok(index) => peer.route_runs[index].1 = times,
             Err(index) if peer.route_runs.len() < MAX_ROUTES => {
-                peer.route_runs.insert(index, (route, load.route_run_ms));
+                peer.route_runs.insert(index, (route, times));
             }
             Err(_) => peer.route_runs.clear(),
         }
@@ -209,8 +220,10 @@
                 && !call.tried.contains(&id)
                 && !self.is_suspect(peer);
             if is_usable {
+                let times = peer.route_times(&call.route.name);
                 let load = LoadReport {
-                    route_run_ms: peer.route_run_ms(&call.route.name),
+                    route_run_ms: times.run_ms,
+                    route_send_ms: times.send_ms,
                     ..peer.load
                 };
                 candidates.push(Candidate {
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -69,6 +69,8 @@
     pub(crate) target_latency: Duration,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) offered: Time,
+    /// Expected size of its answer if that is large and leaves the VM; 0 else.
+    pub(crate) answer_bytes: usize,
     pub(crate) state: WorkState,
 }
 
@@ -117,6 +119,7 @@
             self.reject_work(id, Refusal::Suspected, Duration::ZERO);
             return;
         }
+        let link = self.link_need(work.answer_bytes);
         let offer = Offer {
             id,
             route: work.route.clone(),
@@ -124,7 +127,9 @@
             due: work.due,
             deadline,
             target_latency: work.target_latency,
+            link,
         };
+        self.uplink.expect(work.answer_bytes);
         match self.target.gate.offer(offer, self.now) {
             Admission::Run => self.run_work(id),
             Admission::Wait { displaced } => {
@@ -274,12 +279,12 @@
         match work.state {
             WorkState::Waiting => {
                 self.target.gate.cancel(id);
-                self.target.works.remove(id);
+                self.remove_work(id);
             }
             // A request that may run at most once is left to its end: its effect is wanted or
             // not, and breaking it off would leave that open.
             WorkState::Running { connection, .. } if work.is_idempotent => {
-                self.target.works.remove(id);
+                self.remove_work(id);
                 self.target.gate.release();
                 self.drop_connection(connection);
                 self.dispatch_work();
@@ -306,6 +311,10 @@
         } else {
             AttemptEnd::Failed(Failure::BadAnswer)
         };
+        if let AttemptEnd::Answered(answer) = &end {
+            let route = work.route.clone();
+            self.answer_sizes.note(&route, answer.body.len());
+        }
         self.run_ended(id, started, end);
     }
 
@@ -395,18 +404,22 @@
 
     /// Hands the result to whoever waits for it.
     fn end_work(&mut self, id: WorkId, end: AttemptEnd) {
-        let Some(work) = self.target.works.remove(id) else {
+        let Some(work) = self.remove_work(id) else {
             return;
         };
         match work.origin {
             WorkOrigin::Nobody => {}
             WorkOrigin::Call(call) => self.attempt_ended(call, end),
-            WorkOrigin::Link { link, call } => {
-                self.answer_link(link, call, &work.request_id, &work.route, end);
-            }
+            WorkOrigin::Link { link, call } => self.answer_link(link, call, &work, end),
         }
     }
 
+    fn remove_work(&mut self, id: WorkId) -> Option<Work> {
+        let work = self.target.works.remove(id)?;
+        self.uplink.expect_no_more(work.answer_bytes);
+        Some(work)
+    }
+
     /// A connection with a request on it was lost; whether the target lives is not known yet.
     pub(super) fn request_lost(&mut self, fingerprint: Fingerprint) {
         let now = self.now;
--- /dev/null
+++ b/crates/sidecar/src/node/transfers.rs
@@ -0,0 +1,187 @@
+//! Large answers on links: sent in parts as the VM's link takes them, and put together again.
+
+use hemlockfall_http::http::HttpAnswer;
+
+use crate::admission::LinkNeed;
+use crate::clock::Time;
+use crate::edge::frame;
+use crate::edge::frame::Frame;
+use crate::edge::frame::FrameError;
+use crate::edge::frame::PartFrame;
+use crate::model::LoadReport;
+use crate::node::Node;
+use crate::node::Timer;
+use crate::node::calls::AttemptEnd;
+use crate::node::ms;
+use crate::uplink::Part;
+
+/// `Outgoing` is an answer whose body is sent in parts.
+pub(crate) struct Outgoing {
+    link: u64,
+    call: u64,
+    body: Vec<u8>,
+    sent_bytes: usize,
+}
+
+/// `Incoming` is an answer whose body has not arrived whole.
+pub(crate) struct Incoming {
+    pub(super) call: u64,
+    answer: HttpAnswer,
+    missing_bytes: usize,
+}
+
+impl Node {
+    /// Sends the body of an answer in parts; its frame was sent before.
+    pub(super) fn begin_transfer(&mut self, link: u64, call: u64, body: Vec<u8>, due: Time) {
+        let bytes = body.len();
+        let id = self.transfers.insert(Outgoing {
+            link,
+            call,
+            body,
+            sent_bytes: 0,
+        });
+        self.uplink.begin(id, bytes, due);
+        self.drive_uplink();
+    }
+
+    /// Sends the parts that the link takes now.
+    pub(super) fn drive_uplink(&mut self) {
+        while let Some(part) = self.uplink.next_part(self.now) {
+            self.send_part(part);
+        }
+        let Some(next) = self.uplink.next_at() else {
+            return;
+        };
+        if self
+            .uplink_timer
+            .is_none_or(|at| next < at || at <= self.now)
+        {
+            self.uplink_timer = Some(next);
+            self.set_timer(next, Timer::Uplink);
+        }
+    }
+
+    fn send_part(&mut self, part: Part) {
+        let Some(outgoing) = self.transfers.get_mut(part.transfer) else {
+            return;
+        };
+        let start = outgoing.sent_bytes;
+        let end = (start + part.bytes).min(outgoing.body.len());
+        outgoing.sent_bytes = end;
+        let (link, is_done) = (outgoing.link, end == outgoing.body.len());
+        let frame = Frame::AnswerPart(PartFrame {
+            call: outgoing.call,
+            bytes: outgoing.body[start..end].to_vec(),
+        });
+        if is_done {
+            self.transfers.remove(part.transfer);
+        }
+        self.tell(link, &frame);
+    }
+
+    /// Nobody waits for an answer any more; tells whether it was being sent.
+    pub(super) fn cancel_transfer(&mut self, link: u64, call: u64) -> bool {
+        let found = self
+            .transfers
+            .iter()
+            .find(|(_, outgoing)| outgoing.link == link && outgoing.call == call)
+            .map(|(id, _)| id);
+        if let Some(id) = found {
+            self.transfers.remove(id);
+            self.uplink.cancel(id);
+        }
+        found.is_some()
+    }
+
+    /// Forgets the answers that were being sent on a link.
+    pub(super) fn cancel_transfers_on(&mut self, link: u64) {
+        let lost: Vec<u64> = self
+            .transfers
+            .iter()
+            .filter(|(_, outgoing)| outgoing.link == link)
+            .map(|(id, _)| id)
+            .collect();
+        for id in lost {
+            self.transfers.remove(id);
+            self.uplink.cancel(id);
+        }
+    }
+
+    /// Keeps an answer whose body follows in parts.
+    pub(super) fn expect_parts(&mut self, link: u64, call: u64, answer: HttpAnswer, bytes: u32) {
+        if let Some(link) = self.links.get_mut(link) {
+            link.incoming.push(Incoming {
+                call,
+                answer,
+                missing_bytes: usize::try_from(bytes).unwrap_or(usize::MAX),
+            });
+        }
+    }
+
+    pub(super) fn take_part(&mut self, id: u64, part: &PartFrame) -> frame::Result<()> {
+        let Some(link) = self.links.get_mut(id) else {
+            return Ok(());
+        };
+        let found = link
+            .incoming
+            .iter()
+            .position(|incoming| incoming.call == part.call);
+        let Some(index) = found else {
+            // The caller has left; its cancelling is on its way.
+            return Ok(());
+        };
+        let incoming = &mut link.incoming[index];
+        incoming.missing_bytes = incoming
+            .missing_bytes
+            .checked_sub(part.bytes.len())
+            .ok_or(FrameError::Malformed)?;
+        incoming.answer.body.extend_from_slice(&part.bytes);
+        if incoming.missing_bytes > 0 {
+            return Ok(());
+        }
+        let answer = link.incoming.remove(index).answer;
+        self.link_call_ended(id, part.call, AttemptEnd::Answered(Box::new(answer)));
+        Ok(())
+    }
+
+    /// Size of a route's usual answer if it is large enough to be sent in parts.
+    pub(super) fn large_answer_bytes(&self, route: &str) -> usize {
+        let kib = self.answer_sizes.kib(route).unwrap_or_default();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a mean of sizes of bodies in memory"
+        )]
+        let bytes = (kib * 1024.0) as usize;
+        if self.uplink.is_large(bytes) {
+            bytes
+        } else {
+            0
+        }
+    }
+
+    /// What an answer of some bytes needs of the link.
+    pub(super) fn link_need(&self, bytes: usize) -> LinkNeed {
+        if bytes == 0 {
+            return LinkNeed::default();
+        }
+        LinkNeed {
+            free_at: self.now + self.uplink.busy_for(self.now),
+            send: self.uplink.time_for(bytes),
+        }
+    }
+
+    /// Load of the target and of the link, as other nodes are told it.
+    pub(super) fn load_for(&self, route: &str) -> LoadReport {
+        let bytes = self.large_answer_bytes(route);
+        LoadReport {
+            link_busy_ms: saturated_ms(self.uplink.busy_for(self.now)),
+            route_send_ms: saturated_ms(self.uplink.time_for(bytes)),
+            ..self.target.gate.load_for(route)
+        }
+    }
+}
+
+fn saturated_ms(duration: std::time::Duration) -> u16 {
+    u16::try_from(ms(duration)).unwrap_or(u16::MAX)
+}
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -120,6 +120,12 @@
                 "false",
                 "whether the whole mesh starts for the first time",
             ),
+            optional(
+                "link_mbps",
+                SettingKind::Decimal { min_milli: 0, max_milli: 1_000_000_000 },
+                "0",
+                "rate of the VM's link in Mbit/s, by which large answers are sent; 0 when unknown",
+            ),
             optional(
                 "log_lines_per_s",
                 SettingKind::Integer { min: 0, max: 100_000 },
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -61,6 +61,8 @@
     pub trial_allowance: u32,
     /// Whether the whole mesh starts for the first time.
     pub is_first_start: bool,
+    /// Rate of the VM's link in Mbit/s; 0 when it is not known.
+    link_mbps: f64,
     /// Lines about requests that are logged in a second.
     pub log_lines_per_s: u32,
 }
@@ -103,6 +105,18 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// `link_bytes_per_s` is the rate of the VM's link; 0 when it is not known.
+    #[must_use]
+    pub fn link_bytes_per_s(&self) -> u64 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the setting is checked to lie between 0 and 1,000,000"
+        )]
+        let bytes_per_s = (self.link_mbps * 1e6 / 8.0) as u64;
+        bytes_per_s
+    }
+
     /// `budget` returns the limits on repeats.
     #[must_use]
     pub fn budget(&self) -> BudgetLimits {
--- a/crates/sidecar/src/sizes.rs
+++ b/crates/sidecar/src/sizes.rs
@@ -4,6 +4,8 @@
 
 /// Weight of the newest answer in the mean size.
 const WEIGHT: f64 = 0.1;
+/// The same for the mean over all routes, which differ much in size.
+const OVERALL_WEIGHT: f64 = 0.01;
 /// Routes whose sizes are kept.
 const CAPACITY: usize = 128;
 
@@ -12,6 +14,8 @@
 pub struct AnswerSizes {
     /// Sorted by route; sizes in KiB.
     means: Vec<(RouteName, f64)>,
+    /// Mean over all routes, in KiB.
+    overall: Option<f64>,
 }
 
 impl AnswerSizes {
@@ -19,6 +23,8 @@
     pub fn note(&mut self, route: &RouteName, body_bytes: usize) {
         let bytes = u32::try_from(body_bytes).unwrap_or(u32::MAX);
         let kib = f64::from(bytes) / 1024.0;
+        let overall = self.overall.get_or_insert(kib);
+        *overall += (kib - *overall) * OVERALL_WEIGHT;
         match self.means.binary_search_by(|(name, _)| name.cmp(route)) {
             Ok(index) => {
                 let mean = &mut self.means[index].1;
@@ -31,6 +37,12 @@
         }
     }
 
+    /// `overall_kib` is the mean size of all answers, if any was seen.
+    #[must_use]
+    pub fn overall_kib(&self) -> Option<f64> {
+        self.overall
+    }
+
     /// `kib` is the mean size of a route's answers, if any was seen.
     #[must_use]
     pub fn kib(&self, route: &str) -> Option<f64> {
--- /dev/null
+++ b/crates/sidecar/src/uplink.rs
@@ -0,0 +1,161 @@
+//! The room on the link of this VM.
+//!
+//! All that a VM sends shares one link. Large answers are sent in parts, as fast as the link takes
+//! them and earliest due time first, so that calls, beats and configurations never wait behind
+//! more than one part. What waits here is known, so requests that the link cannot answer in time
+//! are refused before they run.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+
+/// Answers up to this size are sent in one piece and do not wait.
+pub const SMALL_BYTES: usize = 8 * 1024;
+/// Part of the link that large answers may take, in percent. The rest is for what is small, and
+/// for the headers of packets.
+const BULK_PERCENT: u64 = 92;
+/// Time on the link that one part takes at most: what is small waits no longer behind it.
+const PART_TIME: Duration = Duration::from_millis(8);
+/// Time that an idle link may be taken to have stored up: timers fire late, and what the link did
+/// not carry meanwhile is made up for.
+const BURST: Duration = PART_TIME;
+/// Smallest part; a smaller one costs more in wake-ups than it saves in waiting.
+const MIN_PART_BYTES: usize = 4 * 1024;
+/// Largest part.
+const MAX_PART_BYTES: usize = 64 * 1024;
+
+/// `TransferId` identifies an answer that is sent in parts.
+pub type TransferId = u64;
+
+/// `Part` is the next piece of an answer to send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The answer.
+    pub transfer: TransferId,
+    /// Bytes of its body.
+    pub bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Transfer {
+    id: TransferId,
+    due: Time,
+    left_bytes: usize,
+}
+
+/// `Uplink` decides when which part of a large answer is sent.
+#[derive(Debug, Default)]
+pub struct Uplink {
+    /// 0 when the rate of the link is not known; parts are then sent at once.
+    bytes_per_s: u64,
+    /// Time at which the link has taken all that was sent.
+    free_at: Time,
+    /// Sorted by due time.
+    transfers: Vec<Transfer>,
+    /// Bytes of answers that are expected of requests in progress.
+    expected_bytes: usize,
+}
+
+impl Uplink {
+    /// `new` makes an idle link; a rate of 0 means that it is not known.
+    #[must_use]
+    pub fn new(bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: bytes_per_s * BULK_PERCENT / 100,
+            ..Self::default()
+        }
+    }
+
+    /// `is_large` tells whether an answer is sent in parts.
+    #[must_use]
+    pub fn is_large(&self, bytes: usize) -> bool {
+        self.bytes_per_s > 0 && bytes > SMALL_BYTES
+    }
+
+    /// `note_sent` takes in bytes that were sent at once.
+    pub fn note_sent(&mut self, bytes: usize, now: Time) {
+        self.free_at = self.free_at.max(now.saturating_sub(BURST)) + self.time_for(bytes);
+    }
+
+    /// `begin` adds an answer.
+    pub fn begin(&mut self, id: TransferId, bytes: usize, due: Time) {
+        let index = self
+            .transfers
+            .partition_point(|transfer| transfer.due <= due);
+        let transfer = Transfer {
+            id,
+            due,
+            left_bytes: bytes,
+        };
+        self.transfers.insert(index, transfer);
+    }
+
+    /// `cancel` forgets an answer that nobody waits for.
+    pub fn cancel(&mut self, id: TransferId) {
+        self.transfers.retain(|transfer| transfer.id != id);
+    }
+
+    /// `next_part` takes the next part off its answer if the link is free for it.
+    pub fn next_part(&mut self, now: Time) -> Option<Part> {
+        if self.free_at > now {
+            return None;
+        }
+        let part_bytes = self.part_bytes();
+        let first = self.transfers.first_mut()?;
+        let bytes = first.left_bytes.min(part_bytes);
+        first.left_bytes -= bytes;
+        let part = Part {
+            transfer: first.id,
+            bytes,
+        };
+        if first.left_bytes == 0 {
+            self.transfers.remove(0);
+        }
+        Some(part)
+    }
+
+    /// `next_at` is when the next part may be sent, if there is one.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Time> {
+        (!self.transfers.is_empty()).then_some(self.free_at)
+    }
+
+    /// `expect` counts the answer of a request that was taken on.
+    pub fn expect(&mut self, bytes: usize) {
+        self.expected_bytes += bytes;
+    }
+
+    /// `expect_no_more` takes back what was counted for a request.
+    pub fn expect_no_more(&mut self, bytes: usize) {
+        self.expected_bytes = self.expected_bytes.saturating_sub(bytes);
+    }
+
+    /// `busy_for` is the time until the link has taken all answers of the requests in progress.
+    #[must_use]
+    pub fn busy_for(&self, now: Time) -> Duration {
+        let waiting: usize = self
+            .transfers
+            .iter()
+            .map(|transfer| transfer.left_bytes)
+            .sum();
+        self.free_at.saturating_sub(now) + self.time_for(waiting + self.expected_bytes)
+    }
+
+    /// `time_for` is the time that the link needs for an answer.
+    #[must_use]
+    pub fn time_for(&self, bytes: usize) -> Duration {
+        if self.bytes_per_s == 0 {
+            return Duration::ZERO;
+        }
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        Duration::from_micros(bytes.saturating_mul(1_000_000) / self.bytes_per_s)
+    }
+
+    fn part_bytes(&self) -> usize {
+        let micros = u64::try_from(PART_TIME.as_micros()).unwrap_or(u64::MAX);
+        let bytes = self.bytes_per_s.saturating_mul(micros) / 1_000_000;
+        usize::try_from(bytes)
+            .unwrap_or(usize::MAX)
+            .clamp(MIN_PART_BYTES, MAX_PART_BYTES)
+    }
+}
--- a/crates/sidecar/tests/admission.rs
+++ b/crates/sidecar/tests/admission.rs
@@ -7,6 +7,7 @@
 use common::at;
 use hemlockfall_sidecar::admission::Admission;
 use hemlockfall_sidecar::admission::Gate;
+use hemlockfall_sidecar::admission::LinkNeed;
 use hemlockfall_sidecar::admission::Offer;
 use hemlockfall_sidecar::admission::RejectReason;
 
@@ -20,6 +21,7 @@
         due: at(due_ms),
         deadline: at(due_ms + 500),
         target_latency: Duration::from_millis(300),
+        link: LinkNeed::default(),
     }
 }
 
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -6,6 +6,7 @@
 
 use common::at;
 use hemlockfall_sidecar::admission::Gate;
+use hemlockfall_sidecar::admission::LinkNeed;
 use hemlockfall_sidecar::admission::Offer;
 use hemlockfall_sidecar::balance;
 use hemlockfall_sidecar::balance::Candidate;
@@ -29,6 +30,8 @@
             run_ms: 100,
             route_run_ms: 100,
             failed_permille: 0,
+            link_busy_ms: 0,
+            route_send_ms: 0,
         },
         load_at: at(1_000),
         outstanding: 0,
@@ -44,6 +47,7 @@
         due: at(300),
         deadline: at(800),
         target_latency: Duration::from_millis(300),
+        link: LinkNeed::default(),
     }
 }
 
@@ -51,6 +55,7 @@
     Demand {
         time_left: Duration::from_millis(300),
         answer_kib: Some(answer_kib),
+        mean_kib: Some(2.0),
     }
 }
 
--- /dev/null
+++ b/crates/sidecar/tests/uplink.rs
@@ -0,0 +1,215 @@
+//! Large answers beside small messages on a thin link.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use hemlockfall_sidecar::admission::Admission;
+use hemlockfall_sidecar::admission::Gate;
+use hemlockfall_sidecar::admission::LinkNeed;
+use hemlockfall_sidecar::admission::Offer;
+use hemlockfall_sidecar::admission::RejectReason;
+use hemlockfall_sidecar::balance;
+use hemlockfall_sidecar::balance::Candidate;
+use hemlockfall_sidecar::balance::Demand;
+use hemlockfall_sidecar::balance::Distance;
+use hemlockfall_sidecar::clock::Time;
+use hemlockfall_sidecar::model::LoadReport;
+use hemlockfall_sidecar::uplink::Uplink;
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// 10 Mbit/s.
+const THIN_BYTES_PER_S: u64 = 1_250_000;
+const DOWNLOAD_BYTES: usize = 90_000;
+/// Longest time that a small message may wait behind a part.
+const SMALL_WAIT: Duration = Duration::from_millis(10);
+const NEAR: u64 = 1;
+const OTHER: u64 = 2;
+
+/// Sends all parts as the link takes them; returns their answers with the times of sending.
+fn send_all(uplink: &mut Uplink, start: Time) -> Vec<(u64, usize, Time)> {
+    let mut sent = Vec::new();
+    let mut now = start;
+    while let Some(next) = uplink.next_at() {
+        now = now.max(next);
+        while let Some(part) = uplink.next_part(now) {
+            uplink.note_sent(part.bytes, now);
+            sent.push((part.transfer, part.bytes, now));
+        }
+    }
+    sent
+}
+
+fn offer(id: u64, link: LinkNeed) -> Offer {
+    Offer {
+        id,
+        route: "download".into(),
+        priority: 2,
+        due: at(1_000),
+        deadline: at(6_000),
+        target_latency: Duration::from_secs(1),
+        link,
+    }
+}
+
+fn candidate(node: u64, distance: Distance, link_busy_ms: u16) -> Candidate {
+    Candidate {
+        node,
+        distance,
+        load: LoadReport {
+            running: 2,
+            queued: 0,
+            slots: 6,
+            run_ms: 180,
+            route_run_ms: 180,
+            failed_permille: 0,
+            link_busy_ms,
+            route_send_ms: 78,
+        },
+        load_at: at(1_000),
+        outstanding: 0,
+        slots: 6,
+    }
+}
+
+/// Load: downloads of 90 kB on a link of 10 Mbit/s. Guards against calls with 600 ms to go and
+/// configurations that wait behind whole bodies.
+#[test]
+fn small_messages_wait_behind_one_part_at_most() {
+    let mut uplink = Uplink::new(THIN_BYTES_PER_S);
+    for id in 0..8 {
+        uplink.begin(id, DOWNLOAD_BYTES, at(1_000));
+    }
+
+    let sent = send_all(&mut uplink, at(100));
+
+    let longest = sent
+        .iter()
+        .map(|(_, bytes, _)| uplink.time_for(*bytes))
+        .max()
+        .expect("parts were sent");
+    assert!(longest <= SMALL_WAIT, "{longest:?}");
+}
+
+/// Guards against an answer that is sent in part only, and against a link that is not used.
+#[test]
+fn answers_are_sent_whole_and_earliest_due_first() {
+    let mut uplink = Uplink::new(THIN_BYTES_PER_S);
+    uplink.begin(1, DOWNLOAD_BYTES, at(900));
+    uplink.begin(2, DOWNLOAD_BYTES, at(500));
+    let needed = uplink.time_for(2 * DOWNLOAD_BYTES);
+
+    let sent = send_all(&mut uplink, at(100));
+
+    let bytes_of = |id| -> usize {
+        sent.iter()
+            .filter(|(transfer, ..)| *transfer == id)
+            .map(|(_, bytes, _)| bytes)
+            .sum()
+    };
+    assert_eq!((bytes_of(1), bytes_of(2)), (DOWNLOAD_BYTES, DOWNLOAD_BYTES));
+    assert_eq!(sent.first().map(|(transfer, ..)| *transfer), Some(2));
+    let (.., last) = sent.last().expect("parts were sent");
+    assert!(*last <= at(100) + needed, "{last:?}");
+}
+
+/// Guards against a body that goes on after its caller has left.
+#[test]
+fn a_cancelled_answer_is_sent_no_further() {
+    let mut uplink = Uplink::new(THIN_BYTES_PER_S);
+    uplink.begin(1, DOWNLOAD_BYTES, at(900));
+    uplink.next_part(at(100)).expect("the link is free");
+
+    uplink.cancel(1);
+
+    assert_eq!(uplink.next_part(at(200)), None);
+    assert_eq!(uplink.next_at(), None);
+}
+
+/// Load: more downloads than a thin link carries, at a target with free slots. Guards against runs
+/// whose answers come late for lack of room on the link.
+#[test]
+fn a_full_link_rejects_downloads_before_they_run() {
+    let uplink = Uplink::new(THIN_BYTES_PER_S);
+    let send = uplink.time_for(DOWNLOAD_BYTES);
+    let mut gate = Gate::default();
+    gate.set_slots(6);
+    let need = |free_at| LinkNeed { free_at, send };
+
+    let early = gate.offer(offer(1, need(at(400))), at(0));
+    let late = gate.offer(offer(2, need(at(800))), at(0));
+
+    assert_eq!(early, Admission::Run);
+    assert!(
+        matches!(
+            late,
+            Admission::Reject {
+                reason: RejectReason::TooLate,
+                ..
+            }
+        ),
+        "{late:?}"
+    );
+}
+
+/// Load: calls of 60 ms beside downloads on a full link. Guards against small answers that are
+/// refused because of a link that they do not wait for.
+#[test]
+fn small_answers_do_not_need_room_on_the_link() {
+    let mut gate = Gate::default();
+    gate.set_slots(6);
+
+    let admission = gate.offer(offer(1, LinkNeed::default()), at(0));
+
+    assert_eq!(admission, Admission::Run);
+}
+
+/// Load: one thin VM in a data centre and idle ones in the next. Guards against downloads that
+/// stay at home behind the bodies of others.
+#[test]
+fn downloads_leave_a_data_centre_whose_link_is_full() {
+    let candidates = [
+        candidate(NEAR, Distance::DataCentre, 980),
+        candidate(OTHER, Distance::Region, 0),
+    ];
+    let demand = Demand {
+        time_left: Duration::from_secs(1),
+        answer_kib: Some(88.0),
+        mean_kib: Some(7.0),
+    };
+
+    let choice = balance::choose(
+        &candidates,
+        &demand,
+        at(1_010),
+        &mut SmallRng::seed_from_u64(1),
+    );
+
+    assert_eq!(choice, Some(OTHER));
+}
+
+quickcheck! {
+    /// Guards against parts that are lost or sent twice when small messages come in between.
+    fn every_byte_is_sent_once(sizes: Vec<u16>, small: Vec<u8>) -> bool {
+        let mut uplink = Uplink::new(THIN_BYTES_PER_S);
+        let mut now = at(5);
+        let mut sent = 0;
+        for (id, bytes) in (0_u64..).zip(&sizes) {
+            uplink.begin(id, usize::from(*bytes) + 1, at(id % 7));
+        }
+        let mut small = small.into_iter().cycle();
+        while let Some(next) = uplink.next_at() {
+            now = now.max(next);
+            if let Some(part) = uplink.next_part(now) {
+                sent += part.bytes;
+                uplink.note_sent(part.bytes, now);
+            }
+            uplink.note_sent(small.next().unwrap_or_default().into(), now);
+        }
+        let expected: usize = sizes.iter().map(|bytes| usize::from(*bytes) + 1).sum();
+        sent == expected
+    }
+}
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -256,9 +256,11 @@
     unknown["type"] = "sometimes".into();
     let version = world.config.0 + 1;
 
-    world
-        .store
-        .put("config", "main", wire::config(version, &[unknown], &SERVICES));
+    world.store.put(
+        "config",
+        "main",
+        wire::config(version, &[unknown], &SERVICES),
+    );
     thread::sleep(Duration::from_secs(2));
 
     let odd = send(node, &request(1, "/odd/1", false, Duration::from_secs(1)));
