Count late runs of a new version, also those that nobody waits for

Change: runs that take longer than the target latency of their route count as late as soon as they have; the judge compares their share with that of the median old target, with a wide margin early and a narrow one at the end.

--- a/crates/sidecar/src/judge.rs
+++ b/crates/sidecar/src/judge.rs
@@ -17,9 +17,22 @@
 const MIN_FAILURES: u64 = 4;
 /// Share of failures beyond the other versions' that makes a version bad.
 const FAILURE_MARGIN: f64 = 0.08;
-/// Standard deviations of the share of failures, beyond that margin, that are chance.
-const FAILURE_DEVIATIONS: f64 = 2.0;
-/// Answers of a target below which it says nothing of the usual share of failures.
+/// When a version counts as slow before all evidence is there. Few runs may happen to be those of
+/// a slow target, of which an eighth are late where few are in the whole.
+const SLOW_EARLY: SlowLimit = SlowLimit {
+    min_late: 6,
+    margin: 0.15,
+    deviations: CHANCE_DEVIATIONS,
+};
+/// When it counts as slow at the end.
+const SLOW_AT_END: SlowLimit = SlowLimit {
+    min_late: 4,
+    margin: 0.08,
+    deviations: 1.0,
+};
+/// Standard deviations of a share of failures, beyond its margin, that are chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
+/// Answers of a target below which it says nothing of the usual shares.
 const MIN_TARGET_ANSWERS: u64 = 5;
 /// Answers below which the latency is not judged.
 const MIN_LATENCIES: u64 = 8;
@@ -45,34 +58,87 @@
     pub answers: u64,
     /// Answers that are failures.
     pub failures: u64,
-    /// Whole answers whose latency counts.
+    /// Runs whose time counts, including some that took too long to be waited for.
     pub timed: u64,
-    /// Sum of their latencies, in milliseconds.
+    /// Sum of their times, in milliseconds.
     pub latency_sum_ms: u64,
+    /// Those of them that took longer than the target latency of their route.
+    pub late: u64,
+}
+
+/// `SlowLimit` tells when late runs make a version bad.
+#[derive(Clone, Copy, Debug)]
+struct SlowLimit {
+    /// Late runs below which it is not judged.
+    min_late: u64,
+    /// Share of late runs beyond the other versions'.
+    margin: f64,
+    /// Standard deviations of the share, beyond the margin, that are chance.
+    deviations: f64,
+}
+
+/// `Timed` is the time of a run, and the time in which its route's answers should be there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timed {
+    /// Time of the run so far.
+    pub took: Duration,
+    /// Target latency of the route.
+    pub target_latency: Duration,
+}
+
+impl Timed {
+    /// `is_late` tells whether the run has taken too long.
+    #[must_use]
+    pub fn is_late(self) -> bool {
+        self.took > self.target_latency
+    }
 }
 
 impl Tally {
-    /// `add` counts one answer; the latency of a target that has just started does not count.
-    pub fn add(&mut self, failed: bool, latency: Option<Duration>) {
+    /// `add` counts one answer; the time of a target that has just started does not count.
+    pub fn add(&mut self, failed: bool, timed: Option<Timed>) {
         self.answers += 1;
         self.failures += u64::from(failed);
-        if let Some(latency) = latency
+        if let Some(timed) = timed
             && !failed
         {
-            self.timed += 1;
-            self.latency_sum_ms += u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+            self.add_time(timed);
         }
     }
 
+    /// `add_overdue` counts a run without an answer that has taken too long.
+    pub fn add_overdue(&mut self, timed: Timed) {
+        if timed.is_late() {
+            self.add_time(timed);
+        }
+    }
+
+    fn add_time(&mut self, timed: Timed) {
+        self.timed += 1;
+        self.late += u64::from(timed.is_late());
+        self.latency_sum_ms += u64::try_from(timed.took.as_millis()).unwrap_or(u64::MAX);
+    }
+
     fn merge(&mut self, other: Self) {
         self.answers += other.answers;
         self.failures += other.failures;
         self.timed += other.timed;
         self.latency_sum_ms += other.latency_sum_ms;
+        self.late += other.late;
     }
 
-    fn failed_share(self) -> f64 {
-        share(self.failures, self.answers)
+    fn failures_of_answers(self) -> Counted {
+        Counted {
+            part: self.failures,
+            whole: self.answers,
+        }
+    }
+
+    fn late_of_timed(self) -> Counted {
+        Counted {
+            part: self.late,
+            whole: self.timed,
+        }
     }
 
     fn latency_ms(self) -> f64 {
@@ -80,6 +146,25 @@
     }
 }
 
+/// `Counted` is a part of a number of answers or runs.
+#[derive(Clone, Copy, Debug)]
+struct Counted {
+    part: u64,
+    whole: u64,
+}
+
+impl Counted {
+    fn share(self) -> f64 {
+        share(self.part, self.whole)
+    }
+}
+
+/// Tells whether a share lies further above a usual one than a margin and chance explain.
+fn is_beyond_chance(counted: Counted, usual: f64, margin: f64, deviations: f64) -> bool {
+    let deviation = (usual * (1.0 - usual) / share(counted.whole, 1)).sqrt();
+    counted.share() > usual + margin + deviations * deviation
+}
+
 fn share(part: u64, whole: u64) -> f64 {
     #[expect(
         clippy::cast_precision_loss,
@@ -160,23 +245,25 @@
     /// `verdict` judges the version.
     #[must_use]
     pub fn verdict(&self, now: Time) -> Verdict {
-        if let Some(reason) = self.fault() {
+        if let Some(reason) = self.fault(SLOW_EARLY) {
             return Verdict::Reject { reason };
         }
         let (all, busy) = (self.answers(), self.busy_answers());
         let is_tried = all.answers >= ACCEPT_ANSWERS && busy.answers >= ACCEPT_BUSY_ANSWERS;
         let age = now.saturating_sub(self.started);
-        if is_tried && age >= self.finish_in * ACCEPT_AFTER_PERCENT / 100 {
-            return Verdict::Accept;
+        let may_accept = is_tried && age >= self.finish_in * ACCEPT_AFTER_PERCENT / 100;
+        let must_decide = age >= self.finish_in * DECIDE_AFTER_PERCENT / 100;
+        if !may_accept && !must_decide {
+            return Verdict::Open;
         }
-        if age >= self.finish_in * DECIDE_AFTER_PERCENT / 100 {
-            if all.answers == 0 {
-                let reason = "no answer of the new version was seen".to_owned();
-                return Verdict::Reject { reason };
-            }
-            return Verdict::Accept;
+        if all.answers == 0 {
+            let reason = "no answer of the new version was seen".to_owned();
+            return Verdict::Reject { reason };
+        }
+        match self.fault(SLOW_AT_END) {
+            Some(reason) => Verdict::Reject { reason },
+            None => Verdict::Accept,
         }
-        Verdict::Open
     }
 
     /// `answers` counts the answers of the new version.
@@ -192,28 +279,46 @@
     }
 
     /// What shows that the new version is bad, if anything does.
-    fn fault(&self) -> Option<String> {
-        self.fault_in("all routes", all_routes)
-            .or_else(|| self.fault_in("busy targets", |evidence| evidence.busy))
+    fn fault(&self, slow: SlowLimit) -> Option<String> {
+        self.fault_in("all routes", slow, all_routes)
+            .or_else(|| self.fault_in("busy targets", slow, |evidence| evidence.busy))
             .or_else(|| {
-                self.new_routes()
-                    .into_iter()
-                    .find_map(|route| self.fault_in(&route, |evidence| on_route(evidence, &route)))
+                self.new_routes().into_iter().find_map(|route| {
+                    self.fault_in(&route, slow, |evidence| on_route(evidence, &route))
+                })
             })
     }
 
-    fn fault_in(&self, what: &str, pick: impl Fn(&Evidence) -> Tally) -> Option<String> {
+    fn fault_in(
+        &self,
+        what: &str,
+        slow: SlowLimit,
+        pick: impl Fn(&Evidence) -> Tally,
+    ) -> Option<String> {
         let (new, old) = (self.sum(true, &pick), self.sum(false, &pick));
-        let (failed, usual) = (new.failed_share(), self.usual_failures(&pick));
-        let deviation = (usual * (1.0 - usual) / share(new.answers, 1)).sqrt();
+        let usual = self.usual_share(|evidence| pick(evidence).failures_of_answers());
         if new.failures >= MIN_FAILURES
-            && failed > usual + FAILURE_MARGIN + FAILURE_DEVIATIONS * deviation
+            && is_beyond_chance(
+                new.failures_of_answers(),
+                usual,
+                FAILURE_MARGIN,
+                CHANCE_DEVIATIONS,
+            )
         {
             return Some(format!(
                 "{what}: {} of {} answers failed, {usual:.3} with the other versions",
                 new.failures, new.answers
             ));
         }
+        let usual = self.usual_share(|evidence| pick(evidence).late_of_timed());
+        if new.late >= slow.min_late
+            && is_beyond_chance(new.late_of_timed(), usual, slow.margin, slow.deviations)
+        {
+            return Some(format!(
+                "{what}: {} of {} runs were late, {usual:.3} with the other versions",
+                new.late, new.timed
+            ));
+        }
         let (latency_ms, usual_ms) = (new.latency_ms(), old.latency_ms());
         let floor_ms = LATENCY_FLOOR.as_secs_f64() * 1000.0;
         if new.timed >= MIN_LATENCIES
@@ -238,19 +343,25 @@
         sum
     }
 
-    /// Share of failures of the median target of the other versions. A few targets that fail much
-    /// must not excuse a new version that does.
-    fn usual_failures(&self, pick: impl Fn(&Evidence) -> Tally) -> f64 {
-        let mut shares: Vec<f64> = self
+    /// Share at the median target of the other versions. A few targets that fail much or are slow
+    /// must not excuse a new version that is bad.
+    fn usual_share(&self, pick: impl Fn(&Evidence) -> Counted) -> f64 {
+        let old: Vec<Counted> = self
             .evidence
             .iter()
             .filter(|evidence| !evidence.is_new_version)
-            .map(&pick)
-            .filter(|tally| tally.answers >= MIN_TARGET_ANSWERS)
-            .map(Tally::failed_share)
+            .map(pick)
+            .collect();
+        let mut shares: Vec<f64> = old
+            .iter()
+            .filter(|counted| counted.whole >= MIN_TARGET_ANSWERS)
+            .map(|counted| counted.share())
             .collect();
         if shares.is_empty() {
-            return self.sum(false, pick).failed_share();
+            let (part, whole) = old.iter().fold((0, 0), |(part, whole), counted| {
+                (part + counted.part, whole + counted.whole)
+            });
+            return Counted { part, whole }.share();
         }
         shares.sort_by(f64::total_cmp);
         shares[shares.len() / 2]
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -19,6 +19,7 @@
 use crate::edge::frame::Refusal;
 use crate::fingerprint::Fingerprint;
 use crate::judge::Tally;
+use crate::judge::Timed;
 use crate::log::Urgency;
 use crate::model::RequestId;
 use crate::node::Node;
@@ -76,6 +77,28 @@
     pub(crate) state: WorkState,
 }
 
+impl Work {
+    /// Time of its run so far.
+    fn timed(&self, started: Time, now: Time) -> Timed {
+        Timed {
+            took: now.saturating_sub(started),
+            target_latency: self.target_latency,
+        }
+    }
+}
+
+/// The counts of a route; `tallies` is sorted by route.
+fn tally_of<'a>(tallies: &'a mut Vec<(RouteName, Tally)>, route: &RouteName) -> &'a mut Tally {
+    let index = match tallies.binary_search_by(|(name, _)| name.cmp(route)) {
+        Ok(index) => index,
+        Err(index) => {
+            tallies.insert(index, (route.clone(), Tally::default()));
+            index
+        }
+    };
+    &mut tallies[index].1
+}
+
 /// `WorkOrigin` is who waits for the result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkOrigin {
@@ -301,7 +324,13 @@
             }
             // A request that may run at most once is left to its end: its effect is wanted or
             // not, and breaking it off would leave that open.
-            WorkState::Running { connection, .. } if work.is_idempotent => {
+            WorkState::Running {
+                connection,
+                started,
+                is_busy,
+            } if work.is_idempotent => {
+                let (route, timed) = (work.route.clone(), work.timed(started, self.now));
+                self.tally_overdue(&route, is_busy, timed);
                 self.remove_work(id);
                 self.target.gate.release();
                 self.drop_connection(connection);
@@ -353,6 +382,7 @@
         };
         let took = self.now.saturating_sub(started);
         let is_busy = matches!(work.state, WorkState::Running { is_busy: true, .. });
+        let timed = work.timed(started, self.now);
         let route = work.route.clone();
         let fingerprint = work.fingerprint;
         let has_failed = match &end {
@@ -367,7 +397,7 @@
             AttemptEnd::NotRun { .. } => self.target.gate.release(),
             AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => {
                 self.target.gate.finished(&route, took, !has_failed);
-                self.tally(&route, is_busy, has_failed, took);
+                self.tally(&route, is_busy, has_failed, timed);
                 metrics::histogram!("hemlockfall_sidecar_run_seconds").record(took.as_secs_f64());
             }
         }
@@ -379,20 +409,49 @@
         self.dispatch_work();
     }
 
-    fn tally(&mut self, route: &RouteName, is_busy: bool, failed: bool, took: Duration) {
-        let latency = (!self.target.own.is_cold(self.now)).then_some(took);
+    /// Counts an answer for the judgement on a roll-out.
+    fn tally(&mut self, route: &RouteName, is_busy: bool, failed: bool, timed: Timed) {
+        let timed = (!self.target.own.is_cold(self.now)).then_some(timed);
+        if is_busy {
+            self.target.busy_tally.add(failed, timed);
+        }
+        tally_of(&mut self.target.tallies, route).add(failed, timed);
+    }
+
+    /// Counts a run that nobody waits for any longer, if it has taken too long.
+    fn tally_overdue(&mut self, route: &RouteName, is_busy: bool, timed: Timed) {
+        if self.target.own.is_cold(self.now) || !timed.is_late() {
+            return;
+        }
         if is_busy {
-            self.target.busy_tally.add(failed, latency);
+            self.target.busy_tally.add_overdue(timed);
         }
-        let tallies = &mut self.target.tallies;
-        let index = match tallies.binary_search_by(|(name, _)| name.cmp(route)) {
-            Ok(index) => index,
-            Err(index) => {
-                tallies.insert(index, (route.clone(), Tally::default()));
-                index
+        tally_of(&mut self.target.tallies, route).add_overdue(timed);
+    }
+
+    /// The counts of the target, with the runs in progress that have taken too long already.
+    pub(super) fn counts(&self) -> (Vec<(RouteName, Tally)>, Tally) {
+        let mut tallies = self.target.tallies.clone();
+        let mut busy_tally = self.target.busy_tally;
+        if self.target.own.is_cold(self.now) {
+            return (tallies, busy_tally);
+        }
+        for (_, work) in self.target.works.iter() {
+            let WorkState::Running {
+                started, is_busy, ..
+            } = work.state
+            else {
+                continue;
+            };
+            let timed = work.timed(started, self.now);
+            if timed.is_late() {
+                tally_of(&mut tallies, &work.route).add_overdue(timed);
+                if is_busy {
+                    busy_tally.add_overdue(timed);
+                }
             }
-        };
-        tallies[index].1.add(failed, latency);
+        }
+        (tallies, busy_tally)
     }
 
     fn log_run(&mut self, id: WorkId, took: Duration, end: &AttemptEnd) {
--- a/crates/sidecar/src/node/trials.rs
+++ b/crates/sidecar/src/node/trials.rs
@@ -59,12 +59,13 @@
         if trial.rollout.state != RolloutState::Running {
             return;
         }
+        let (routes, busy) = self.counts();
         let evidence = Evidence {
             node: self.settings.name.clone(),
             incarnation: self.incarnation,
             is_new_version: version == trial.rollout.target_version,
-            routes: self.target.tallies.clone(),
-            busy: self.target.busy_tally,
+            routes,
+            busy,
         };
         let target_version = trial.rollout.target_version.clone();
         let frame = Frame::Evidence {
--- a/crates/sidecar/tests/judge.rs
+++ b/crates/sidecar/tests/judge.rs
@@ -8,15 +8,21 @@
 use hemlockfall_sidecar::judge::Evidence;
 use hemlockfall_sidecar::judge::Judge;
 use hemlockfall_sidecar::judge::Tally;
+use hemlockfall_sidecar::judge::Timed;
 use hemlockfall_sidecar::judge::Verdict;
 
+/// Target latency of the route; usual runs take a third of it.
+const TARGET_LATENCY: Duration = Duration::from_millis(300);
 const FINISH_IN: Duration = Duration::from_secs(16);
 
 fn tally(answers: u64, failures: u64, latency_ms: u64) -> Tally {
     let mut tally = Tally::default();
     for index in 0..answers {
-        let latency = Duration::from_millis(latency_ms);
-        tally.add(index < failures, Some(latency));
+        let timed = Timed {
+            took: Duration::from_millis(latency_ms),
+            target_latency: TARGET_LATENCY,
+        };
+        tally.add(index < failures, Some(timed));
     }
     tally
 }
@@ -148,6 +154,25 @@
     assert!(is_rejected(&judge));
 }
 
+/// Guards against a version of which some requests take eight times as long while the mean is only
+/// twice that of the old one; runs that nobody waits for any longer count as well.
+#[test]
+fn a_version_with_many_late_runs_is_rejected() {
+    let mut some_slow = tally(25, 0, 110);
+    for _ in 0..9 {
+        some_slow.add_overdue(Timed {
+            took: Duration::from_millis(420),
+            target_latency: TARGET_LATENCY,
+        });
+    }
+    let judge = judge(vec![
+        evidence("old", false, &[("a", tally(100, 0, 100))]),
+        evidence("new", true, &[("a", some_slow)]),
+    ]);
+
+    assert!(is_rejected(&judge));
+}
+
 /// Guards against a bad version that is excused by a few targets of the old one that fail too.
 #[test]
 fn a_failing_target_of_the_old_version_excuses_nothing() {
--- a/crates/sidecar/tests/rollouts.rs
+++ b/crates/sidecar/tests/rollouts.rs
@@ -1,7 +1,6 @@
-//! Roll-outs of versions that fail under load, on modelled targets.
+//! Roll-outs of versions that are bad under load or slow now and then, on modelled targets.
 //!
-//! Each node sends its requests by its own part of the share; a target fails requests that it
-//! begins with half of its slots taken. The rates over all seeds are in
+//! Each node sends its requests by its own part of the share. The rates over all seeds are in
 //! `docs/decisions/rollouts.md`.
 
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use hemlockfall_sidecar::judge::Evidence;
 use hemlockfall_sidecar::judge::Judge;
 use hemlockfall_sidecar::judge::Tally;
+use hemlockfall_sidecar::judge::Timed;
 use hemlockfall_sidecar::judge::Verdict;
 use rand::Rng;
 use rand::RngExt;
@@ -70,16 +70,36 @@
     },
 ];
 
+/// Speeds of the targets of a service, in turn.
+const SPEEDS: [f64; 3] = [0.6, 1.0, 1.4];
+/// Target latency of the route, in mean times of a run.
+const TARGET_LATENCY_RUNS: f64 = 3.0;
+/// Share of the requests of a bad version that meet its fault, and how much longer slow ones take.
+const BAD_SHARE: f64 = 0.4;
+const SLOW_FACTOR: f64 = 8.0;
+
+/// `Fault` is what is wrong with the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// It fails requests that it begins with half of its slots taken.
+    UnderLoad,
+    /// Some of its runs take much longer.
+    Slow,
+}
+
 /// `Target` has slots that are free from a time on.
 struct Target {
+    speed: f64,
     slots: Vec<Time>,
     tally: Tally,
     busy: Tally,
 }
 
 impl Target {
-    fn new(slots: usize) -> Self {
+    fn new(slots: usize, index: usize) -> Self {
         Self {
+            speed: SPEEDS[index % SPEEDS.len()],
             slots: vec![Time::ZERO; slots],
             tally: Tally::default(),
             busy: Tally::default(),
@@ -91,8 +111,8 @@
         first.saturating_sub(now)
     }
 
-    /// Runs a request; returns when it ends, whether it failed and whether the target was busy.
-    fn run(&mut self, now: Time, run: Duration, fails: bool, random: &mut impl Rng) -> Run {
+    /// Runs a request that takes `work` at a target of usual speed.
+    fn run(&mut self, now: Time, work: Duration, fault: Fault, random: &mut impl Rng) -> Run {
         let start = now + self.wait(now);
         let taken = 1 + self
             .slots
@@ -100,13 +120,18 @@
             .filter(|free_at| **free_at > start)
             .count();
         let is_busy = taken * 10 >= self.slots.len() * 7;
-        let failed = fails && taken * 2 >= self.slots.len() && random.random_bool(0.4);
+        let meets_fault = random.random_bool(BAD_SHARE);
+        let failed = fault == Fault::UnderLoad && taken * 2 >= self.slots.len() && meets_fault;
+        let mut took = work.div_f64(self.speed);
+        if fault == Fault::Slow && meets_fault {
+            took = took.mul_f64(SLOW_FACTOR);
+        }
         if let Some(slot) = self.slots.iter_mut().min() {
-            *slot = start + run;
+            *slot = start + took;
         }
         Run {
-            end: start + run,
-            took: run,
+            start,
+            took,
             failed,
             is_busy,
         }
@@ -114,7 +139,7 @@
 }
 
 struct Run {
-    end: Time,
+    start: Time,
     took: Duration,
     failed: bool,
     is_busy: bool,
@@ -134,10 +159,14 @@
 }
 
 /// Plays one roll-out up to its verdict.
-fn play(mesh: Mesh, fails: bool, seed: u64) -> Outcome {
+fn play(mesh: Mesh, fault: Fault, seed: u64) -> Outcome {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut exposures = vec![Exposure::default(); mesh.nodes];
-    let targets = |count| (0..count).map(|_| Target::new(mesh.slots)).collect();
+    let targets = |count| {
+        (0..count)
+            .map(|index| Target::new(mesh.slots, index))
+            .collect()
+    };
     let mut old: Vec<Target> = targets(mesh.old_targets);
     let mut new: Vec<Target> = targets(mesh.new_targets);
     let mut runs: Vec<(bool, usize, Run)> = Vec::new();
@@ -152,7 +181,15 @@
         );
         if now >= next_report {
             next_report += REPORTS_EACH;
-            report(&mut judge, &mut runs, (&mut old, &mut new), now);
+            let target_latency =
+                Duration::from_secs_f64(mesh.run_ms * TARGET_LATENCY_RUNS / 1000.0);
+            report(
+                &mut judge,
+                &mut runs,
+                (&mut old, &mut new),
+                target_latency,
+                now,
+            );
             let verdict = judge.verdict(now);
             if verdict != Verdict::Open {
                 return Outcome {
@@ -182,30 +219,31 @@
             TrialUse::Spread if has_new => Some(random.random_range(0..mesh.new_targets)),
             _ => None,
         };
-        let run = lognormal(mesh.run_ms, &mut random);
+        let work = lognormal(mesh.run_ms, &mut random);
         if let Some(index) = choice {
             trials += 1;
-            let run = new[index].run(now, run, fails, &mut random);
+            let run = new[index].run(now, work, fault, &mut random);
             runs.push((true, index, run));
         } else {
             let index = random.random_range(0..mesh.old_targets);
             if is_free(&old[index]) {
-                let run = old[index].run(now, run, false, &mut random);
+                let run = old[index].run(now, work, Fault::None, &mut random);
                 runs.push((false, index, run));
             }
         }
     }
 }
 
-/// Tells the judge of the runs that have ended.
+/// Tells the judge of the runs that have ended, and of those that have taken too long.
 fn report(
     judge: &mut Judge,
     runs: &mut Vec<(bool, usize, Run)>,
     (old, new): (&mut [Target], &mut [Target]),
+    target_latency: Duration,
     now: Time,
 ) {
     runs.retain(|(is_new_version, index, run)| {
-        if run.end > now {
+        if run.start + run.took > now {
             return true;
         }
         let target = if *is_new_version {
@@ -213,37 +251,52 @@
         } else {
             &mut old[*index]
         };
-        target.tally.add(run.failed, Some(run.took));
+        let timed = Timed {
+            took: run.took,
+            target_latency,
+        };
+        target.tally.add(run.failed, Some(timed));
         if run.is_busy {
-            target.busy.add(run.failed, Some(run.took));
+            target.busy.add(run.failed, Some(timed));
         }
         false
     });
     for (is_new_version, targets) in [(false, old), (true, new)] {
         for (index, target) in targets.iter().enumerate() {
+            let (mut tally, mut busy) = (target.tally, target.busy);
+            let open = runs
+                .iter()
+                .filter(|(is_new, at, _)| (*is_new, *at) == (is_new_version, index));
+            for (.., run) in open {
+                let timed = Timed {
+                    took: now.saturating_sub(run.start),
+                    target_latency,
+                };
+                tally.add_overdue(timed);
+                if run.is_busy {
+                    busy.add_overdue(timed);
+                }
+            }
             judge.take_in(Evidence {
                 node: format!("{is_new_version}-{index}").into(),
                 incarnation: 1,
                 is_new_version,
-                routes: vec![("lookup".into(), target.tally)],
-                busy: target.busy,
+                routes: vec![("lookup".into(), tally)],
+                busy,
             });
         }
     }
 }
 
-/// Load: a share that leaves new targets idle. Guards against a version that fails two requests in
-/// five at busy targets and takes over.
-#[test]
-fn no_version_that_fails_under_load_takes_over() {
+fn assert_bad_versions_do_not_finish(fault: Fault) {
     for mesh in MESHES {
-        let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| play(mesh, true, seed)).collect();
+        let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| play(mesh, fault, seed)).collect();
 
         let finished = outcomes
             .iter()
             .filter(|outcome| outcome.verdict == Verdict::Accept)
             .count();
-        println!("{finished} of {SEEDS} bad versions finished, {mesh:?}");
+        println!("{fault:?}: {finished} of {SEEDS} bad versions finished, {mesh:?}");
         assert_eq!(finished, 0, "{mesh:?}");
         for outcome in outcomes {
             let bound = outcome.requests / SHARE + ALLOWANCE;
@@ -252,16 +305,34 @@
     }
 }
 
-/// Guards against a good version that is taken back because its targets were loaded.
+/// Load: a share that leaves new targets idle. Guards against a version that fails two requests in
+/// five at busy targets and takes over.
+#[test]
+fn no_version_that_fails_under_load_takes_over() {
+    assert_bad_versions_do_not_finish(Fault::UnderLoad);
+}
+
+/// Guards against a version of which two requests in five are slow and that takes over, since the
+/// mean hides them or the callers have left.
+#[test]
+fn no_version_that_is_slow_now_and_then_takes_over() {
+    assert_bad_versions_do_not_finish(Fault::Slow);
+}
+
+/// Guards against a good version that is taken back because its targets were loaded or are slow
+/// among those of their service.
 #[test]
 fn good_versions_take_over() {
     for mesh in MESHES {
-        let taken_back = (0..SEEDS)
-            .map(|seed| play(mesh, false, seed))
-            .filter(|outcome| outcome.verdict != Verdict::Accept)
-            .count();
+        let taken_back: Vec<Verdict> = (0..SEEDS)
+            .map(|seed| play(mesh, Fault::None, seed).verdict)
+            .filter(|verdict| *verdict != Verdict::Accept)
+            .collect();
 
-        println!("{taken_back} of {SEEDS} good versions taken back, {mesh:?}");
-        assert_eq!(taken_back, 0, "{mesh:?}");
+        println!(
+            "{} of {SEEDS} good versions taken back, {mesh:?}",
+            taken_back.len()
+        );
+        assert!(taken_back.is_empty(), "{mesh:?}: {taken_back:?}");
     }
 }
