--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// `name` is the distance as metrics and logs call it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::DataCentre => "data_centre",
+            Self::Region => "region",
+            Self::Far => "far",
+        }
+    }
+
     /// Price of the way of a request, in credits of one request; `size` is that of its frames
     /// relative to the mean.
     fn price(self, size: f64) -> f64 {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod sizes;
 pub mod table;
 pub mod target;
+pub mod traffic;
 pub mod uplink;
 
 mod plugin;
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -507,6 +507,11 @@
         };
         let mut bytes = Vec::new();
         frame::encode(frame, &mut bytes);
+        let distance = link
+            .peer
+            .and_then(|peer| self.peers.get(peer))
+            .map_or(Distance::DataCentre, |peer| peer.distance);
+        self.traffic.note(frame, distance, bytes.len());
         self.uplink.note_sent(bytes.len(), self.now);
         // A failed link shows in its next event, or by its silence.
         let _ = link.stream.send(&bytes);
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -63,6 +63,7 @@
 use crate::settings::SidecarSettings;
 use crate::sizes::AnswerSizes;
 use crate::table::Table;
+use crate::traffic::Traffic;
 use crate::uplink::Uplink;
 
 pub use run::run;
@@ -73,6 +74,8 @@
 const PAUSE: Duration = Duration::from_millis(900);
 /// Log lines are written at the latest after this many rounds.
 const FLUSH_ROUNDS: u64 = 5;
+/// What was sent to other nodes is reported after this many rounds.
+const TRAFFIC_ROUNDS: u64 = 50;
 /// The settings file is looked at after this many rounds.
 const SETTINGS_ROUNDS: u64 = 10;
 
@@ -159,6 +162,7 @@
     uplink: Uplink,
     uplink_timer: Option<Time>,
     transfers: Table<Outgoing>,
+    traffic: Traffic,
     record_sequence: u64,
     store: StoreSync,
     stopping_since: Option<Time>,
@@ -200,6 +204,7 @@
             uplink: Uplink::new(settings.link_bytes_per_s()),
             uplink_timer: None,
             transfers: Table::default(),
+            traffic: Traffic::default(),
             record_sequence: 1,
             store: StoreSync::new(now),
             stopping_since: None,
@@ -323,6 +328,9 @@
         if self.rounds.is_multiple_of(FLUSH_ROUNDS) {
             self.log.flush();
         }
+        if self.rounds.is_multiple_of(TRAFFIC_ROUNDS) {
+            self.report_traffic();
+        }
         if self.rounds.is_multiple_of(SETTINGS_ROUNDS) {
             self.reload_settings("file");
         }
@@ -345,6 +353,29 @@
         }
     }
 
+    /// Tells what was sent to other nodes, by kind and distance.
+    fn report_traffic(&mut self) {
+        let sent = self.traffic.take();
+        let mut fields = serde_json::Map::new();
+        for item in &sent {
+            let (kind, distance) = (item.kind.name(), item.distance.name());
+            metrics::counter!(
+                "hemlockfall_sidecar_link_bytes_total", "kind" => kind, "distance" => distance
+            )
+            .increment(item.bytes);
+            fields.insert(
+                format!("{kind}_{distance}"),
+                json!([item.frames, item.bytes]),
+            );
+        }
+        self.state_line(
+            "link_traffic",
+            json!({
+                "links": self.links.len(), "peers": self.peers.len(), "frames_and_bytes": fields,
+            }),
+        );
+    }
+
     /// Reads the settings file again and takes over what can change while the node runs.
     pub(crate) fn reload_settings(&mut self, trigger: &str) {
         let Ok(text) = std::fs::read_to_string(&self.settings_file) else {
