--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -4,6 +4,9 @@
 //! a link are sent once and referred to by number afterwards, since traffic between data centres
 //! is charged.
 
+use hemlockfall_core::ids::DataCentreName;
+use hemlockfall_core::ids::Incarnation;
+use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::ServiceName;
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_http::http::Header;
@@ -169,12 +172,9 @@
         /// Sequence of the record.
         sequence: u64,
     },
-    /// Says with which nodes the sender is connected; a node with others names its own.
-    Members {
-        /// Sum over the nodes, the sender included.
-        digest: u64,
-    },
-    /// Records of the nodes with which the sender is connected.
+    /// Says which nodes the sender knows; a node that knows others tells their records.
+    Members(Vec<MembersDigest>),
+    /// Records of several nodes.
     Peers(Vec<NodeRecord>),
     /// A request.
     Call(Box<CallFrame>),
@@ -214,25 +214,31 @@
     },
     /// A sign of life.
     Pong,
-    /// A node that follows the store says what it knows.
-    Beat {
-        /// Version of the configuration in force.
-        config: ConfigVersion,
-        /// Highest revision of a roll-out.
-        rollouts: ObjectRevision,
-    },
-    /// The sender no longer follows the store.
-    BeatsEnd,
+    /// A node that follows the store says what it knows; it is passed on.
+    Beat(BeatFrame),
     /// What changed since the configuration before.
     ConfigDelta(Box<ConfigDelta>),
-    /// Asks for the whole configuration and the roll-outs.
-    ConfigRequest,
+    /// The sender has a configuration; who has an older one asks for it.
+    HasConfig {
+        /// Its version.
+        config: ConfigVersion,
+    },
+    /// Asks for the configuration and the roll-outs.
+    ConfigRequest {
+        /// Version that the sender has; 0 for none.
+        known: ConfigVersion,
+    },
     /// The whole configuration.
     Config(Box<MeshConfig>),
     /// All roll-outs.
     Rollouts(Vec<RolloutNews>),
-    /// A request ran at a target that vanished.
-    Suspect(Fingerprint),
+    /// A request ran at a target that vanished; it is passed on.
+    Suspect {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Tells this event from others of the same request.
+        event: u64,
+    },
     /// What a node has counted during a roll-out.
     Evidence {
         /// Service.
@@ -251,6 +257,32 @@
     },
 }
 
+/// `MembersDigest` sums up the known nodes of a data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembersDigest {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Sum over its nodes and the state of their records, in any order.
+    pub sum: u64,
+}
+
+/// `BeatFrame` is a sign of a node that follows the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatFrame {
+    /// Node.
+    pub node: NodeName,
+    /// Start of its process, in unix milliseconds.
+    pub incarnation: Incarnation,
+    /// Increases with each sign of one process.
+    pub number: u32,
+    /// Whether it still follows the store.
+    pub is_following: bool,
+    /// Version of its configuration.
+    pub config: ConfigVersion,
+    /// Highest revision of a roll-out.
+    pub rollouts: ObjectRevision,
+}
+
 /// `RolloutNews` is a roll-out as one node tells it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutNews {
@@ -368,6 +400,14 @@
     output[start..start + LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
 }
 
+/// `encoded_bytes` is the size of a frame on a link.
+#[must_use]
+pub fn encoded_bytes(frame: &Frame) -> usize {
+    let mut bytes = Vec::new();
+    encode(frame, &mut bytes);
+    bytes.len()
+}
+
 /// `decode` takes the first whole frame of the input and the number of bytes that it used.
 ///
 /// # Errors
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log;
 pub mod model;
 pub mod node;
+pub mod overlay;
 pub mod platform;
 pub mod returning;
 pub mod router;
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -50,6 +50,9 @@
 const MIN_RETRY: Duration = Duration::from_millis(40);
 const MAX_RETRY: Duration = Duration::from_millis(400);
 
+/// Time for which a service without a free target is linked with further ones.
+const FULL_MEMORY: Duration = Duration::from_secs(10);
+
 /// Lowest status after which callers come back.
 const FIRST_UNSERVED: u16 = 408;
 
@@ -148,7 +151,7 @@
             &service,
             route.repeat == Repeat::Idempotent,
             self.settings.trial_allowance,
-            1 + self.peers.len(),
+            self.known_nodes(),
             self.now,
         );
         self.budget.count_request(&service, self.now);
@@ -252,6 +255,7 @@
                 .iter()
                 .map(|candidate| candidate.expected_wait_ms(now))
                 .reduce(f64::min);
+            self.service_is_full(id);
             let refusal = if wait.is_some() {
                 Refusal::TooLate
             } else {
@@ -267,6 +271,24 @@
         }
     }
 
+    /// No target that this node is linked with can answer a call in time: it links with others.
+    fn service_is_full(&mut self, id: u64) {
+        let Some(service) = self.calls.get(id).map(|call| call.service.clone()) else {
+            return;
+        };
+        let until = self.now + FULL_MEMORY;
+        match self
+            .full_services
+            .binary_search_by(|(name, _)| name.cmp(&service))
+        {
+            Ok(index) => self.full_services[index].1 = until,
+            Err(index) => {
+                self.full_services.insert(index, (service, until));
+                self.overlay_is_due = true;
+            }
+        }
+    }
+
     /// Sends a request that was meant for a version under trial to the others, when the version
     /// has no target that can answer in time; tells whether that changed anything.
     fn leave_trial(&mut self, id: u64) -> bool {
@@ -390,7 +412,7 @@
     }
 
     fn repeat(&mut self, id: u64, otherwise: GiveUp) {
-        let nodes = self.live_nodes();
+        let nodes = self.known_nodes();
         let Some(call) = self.calls.get_mut(id) else {
             return;
         };
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -46,6 +46,7 @@
             link: link_id,
         };
         link.calls.push(id);
+        link.used_at = now;
         let writer = &mut link.writer;
         let request = &call.request;
         let dropped = [
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -20,12 +20,13 @@
 use crate::edge::stream::Stream;
 use crate::edge::transit;
 use crate::edge::transit::Transit;
-use crate::fingerprint::Fingerprint;
 use crate::model::NodeRecord;
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::calls::AttemptEnd;
+use crate::node::mesh::Source;
 use crate::node::ms;
+use crate::node::peers::SEED_PREFIX;
 use crate::node::targets::WorkOrigin;
 use crate::node::transfers::Incoming;
 
@@ -36,9 +37,9 @@
 /// Time for a sign of life until the link counts as lost. Lost packets are sent again within it.
 const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Silence on an idle link after which a sign of life is asked for; grows with the number of
-/// nodes, so that the traffic of a node stays bounded.
+/// links, so that the traffic of a node stays bounded.
 const IDLE_PING: Duration = Duration::from_secs(1);
-const IDLE_PING_PER_NODE: Duration = Duration::from_millis(60);
+const IDLE_PING_PER_LINK: Duration = Duration::from_millis(60);
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest and longest time between attempts to connect.
@@ -65,6 +66,8 @@
     greeted_with: u64,
     /// Calls without an answer.
     pub(super) calls: Vec<u64>,
+    /// When it last carried a call or was opened.
+    pub(super) used_at: Time,
     /// Large answers that have not arrived whole.
     pub(super) incoming: Vec<Incoming>,
 }
@@ -104,12 +107,13 @@
             transit: Transit::default(),
             greeted_with: self.record_sequence,
             calls: Vec::new(),
+            used_at: self.now,
             incoming: Vec::new(),
         })
     }
 
     /// Opens the link to a peer.
-    fn dial(&mut self, peer: u64) {
+    pub(super) fn dial(&mut self, peer: u64) {
         let Some(found) = self.peers.get(peer) else {
             return;
         };
@@ -221,13 +225,13 @@
             Frame::Hello(record) => self.take_hello(id, &record),
             Frame::Record(record) => {
                 let sequence = record.sequence;
-                self.take_record(record);
+                self.take_record_from(id, record);
                 self.tell(id, &Frame::RecordAck { sequence });
             }
             Frame::Left(left) => self.keep_leaves(left),
             Frame::RecordAck { sequence } => self.leaves_copied(sequence),
-            Frame::Members { digest } => self.take_members(id, digest),
-            Frame::Peers(records) => self.take_peers(records),
+            Frame::Members(digests) => self.take_members(id, &digests),
+            Frame::Peers(records) => self.take_peers(id, records),
             Frame::Call(call) => self.take_call(id, *call, is_over)?,
             Frame::Cancel { call } => self.take_cancel(id, call),
             Frame::Answer(answer) => self.take_answer(id, *answer)?,
@@ -261,22 +265,22 @@
                 self.tell(id, &Frame::Pong);
             }
             Frame::Pong => {}
-            Frame::Beat { config, rollouts } => self.take_beat(id, config, rollouts),
-            Frame::BeatsEnd => self.take_beats_end(id),
+            Frame::Beat(beat) => self.take_beat(id, beat),
             Frame::ConfigDelta(delta) => self.take_config_delta(id, *delta),
-            Frame::ConfigRequest => self.take_config_request(id),
-            Frame::Config(config) => self.adopt_config(*config, "peer"),
-            Frame::Rollouts(news) => self.take_rollout_news(news),
-            Frame::Suspect(fingerprint) => {
-                self.suspects.add(fingerprint, self.now);
-            }
+            Frame::HasConfig { config } => self.take_config_news(id, config),
+            Frame::ConfigRequest { known } => self.take_config_request(id, known),
+            Frame::Config(config) => self.adopt_config(*config, Source::Peer(id)),
+            Frame::Rollouts(news) => self.take_rollout_news(id, news),
+            Frame::Suspect { fingerprint, event } => self.take_suspect(id, fingerprint, event),
             Frame::Evidence {
                 service,
                 version,
                 evidence,
             } => self.take_evidence(&service, &version, evidence),
             Frame::StopTrial { service, version } => {
-                self.stop_trial(&service, &version, "told by another node");
+                if self.stop_trial(&service, &version, "told by another node") {
+                    self.spread(&Frame::StopTrial { service, version }, Some(id));
+                }
             }
         }
         Ok(())
@@ -297,12 +301,7 @@
         if !left.is_empty() {
             self.tell(id, &Frame::Left(left));
         }
-        let is_new = known.is_none();
-        let peer = self.take_record(record.clone());
-        if is_new && self.follows_store() {
-            // Nodes that start together may have missed each other in the store's list.
-            self.tell_all(&Frame::Record(record.clone()));
-        }
+        let peer = self.take_record_from(id, record.clone());
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
@@ -333,8 +332,12 @@
             "address_taken_over",
             json!({ "peer": name, "by": by.node, "is_forgotten": is_older }),
         );
-        if is_older {
-            self.peers.remove(peer);
+        if is_older && name.starts_with(SEED_PREFIX) {
+            self.forget_peer(peer);
+        } else if is_older {
+            if let Some(found) = self.peers.get_mut(peer) {
+                found.is_gone = true;
+            }
         } else {
             self.dial_failed(peer);
         }
@@ -365,6 +368,10 @@
         if self.mesh.config().is_none() {
             self.ask_for_config(link);
         }
+        self.overlay_is_due = true;
+        if self.overlay.partners().contains(&peer) {
+            self.compare_members(link);
+        }
     }
 
     /// The other end is lost; its calls may have run.
@@ -382,6 +389,7 @@
         }
         metrics::counter!("hemlockfall_sidecar_links_lost_total").increment(1);
         let now = self.now;
+        self.overlay_is_due = true;
         if let Some(found) = self.peers.get_mut(peer)
             && found.link == Some(id)
         {
@@ -427,8 +435,8 @@
 
     pub(super) fn check_links(&mut self) {
         let now = self.now;
-        let nodes = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        let idle_ping = IDLE_PING.max(IDLE_PING_PER_NODE.saturating_mul(nodes));
+        let links = u32::try_from(self.overlay.wanted().len()).unwrap_or(u32::MAX);
+        let idle_ping = IDLE_PING.max(IDLE_PING_PER_LINK.saturating_mul(links));
         let mut lost = Vec::new();
         let mut silent = Vec::new();
         for (id, link) in self.links.iter() {
@@ -467,15 +475,8 @@
         for id in silent {
             self.ping(id);
         }
-        let due: Vec<u64> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.link.is_none() && peer.dial_at <= now)
-            .map(|(id, _)| id)
-            .collect();
-        for peer in due {
-            self.dial(peer);
-        }
+        self.dial_wanted();
+        self.close_unwanted();
     }
 
     fn ping(&mut self, id: u64) {
@@ -516,21 +517,4 @@
         // A failed link shows in its next event, or by its silence.
         let _ = link.stream.send(&bytes);
     }
-
-    /// Sends a frame to every connected node.
-    pub(super) fn tell_all(&mut self, frame: &Frame) {
-        let links: Vec<u64> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.is_linked)
-            .filter_map(|(_, peer)| peer.link)
-            .collect();
-        for link in links {
-            self.tell(link, frame);
-        }
-    }
-
-    pub(super) fn tell_suspect(&mut self, fingerprint: Fingerprint) {
-        self.tell_all(&Frame::Suspect(fingerprint));
-    }
 }
--- /dev/null
+++ b/crates/sidecar/src/node/links_kept.rs
@@ -0,0 +1,244 @@
+//! The links that the node keeps, and the news that it passes on.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::balance::Distance;
+use crate::edge::frame::Frame;
+use crate::fingerprint::Fingerprint;
+use crate::following::rank_of;
+use crate::model::NodeRecord;
+use crate::node::Node;
+use crate::overlay::Member;
+use crate::overlay::Needs;
+use crate::overlay::Overlay;
+
+/// Rounds after which the links are planned anew at the latest.
+const PLAN_ROUNDS: u64 = 10;
+/// Time for which a link that is no longer wanted is kept after its last call.
+const UNWANTED_KEPT: Duration = Duration::from_secs(15);
+/// Failed attempts to connect after which a node counts as failed.
+const FAILED_AFTER: u32 = 2;
+/// Events about crashing requests that are remembered, so that each is passed on and counted once.
+const EVENTS: usize = 256;
+
+/// `News` is what waits to be passed on or was passed on already.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    /// Peers whose records the relays of other data centres are to be told.
+    outward: Vec<u64>,
+    /// Peers whose records the own data centre is to be told.
+    inward: Vec<u64>,
+    /// Events that were seen, newest last.
+    events: Vec<u64>,
+}
+
+impl News {
+    /// Remembers an event; tells whether it is new.
+    fn is_new_event(&mut self, event: u64) -> bool {
+        if self.events.contains(&event) {
+            return false;
+        }
+        if self.events.len() >= EVENTS {
+            self.events.remove(0);
+        }
+        self.events.push(event);
+        true
+    }
+}
+
+impl Node {
+    /// Plans the links anew when something has changed, and passes on what is new.
+    pub(super) fn check_overlay(&mut self) {
+        let now = self.now;
+        let before = self.full_services.len();
+        self.full_services.retain(|(_, until)| *until > now);
+        let has_changed = self.overlay_is_due || self.full_services.len() != before;
+        if has_changed || self.rounds.is_multiple_of(PLAN_ROUNDS) {
+            self.overlay_is_due = false;
+            self.plan_overlay();
+        }
+        self.pass_news_on();
+    }
+
+    fn plan_overlay(&mut self) {
+        let members: Vec<Member> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_gone)
+            .map(|(id, peer)| {
+                let target = peer.record.target.as_ref();
+                Member {
+                    id,
+                    rank: peer.rank,
+                    data_centre: peer.record.data_centre.clone(),
+                    distance: peer.distance,
+                    service: target
+                        .filter(|target| target.is_ready)
+                        .map(|target| target.service.clone()),
+                    is_linked: peer.is_linked,
+                    has_failed: peer.dial_failures >= FAILED_AFTER,
+                    is_stopping: peer.record.is_stopping,
+                }
+            })
+            .collect();
+        let needs = Needs {
+            listeners: self.evidence_listeners(),
+            full_services: self
+                .full_services
+                .iter()
+                .map(|(service, _)| service.clone())
+                .collect(),
+        };
+        self.overlay = Overlay::plan(rank_of(&self.settings.name), &members, &needs);
+    }
+
+    /// Opens the links that are wanted and due.
+    pub(super) fn dial_wanted(&mut self) {
+        let now = self.now;
+        let due: Vec<u64> = self
+            .overlay
+            .wanted()
+            .iter()
+            .copied()
+            .filter(|id| {
+                let peer = self.peers.get(*id);
+                peer.is_some_and(|peer| peer.link.is_none() && peer.dial_at <= now)
+            })
+            .collect();
+        for peer in due {
+            self.dial(peer);
+        }
+    }
+
+    /// Closes links that are no longer wanted and carry nothing.
+    pub(super) fn close_unwanted(&mut self) {
+        let now = self.now;
+        let unwanted: Vec<(u64, u64)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.is_dialed && link.calls.is_empty())
+            .filter(|(_, link)| now.saturating_sub(link.used_at) > UNWANTED_KEPT)
+            .filter_map(|(id, link)| Some((id, link.peer?)))
+            .filter(|(_, peer)| !self.overlay.wants(*peer))
+            .collect();
+        for (link, peer) in unwanted {
+            self.links.remove(link);
+            if let Some(found) = self.peers.get_mut(peer)
+                && found.link == Some(link)
+            {
+                found.link = None;
+                found.is_linked = false;
+            }
+        }
+    }
+
+    /// Passes news on: those of this node to its data centre and, by its relays, to the others;
+    /// those of its data centre to the others if it is a relay; those of others to its own.
+    pub(super) fn spread(&mut self, frame: &Frame, from: Option<u64>) {
+        self.spread_inward(frame, from);
+        self.spread_outward(frame, from);
+    }
+
+    /// Tells the nodes of the data centre what comes from this node or from another data centre.
+    pub(super) fn spread_inward(&mut self, frame: &Frame, from: Option<u64>) {
+        let is_known_here = from.is_some_and(|link| self.is_near(link) != Some(false));
+        if !is_known_here {
+            for link in self.near_links() {
+                self.tell(link, frame);
+            }
+        }
+    }
+
+    /// Tells other data centres, if this node is a relay, what comes from this one.
+    pub(super) fn spread_outward(&mut self, frame: &Frame, from: Option<u64>) {
+        let is_from_here = from.is_none_or(|link| self.is_near(link) == Some(true));
+        if is_from_here {
+            for link in self.partner_links() {
+                self.tell(link, frame);
+            }
+        }
+    }
+
+    /// Tells whether the other end of a link is in this data centre, once it has said its name.
+    fn is_near(&self, link: u64) -> Option<bool> {
+        let peer = self.links.get(link)?.peer?;
+        let distance = self.peers.get(peer)?.distance;
+        Some(distance <= Distance::DataCentre)
+    }
+
+    /// Links to the other nodes of the data centre.
+    fn near_links(&self) -> Vec<u64> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.is_linked && peer.distance <= Distance::DataCentre)
+            .filter_map(|(_, peer)| peer.link)
+            .collect()
+    }
+
+    /// Links to the relays of other data centres that this node tells news.
+    fn partner_links(&self) -> Vec<u64> {
+        self.overlay
+            .partners()
+            .iter()
+            .filter_map(|id| self.peers.get(*id))
+            .filter(|peer| peer.is_linked)
+            .filter_map(|peer| peer.link)
+            .collect()
+    }
+
+    /// Keeps a record that came on a link until news are passed on next; many change at once when
+    /// a data centre starts.
+    pub(super) fn pass_record_on(&mut self, peer: u64, link: u64, is_near: bool) {
+        // A node that greets has no name on its link yet; it is the one of the record.
+        let is_from_near = self.is_near(link).unwrap_or(is_near);
+        if !is_from_near {
+            self.news.inward.push(peer);
+        } else if is_near {
+            self.news.outward.push(peer);
+        }
+    }
+
+    fn pass_news_on(&mut self) {
+        let outward = std::mem::take(&mut self.news.outward);
+        let inward = std::mem::take(&mut self.news.inward);
+        let (outward, inward) = (self.records_of(outward), self.records_of(inward));
+        if !outward.is_empty() {
+            let frame = Frame::Peers(outward);
+            for link in self.partner_links() {
+                self.tell(link, &frame);
+            }
+        }
+        if !inward.is_empty() {
+            let frame = Frame::Peers(inward);
+            for link in self.near_links() {
+                self.tell(link, &frame);
+            }
+        }
+    }
+
+    fn records_of(&self, mut peers: Vec<u64>) -> Vec<NodeRecord> {
+        peers.sort_unstable();
+        peers.dedup();
+        peers
+            .into_iter()
+            .filter_map(|id| self.peers.get(id))
+            .map(|peer| peer.record.clone())
+            .collect()
+    }
+
+    /// Tells other nodes that a request ran at this node's target when that vanished.
+    pub(super) fn tell_suspect(&mut self, fingerprint: Fingerprint) {
+        let event = self.random.random();
+        self.news.is_new_event(event);
+        self.spread(&Frame::Suspect { fingerprint, event }, None);
+    }
+
+    pub(super) fn take_suspect(&mut self, link: u64, fingerprint: Fingerprint, event: u64) {
+        if self.news.is_new_event(event) {
+            self.suspects.add(fingerprint, self.now);
+            self.spread(&Frame::Suspect { fingerprint, event }, Some(link));
+        }
+    }
+}
--- a/crates/sidecar/src/node/members.rs
+++ b/crates/sidecar/src/node/members.rs
@@ -1,76 +1,120 @@
 //! Comparing the members of the mesh with another node.
 //!
-//! A node reads the list of nodes from the store once, when it starts. Two nodes that start
-//! together may both miss the other in it, and the news of a node may be lost with a link, so each
-//! node compares notes from time to time.
+//! News of a node may be lost with a link, and two nodes that start together may both miss the
+//! other in the store's list. So each node compares what it knows with a node of its data centre
+//! from time to time, and relays do so with those of other data centres.
 
+use hemlockfall_core::ids::DataCentreName;
 use rand::RngExt;
 
+use crate::balance::Distance;
 use crate::edge::frame::Frame;
-use crate::following::rank_of;
+use crate::edge::frame::MembersDigest;
 use crate::model::NodeRecord;
 use crate::node::Node;
 
-/// Rounds after the start at which a node compares notes: when its first links stand, and when
+/// Rounds after the start at which a node compares members: when its first links stand, and when
 /// the nodes that started with it are known to others.
-const FIRST_ROUNDS: [u64; 2] = [8, 25];
-/// Rounds between two later comparisons.
+const FIRST_ROUNDS: [u64; 3] = [4, 10, 25];
+/// Rounds between two later comparisons in the data centre, and between two relays.
 const ROUNDS: u64 = 50;
+const RELAY_ROUNDS: u64 = 150;
 
 impl Node {
-    /// Compares notes with one of the nearest nodes, as bytes between data centres are charged.
     pub(super) fn check_members(&mut self) {
-        let is_due = FIRST_ROUNDS.contains(&self.rounds) || self.rounds.is_multiple_of(ROUNDS);
-        if !is_due {
-            return;
+        if FIRST_ROUNDS.contains(&self.rounds) || self.rounds.is_multiple_of(ROUNDS) {
+            self.compare_with(|distance| distance <= Distance::DataCentre);
         }
-        let linked = || self.peers.iter().filter(|(_, peer)| peer.is_linked);
-        let Some(nearest) = linked().map(|(_, peer)| peer.distance).min() else {
-            return;
-        };
-        let links: Vec<u64> = linked()
-            .filter(|(_, peer)| peer.distance == nearest)
+        if self.rounds.is_multiple_of(RELAY_ROUNDS) {
+            self.compare_with(|distance| distance > Distance::DataCentre);
+        }
+    }
+
+    /// Compares members with one linked node at some distance.
+    fn compare_with(&mut self, is_meant: impl Fn(Distance) -> bool) {
+        let links: Vec<u64> = self
+            .peers
+            .iter()
+            .filter(|(id, peer)| {
+                let is_near = peer.distance <= Distance::DataCentre;
+                peer.is_linked
+                    && is_meant(peer.distance)
+                    && (is_near || self.overlay.partners().contains(id))
+            })
             .filter_map(|(_, peer)| peer.link)
             .collect();
-        let digest = self.members_digest();
         let choice = self.random.random_range(0..links.len().max(1));
         if let Some(link) = links.get(choice) {
-            self.tell(*link, &Frame::Members { digest });
+            self.compare_members(*link);
         }
     }
 
-    pub(super) fn take_members(&mut self, link: u64, digest: u64) {
-        if digest == self.members_digest() {
-            return;
-        }
+    /// Says on a link which nodes this one knows.
+    pub(super) fn compare_members(&mut self, link: u64) {
+        let digests = self.members_digests();
+        self.tell(link, &Frame::Members(digests));
+    }
+
+    /// Tells the records of the data centres of which the other node knows other members.
+    pub(super) fn take_members(&mut self, link: u64, digests: &[MembersDigest]) {
+        let own = self.members_digests();
+        let differs = |data_centre: &DataCentreName| {
+            let sum_in = |digests: &[MembersDigest]| {
+                let found = digests
+                    .iter()
+                    .find(|digest| digest.data_centre == *data_centre);
+                found.map(|digest| digest.sum)
+            };
+            sum_in(&own) != sum_in(digests)
+        };
         let records: Vec<NodeRecord> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.is_linked)
+            .filter(|(_, peer)| is_told(&peer.record) && differs(&peer.record.data_centre))
             .map(|(_, peer)| peer.record.clone())
             .collect();
-        self.tell(link, &Frame::Peers(records));
+        if !records.is_empty() {
+            self.tell(link, &Frame::Peers(records));
+        }
     }
 
-    pub(super) fn take_peers(&mut self, records: Vec<NodeRecord>) {
+    pub(super) fn take_peers(&mut self, link: u64, records: Vec<NodeRecord>) {
         for record in records {
             if record.node != self.settings.name {
-                self.take_record(record);
+                self.take_record_from(link, record);
             }
         }
     }
 
-    /// Sums up the members and the state of their records, in any order.
-    fn members_digest(&self) -> u64 {
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.is_linked)
-            .map(|(_, peer)| number_of(&peer.record))
-            .fold(number_of(&self.own_record()), u64::wrapping_add)
+    /// Sums up the members of each data centre, sorted by its name.
+    fn members_digests(&self) -> Vec<MembersDigest> {
+        let mut digests: Vec<MembersDigest> = Vec::new();
+        let own = self.own_record();
+        let others = self.peers.iter().map(|(_, peer)| &peer.record);
+        for record in others.chain([&own]).filter(|record| is_told(record)) {
+            let number = number_of(record);
+            match digests.binary_search_by(|digest| digest.data_centre.cmp(&record.data_centre)) {
+                Ok(index) => digests[index].sum = digests[index].sum.wrapping_add(number),
+                Err(index) => {
+                    let digest = MembersDigest {
+                        data_centre: record.data_centre.clone(),
+                        sum: number,
+                    };
+                    digests.insert(index, digest);
+                }
+            }
+        }
+        digests
     }
 }
 
+/// Seeds without a name are not told, and what is only known from the store may be out of date.
+fn is_told(record: &NodeRecord) -> bool {
+    record.sequence > 0
+}
+
 fn number_of(record: &NodeRecord) -> u64 {
     let state = record.incarnation.wrapping_mul(31) ^ record.sequence;
-    u64::from_le_bytes(rank_of(&record.node)).wrapping_mul(state.wrapping_mul(2) | 1)
+    u64::from_le_bytes(crate::following::rank_of(&record.node))
+        .wrapping_mul(state.wrapping_mul(2) | 1)
 }
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -1,5 +1,6 @@
 //! The configuration and the roll-outs in force at this node.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use serde_json::json;
 
 use crate::clock::Time;
+use crate::edge::frame;
+use crate::edge::frame::BeatFrame;
 use crate::edge::frame::Frame;
 use crate::edge::frame::RolloutNews;
 use crate::exposure::Exposure;
@@ -24,7 +27,36 @@
 use crate::router::Router;
 
 /// Time after which another node is asked for the configuration.
-const ASK_AGAIN: Duration = Duration::from_millis(150);
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+/// Changes of the configuration up to this size are sent to nodes that have not asked.
+const PUSHED_BYTES: usize = 4 * 1024;
+/// Changes that are kept for nodes that have missed some.
+const KEPT_DELTAS: usize = 8;
+
+/// `Source` is where something was learnt from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The platform's store.
+    Store,
+    /// Another node, on a link.
+    Peer(u64),
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer(_) => "peer",
+        }
+    }
+
+    fn link(self) -> Option<u64> {
+        match self {
+            Self::Store => None,
+            Self::Peer(link) => Some(link),
+        }
+    }
+}
 
 /// Version of a service that a request may or must run on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +71,8 @@
 pub(crate) struct Mesh {
     config: Option<Rc<MeshConfig>>,
     config_at: Time,
+    /// The last changes, oldest first; each leads to the base of the next.
+    deltas: VecDeque<ConfigDelta>,
     /// When another node was last asked for the configuration.
     asked_at: Option<Time>,
     pub(super) router: Router,
@@ -102,6 +136,26 @@
         now.saturating_sub(self.config_at)
     }
 
+    /// Keeps a change for nodes that miss it.
+    fn remember_delta(&mut self, delta: ConfigDelta) {
+        let follows = |last: &ConfigDelta| last.version == delta.base;
+        if !self.deltas.back().is_none_or(follows) {
+            self.deltas.clear();
+        }
+        if self.deltas.len() >= KEPT_DELTAS {
+            self.deltas.pop_front();
+        }
+        self.deltas.push_back(delta);
+    }
+
+    /// The changes that lead from a version to the one in force; none if they are not kept.
+    fn deltas_since(&self, known: ConfigVersion) -> Vec<ConfigDelta> {
+        let start = self.deltas.iter().position(|delta| delta.base == known);
+        start.map_or(Vec::new(), |start| {
+            self.deltas.range(start..).cloned().collect()
+        })
+    }
+
     pub(super) fn rollouts_revision(&self) -> ObjectRevision {
         let revisions = self.trials.iter().map(|trial| trial.rollout.revision);
         revisions.max().unwrap_or_default()
@@ -198,7 +252,7 @@
 
 impl Node {
     /// Puts a configuration in force unless it is older than the one that is.
-    pub(super) fn adopt_config(&mut self, config: MeshConfig, source: &str) {
+    pub(super) fn adopt_config(&mut self, config: MeshConfig, source: Source) {
         let before = self.mesh.config.clone();
         let known = self.mesh.config_version();
         if before.is_some() && config.version <= known {
@@ -212,26 +266,43 @@
             "config_adopted",
             json!({
                 "config": config.version, "before": known, "before_age_ms": ms(age),
-                "routes": config.routes.len(), "source": source,
+                "routes": config.routes.len(), "source": source.name(),
             }),
         );
         self.mesh.router.load(&config);
         let config = Rc::new(config);
         self.mesh.config = Some(Rc::clone(&config));
         self.mesh.config_at = self.now;
-        if source != "store" {
-            return;
-        }
         match before {
-            Some(before) => {
-                let delta = config.delta_from(&before);
-                self.tell_all(&Frame::ConfigDelta(Box::new(delta)));
-            }
+            Some(before) => self.spread_delta(config.delta_from(&before), source),
             // Nodes that have none yet ask for it.
-            None => self.tell_all(&Frame::Beat {
-                config: config.version,
-                rollouts: self.mesh.rollouts_revision(),
-            }),
+            None if source == Source::Store => self.spread(&self.config_news(), None),
+            None => {}
+        }
+    }
+
+    /// Tells other nodes what has changed. A large change crosses to each data centre as it is;
+    /// inside, nodes hear of it and ask one relay each, so that they get it once.
+    fn spread_delta(&mut self, delta: ConfigDelta, source: Source) {
+        let frame = Frame::ConfigDelta(Box::new(delta.clone()));
+        self.mesh.remember_delta(delta);
+        if frame::encoded_bytes(&frame) <= PUSHED_BYTES {
+            self.spread(&frame, source.link());
+            return;
+        }
+        self.spread_outward(&frame, source.link());
+        self.spread_inward(&self.config_news(), source.link());
+    }
+
+    fn config_news(&self) -> Frame {
+        Frame::HasConfig {
+            config: self.mesh.config_version(),
+        }
+    }
+
+    pub(super) fn take_config_news(&mut self, link: u64, config: ConfigVersion) {
+        if config > self.mesh.config_version() {
+            self.ask_for_config(link);
         }
     }
 
@@ -245,13 +316,13 @@
             .as_ref()
             .and_then(|config| config.apply(delta));
         match applied {
-            Some(config) => self.adopt_config(config, "peer_delta"),
+            Some(config) => self.adopt_config(config, Source::Peer(link)),
             None => self.ask_for_config(link),
         }
     }
 
-    /// Asks one node for the whole configuration. It is large, so others are only asked when
-    /// there is no answer.
+    /// Asks one node for what it has. It may be large, so others are only asked when there is no
+    /// answer.
     pub(super) fn ask_for_config(&mut self, link: u64) {
         let is_waiting = self
             .mesh
@@ -259,45 +330,54 @@
             .is_some_and(|at| self.now.saturating_sub(at) < ASK_AGAIN);
         if !is_waiting {
             self.mesh.asked_at = Some(self.now);
-            self.tell(link, &Frame::ConfigRequest);
+            let known = self.mesh.config_version();
+            self.tell(link, &Frame::ConfigRequest { known });
         }
     }
 
-    pub(super) fn take_config_request(&mut self, link: u64) {
-        if let Some(config) = self.mesh.config.clone() {
+    pub(super) fn take_config_request(&mut self, link: u64, known: ConfigVersion) {
+        let deltas = self.mesh.deltas_since(known);
+        if !deltas.is_empty() {
+            for delta in deltas {
+                self.tell(link, &Frame::ConfigDelta(Box::new(delta)));
+            }
+        } else if let Some(config) = self.mesh.config.clone()
+            && config.version > known
+        {
             self.tell(link, &Frame::Config(Box::new((*config).clone())));
         }
         self.tell(link, &Frame::Rollouts(self.rollout_news()));
     }
 
     /// A node that follows the store knows these versions.
-    pub(super) fn take_beat(&mut self, link: u64, config: ConfigVersion, rollouts: ObjectRevision) {
-        let now = self.now;
-        if let Some(peer) = self.links.get(link).and_then(|link| link.peer)
-            && let Some(peer) = self.peers.get_mut(peer)
-        {
-            peer.beat_at = Some(now);
+    pub(super) fn take_beat(&mut self, link: u64, beat: BeatFrame) {
+        if beat.node == self.settings.name {
+            return;
         }
-        let is_behind =
-            config > self.mesh.config_version() || rollouts > self.mesh.rollouts_revision();
+        let now = self.now;
+        let is_behind = beat.config > self.mesh.config_version()
+            || beat.rollouts > self.mesh.rollouts_revision();
         if is_behind {
             self.ask_for_config(link);
         }
-    }
-
-    /// A node has lost the store or leaves the following to others.
-    pub(super) fn take_beats_end(&mut self, link: u64) {
-        if let Some(peer) = self.links.get(link).and_then(|link| link.peer)
-            && let Some(peer) = self.peers.get_mut(peer)
-        {
-            peer.beat_at = None;
+        let Some(peer) = self
+            .peer_by_name(&beat.node)
+            .and_then(|peer| self.peers.get_mut(peer))
+        else {
+            return;
+        };
+        let this_beat = (beat.incarnation, beat.number);
+        if this_beat > peer.last_beat {
+            peer.last_beat = this_beat;
+            peer.beat_at = beat.is_following.then_some(now);
+            self.spread(&Frame::Beat(beat), Some(link));
         }
     }
 
-    pub(super) fn take_rollout_news(&mut self, news: Vec<RolloutNews>) {
+    pub(super) fn take_rollout_news(&mut self, link: u64, news: Vec<RolloutNews>) {
         for item in news {
             let age = Duration::from_millis(item.age_ms.into());
-            self.adopt_rollout(item.rollout, age, "peer");
+            self.adopt_rollout(item.rollout, age, Source::Peer(link));
         }
     }
 
@@ -314,11 +394,11 @@
     }
 
     /// Takes in an order for a roll-out or its state.
-    pub(super) fn adopt_rollout(&mut self, rollout: Rollout, age: Duration, source: &str) {
+    pub(super) fn adopt_rollout(&mut self, rollout: Rollout, age: Duration, source: Source) {
         let facts = json!({
             "service": rollout.service, "version": rollout.target_version,
             "state": format!("{:?}", rollout.state), "revision": rollout.revision,
-            "finish_in_ms": ms(rollout.finish_in), "age_ms": ms(age), "source": source,
+            "finish_in_ms": ms(rollout.finish_in), "age_ms": ms(age), "source": source.name(),
         });
         let service = rollout.service.clone();
         let known = self
@@ -334,9 +414,8 @@
             self.target.clear_counts();
         }
         self.state_line("rollout_adopted", facts);
-        if source == "store" {
-            let news = self.rollout_news();
-            self.tell_all(&Frame::Rollouts(news));
-        }
+        self.overlay_is_due = true;
+        let news = self.rollout_news();
+        self.spread(&Frame::Rollouts(news), source.link());
     }
 }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod link_calls;
 mod links;
+mod links_kept;
 mod members;
 mod mesh;
 mod peers;
@@ -24,6 +25,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::ServiceName;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -51,12 +54,14 @@
 use crate::node::connections::TargetConnection;
 use crate::node::leaving::Leaving;
 use crate::node::links::Link;
+use crate::node::links_kept::News;
 use crate::node::mesh::Mesh;
 use crate::node::peers::Peer;
 use crate::node::signals::SignalPipe;
 use crate::node::store::StoreSync;
 use crate::node::targets::TargetSide;
 use crate::node::transfers::Outgoing;
+use crate::overlay::Overlay;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
 use crate::returning::Returning;
@@ -158,6 +163,14 @@
     connections: Table<TargetConnection>,
     leaving: Vec<Leaving>,
     peers: Table<Peer>,
+    /// Ids of peers, sorted by the names of their nodes.
+    peer_names: Vec<(NodeName, u64)>,
+    overlay: Overlay,
+    /// Whether what the overlay depends on has changed.
+    overlay_is_due: bool,
+    /// Services without a free target among those linked, and until when; sorted by service.
+    full_services: Vec<(ServiceName, Time)>,
+    news: News,
     links: Table<Link>,
     uplink: Uplink,
     uplink_timer: Option<Time>,
@@ -200,6 +213,11 @@
             connections: Table::default(),
             leaving: Vec::new(),
             peers: Table::default(),
+            peer_names: Vec::new(),
+            overlay: Overlay::default(),
+            overlay_is_due: true,
+            full_services: Vec::new(),
+            news: News::default(),
             links: Table::default(),
             uplink: Uplink::new(settings.link_bytes_per_s()),
             uplink_timer: None,
@@ -316,6 +334,7 @@
             self.after_pause();
         }
         self.check_callers();
+        self.check_overlay();
         self.check_links();
         self.check_members();
         self.check_connections();
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::RouteName;
 use serde_json::json;
@@ -22,6 +23,8 @@
 /// `OWN_NODE` stands for this node among the candidates for a request.
 pub(super) const OWN_NODE: u64 = 0;
 
+/// Begins the names that seeds have until their nodes have said theirs.
+pub(super) const SEED_PREFIX: &str = "seed-";
 /// Routes whose run times at a node are kept.
 const MAX_ROUTES: usize = 32;
 /// Leaves of a node that are kept.
@@ -31,6 +34,10 @@
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(super) record: NodeRecord,
+    /// Its place in the order that all nodes share.
+    pub(super) rank: Rank,
+    /// Whether another node has taken over its address.
+    pub(super) is_gone: bool,
     pub(super) distance: Distance,
     /// The link that this node opened, if any.
     pub(super) link: Option<u64>,
@@ -45,6 +52,8 @@
     pub(super) outstanding: u16,
     /// When the node last said that it follows the store.
     pub(super) beat_at: Option<Time>,
+    /// Process and number of its last sign.
+    pub(super) last_beat: (Incarnation, u32),
 }
 
 /// `RouteTimes` are what a node has reported of a route.
@@ -66,7 +75,7 @@
     /// A seed is dialled; its node says its name.
     pub(super) fn take_seed(&mut self, address: SocketAddr) {
         self.take_record(NodeRecord {
-            node: format!("seed-{address}").into(),
+            node: format!("{SEED_PREFIX}{address}").into(),
             peer_address: address,
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
@@ -78,8 +87,23 @@
         });
     }
 
+    /// Takes in a record that came on a link, and passes it on if it is news.
+    pub(super) fn take_record_from(&mut self, link: u64, record: NodeRecord) -> u64 {
+        let known = self
+            .peer_by_name(&record.node)
+            .and_then(|peer| self.peers.get(peer));
+        let is_news = known.is_none_or(|peer| record.is_newer_than(&peer.record));
+        let is_near = record.data_centre == self.settings.data_centre;
+        let peer = self.take_record(record);
+        if is_news {
+            self.pass_record_on(peer, link, is_near);
+        }
+        peer
+    }
+
     /// Takes in a record and returns its peer.
     pub(super) fn take_record(&mut self, mut record: NodeRecord) -> u64 {
+        self.overlay_is_due = true;
         let found = self.peer_by_name(&record.node);
         if let Some(id) = found {
             if let Some(peer) = self.peers.get_mut(id)
@@ -89,6 +113,7 @@
                 let has_restarted = peer.record.incarnation != record.incarnation;
                 keep_left(&mut record, &peer.record);
                 peer.record = record;
+                peer.is_gone = false;
                 if has_restarted {
                     peer.dial_at = self.now;
                     peer.dial_failures = 0;
@@ -107,7 +132,10 @@
             "peer_known",
             json!({ "peer": record.node, "distance": format!("{distance:?}") }),
         );
-        self.peers.insert(Peer {
+        let name = record.node.clone();
+        let id = self.peers.insert(Peer {
+            rank: rank_of(&name),
+            is_gone: false,
             record,
             distance,
             link: None,
@@ -119,19 +147,37 @@
             route_runs: Vec::new(),
             outstanding: 0,
             beat_at: None,
-        })
+            last_beat: (0, 0),
+        });
+        let index = self.peer_names.partition_point(|(known, _)| *known < name);
+        self.peer_names.insert(index, (name, id));
+        id
+    }
+
+    pub(super) fn forget_peer(&mut self, id: u64) {
+        self.overlay_is_due = true;
+        self.peers.remove(id);
+        self.peer_names.retain(|(_, known)| *known != id);
     }
 
     pub(super) fn peer_by_name(&self, name: &NodeName) -> Option<u64> {
-        self.peers
-            .iter()
-            .find(|(_, peer)| peer.record.node == *name)
-            .map(|(id, _)| id)
+        let index = self
+            .peer_names
+            .binary_search_by(|(known, _)| known.cmp(name))
+            .ok()?;
+        self.peer_names.get(index).map(|(_, id)| *id)
+    }
+
+    /// Nodes of the mesh as far as they are known, this one included.
+    pub(super) fn known_nodes(&self) -> usize {
+        let others = self.peers.iter();
+        1 + others
+            .filter(|(_, peer)| !peer.record.is_stopping && !peer.is_gone)
+            .count()
     }
 
-    /// Nodes that are connected, this one included.
-    pub(super) fn live_nodes(&self) -> usize {
-        1 + self.peers.iter().filter(|(_, peer)| peer.is_linked).count()
+    pub(super) fn has_links(&self) -> bool {
+        self.peers.iter().any(|(_, peer)| peer.is_linked)
     }
 
     pub(super) fn own_record(&self) -> NodeRecord {
@@ -148,11 +194,11 @@
         }
     }
 
-    /// Tells all connected nodes that this node's record has changed.
+    /// Tells other nodes that this node's record has changed.
     pub(super) fn record_changed(&mut self) {
         self.record_sequence += 1;
         let record = self.own_record();
-        self.tell_all(&Frame::Record(record));
+        self.spread(&Frame::Record(record), None);
     }
 
     pub(super) fn note_load(&mut self, peer: u64, route: Option<RouteName>, load: LoadReport) {
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -14,7 +14,9 @@
 use serde_json::json;
 use stakker_mio::Ready;
 
+use crate::balance::Distance;
 use crate::clock::Time;
+use crate::edge::frame::BeatFrame;
 use crate::edge::frame::Frame;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
@@ -28,6 +30,7 @@
 use crate::node::TICK;
 use crate::node::Timer;
 use crate::node::ms;
+use crate::node::peers::Peer;
 use crate::platform::NodeEntry;
 use crate::platform::StoreCall;
 use crate::platform::StoreKind;
@@ -86,6 +89,8 @@
     pub(super) following: Following,
     /// Whether other nodes were last told that this one follows the store.
     was_following: bool,
+    /// Signs that were given.
+    beats: u32,
 }
 
 /// `Lane` is one connection with its call.
@@ -140,6 +145,7 @@
             started: now,
             following: Following::new(now),
             was_following: false,
+            beats: 0,
         }
     }
 
@@ -198,8 +204,9 @@
             }
         }
         self.note_following();
-        if self.rounds.is_multiple_of(self.beat_rounds()) && self.last_tick == self.now {
-            self.send_beat();
+        let is_due = self.rounds.is_multiple_of(self.beat_rounds()) && self.last_tick == self.now;
+        if is_due && self.follows_store() {
+            self.send_beat(true);
         }
     }
 
@@ -264,8 +271,8 @@
             .peers
             .iter()
             .map(|(_, peer)| KnownNode {
-                rank: rank_of(&peer.record.node),
-                is_linked: peer.is_linked,
+                rank: peer.rank,
+                is_linked: is_taken_to_live(peer),
                 heard_at: peer.beat_at,
             })
             .collect();
@@ -285,7 +292,7 @@
         let before = self
             .peers
             .iter()
-            .filter(|(_, peer)| rank_of(&peer.record.node) < own)
+            .filter(|(_, peer)| peer.rank < own)
             .count();
         let waited = self.now.saturating_sub(self.store.started);
         let is_without = self.mesh.config().is_none() && waited > PEER_CONFIG_WAIT;
@@ -308,21 +315,20 @@
         if std::mem::replace(&mut self.store.was_following, follows) == follows {
             return;
         }
-        if follows {
-            self.send_beat();
-        } else {
-            self.tell_all(&Frame::BeatsEnd);
-        }
+        self.send_beat(follows);
     }
 
-    fn send_beat(&mut self) {
-        if self.follows_store() {
-            let beat = Frame::Beat {
-                config: self.mesh.config_version(),
-                rollouts: self.mesh.rollouts_revision(),
-            };
-            self.tell_all(&beat);
-        }
+    fn send_beat(&mut self, is_following: bool) {
+        self.store.beats += 1;
+        let beat = BeatFrame {
+            node: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            number: self.store.beats,
+            is_following,
+            config: self.mesh.config_version(),
+            rollouts: self.mesh.rollouts_revision(),
+        };
+        self.spread(&Frame::Beat(beat), None);
     }
 
     /// A pause may have cut the watches off.
@@ -477,3 +483,12 @@
         }
     }
 }
+
+/// Tells whether a node is taken to live: those of this data centre are linked with this node,
+/// others are known to fail only if they were dialled.
+fn is_taken_to_live(peer: &Peer) -> bool {
+    if peer.distance <= Distance::DataCentre {
+        return peer.is_linked;
+    }
+    !peer.is_gone && !peer.record.is_stopping && (peer.is_linked || peer.dial_failures == 0)
+}
--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -8,6 +8,7 @@
 use crate::model::ObjectRevision;
 use crate::model::TargetKey;
 use crate::node::Node;
+use crate::node::mesh::Source;
 use crate::node::store::Channel;
 use crate::platform::NodeEntry;
 use crate::platform::StoreCall;
@@ -87,7 +88,7 @@
                 let mut rollout = rollout;
                 rollout.state = state;
                 rollout.revision = revision;
-                self.adopt_rollout(rollout, Duration::ZERO, "store");
+                self.adopt_rollout(rollout, Duration::ZERO, Source::Store);
             }
             (StoreCall::SetRolloutState { .. }, _) => {
                 // Another node was first, or the order has changed.
@@ -111,9 +112,9 @@
 
     fn take_store_object(&mut self, object: StoreObject) {
         match object {
-            StoreObject::Config(config) => self.adopt_config(*config, "store"),
+            StoreObject::Config(config) => self.adopt_config(*config, Source::Store),
             StoreObject::Rollout(rollout) => {
-                self.adopt_rollout(rollout, Duration::ZERO, "store");
+                self.adopt_rollout(rollout, Duration::ZERO, Source::Store);
             }
             StoreObject::Node { entry, revision } => self.take_node_entry(entry, revision),
             StoreObject::Unreadable { name, reason } => {
@@ -165,6 +166,6 @@
     pub(super) fn leaves_are_known(&self) -> bool {
         self.store.entry_is_known
             || self.now.saturating_sub(self.store.started) > LONGEST_DOUBT
-            || self.live_nodes() > 1
+            || self.has_links()
     }
 }
--- a/crates/sidecar/src/node/trials.rs
+++ b/crates/sidecar/src/node/trials.rs
@@ -12,6 +12,7 @@
 use crate::judge::Verdict;
 use crate::model::RolloutState;
 use crate::node::Node;
+use crate::node::peers::Peer;
 use crate::platform::StoreCall;
 
 /// Rounds between two reports of evidence.
@@ -74,18 +75,33 @@
             evidence: evidence.clone(),
         };
         self.take_evidence(&service, &target_version, evidence);
-        let now = self.now;
         let links: Vec<u64> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| is_fresh(peer.beat_at, now))
-            .filter_map(|(_, peer)| peer.link)
+            .evidence_listeners()
+            .into_iter()
+            .filter_map(|peer| self.peers.get(peer)?.link)
             .collect();
         for link in links {
             self.tell(link, &frame);
         }
     }
 
+    /// The nodes that follow the store, while they judge the version of this node's target.
+    pub(super) fn evidence_listeners(&self) -> Vec<u64> {
+        let is_judged = self.target.own.current().is_some_and(|target| {
+            let trial = self.mesh.trial(&target.service);
+            trial.is_some_and(|trial| trial.rollout.state == RolloutState::Running)
+        });
+        if !is_judged {
+            return Vec::new();
+        }
+        let listens = |peer: &Peer| is_fresh(peer.beat_at, self.now);
+        let peers = self.peers.iter();
+        peers
+            .filter(|(_, peer)| listens(peer))
+            .map(|(id, _)| id)
+            .collect()
+    }
+
     pub(super) fn take_evidence(&mut self, service: &str, version: &str, evidence: Evidence) {
         if let Some(trial) = self.mesh.trial_mut(service)
             && trial.rollout.target_version == version
@@ -131,7 +147,7 @@
                 service: service.into(),
                 version,
             };
-            self.tell_all(&frame);
+            self.spread(&frame, None);
         }
     }
 
@@ -154,13 +170,13 @@
         }
     }
 
-    /// Sends nothing more to a version that was found bad.
-    pub(super) fn stop_trial(&mut self, service: &str, version: &str, reason: &str) {
+    /// Sends nothing more to a version that was found bad; tells whether that is new.
+    pub(super) fn stop_trial(&mut self, service: &str, version: &str, reason: &str) -> bool {
         let Some(trial) = self.mesh.trial_mut(service) else {
-            return;
+            return false;
         };
         if trial.rollout.target_version != version || trial.is_stopped {
-            return;
+            return false;
         }
         trial.is_stopped = true;
         trial.decided.get_or_insert(RolloutState::RolledBack);
@@ -168,6 +184,7 @@
             "trial_stopped",
             json!({ "service": service, "version": version, "reason": reason }),
         );
+        true
     }
 
     /// Place of this node among those that follow the store.
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -37,17 +37,20 @@
         match frame {
             Frame::Hello(_) => Self::Greeting,
             Frame::Record(_) | Frame::Left(_) | Frame::RecordAck { .. } => Self::Records,
-            Frame::Members { .. } | Frame::Peers(_) => Self::Members,
+            Frame::Members(_) | Frame::Peers(_) => Self::Members,
             Frame::Call(_) | Frame::Cancel { .. } => Self::Calls,
             Frame::Answer(_)
             | Frame::AnswerPart(_)
             | Frame::NotRun { .. }
             | Frame::Failed { .. } => Self::Answers,
             Frame::Ping { .. } | Frame::Pong => Self::Pings,
-            Frame::Beat { .. } | Frame::BeatsEnd => Self::Beats,
-            Frame::ConfigDelta(_) | Frame::ConfigRequest | Frame::Config(_) => Self::Config,
+            Frame::Beat(_) => Self::Beats,
+            Frame::ConfigDelta(_)
+            | Frame::HasConfig { .. }
+            | Frame::ConfigRequest { .. }
+            | Frame::Config(_) => Self::Config,
             Frame::Rollouts(_) | Frame::Evidence { .. } | Frame::StopTrial { .. } => Self::Rollouts,
-            Frame::Suspect(_) => Self::Suspects,
+            Frame::Suspect { .. } => Self::Suspects,
         }
     }
 
--- /dev/null
+++ b/crates/sidecar/tests/overlay.rs
@@ -0,0 +1,238 @@
+//! Links between data centres and the spread of news on them.
+
+use std::collections::VecDeque;
+
+use hemlockfall_sidecar::balance::Distance;
+use hemlockfall_sidecar::following::Rank;
+use hemlockfall_sidecar::following::rank_of;
+use hemlockfall_sidecar::overlay::Member;
+use hemlockfall_sidecar::overlay::Needs;
+use hemlockfall_sidecar::overlay::Overlay;
+use quickcheck::quickcheck;
+
+const SERVICES: [&str; 2] = ["desk", "feed"];
+
+/// A mesh of nodes that are dealt among data centres in turn; half of these are in each region.
+struct Mesh {
+    data_centres: usize,
+    ranks: Vec<Rank>,
+    /// Nodes that do not pass anything on; others have not noticed.
+    silent: Vec<usize>,
+}
+
+fn mesh(nodes: usize, data_centres: usize) -> Mesh {
+    Mesh {
+        data_centres,
+        ranks: (0..nodes)
+            .map(|node| rank_of(&format!("node-{node}")))
+            .collect(),
+        silent: Vec::new(),
+    }
+}
+
+impl Mesh {
+    fn data_centre(&self, node: usize) -> usize {
+        node % self.data_centres
+    }
+
+    fn distance(&self, a: usize, b: usize) -> Distance {
+        let (a, b) = (self.data_centre(a), self.data_centre(b));
+        if a == b {
+            Distance::DataCentre
+        } else if a % 2 == b % 2 {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
+    fn id(node: usize) -> u64 {
+        u64::try_from(node).expect("few nodes")
+    }
+
+    /// Others as a node sees them.
+    fn members(&self, own: usize) -> Vec<Member> {
+        (0..self.ranks.len())
+            .filter(|node| *node != own)
+            .map(|node| Member {
+                id: Self::id(node),
+                rank: self.ranks[node],
+                data_centre: format!("dc-{}", self.data_centre(node)).into(),
+                distance: self.distance(own, node),
+                service: Some(SERVICES[node / self.data_centres % SERVICES.len()].into()),
+                is_linked: true,
+                has_failed: false,
+                is_stopping: false,
+            })
+            .collect()
+    }
+
+    fn overlay(&self, node: usize) -> Overlay {
+        Overlay::plan(self.ranks[node], &self.members(node), &Needs::default())
+    }
+
+    /// Nodes that hear of the news of one, and how often they cross between data centres.
+    fn spread(&self, origin: usize) -> (Vec<bool>, usize) {
+        let mut heard = vec![false; self.ranks.len()];
+        heard[origin] = true;
+        let mut crossings = 0;
+        // Nodes that have something to tell, with where they have it from.
+        let mut open = VecDeque::from([(origin, None)]);
+        while let Some((node, from)) = open.pop_front() {
+            if self.silent.contains(&node) && node != origin {
+                continue;
+            }
+            let is_from_here =
+                from.is_none_or(|from| self.data_centre(from) == self.data_centre(node));
+            let mut told: Vec<usize> = Vec::new();
+            if from.is_none() || !is_from_here {
+                told.extend((0..heard.len()).filter(|other| {
+                    *other != node && self.data_centre(*other) == self.data_centre(node)
+                }));
+            }
+            if is_from_here {
+                let overlay = self.overlay(node);
+                let partners = overlay.partners();
+                crossings += partners.len();
+                told.extend(partners.iter().map(|id| usize::try_from(*id).expect("few")));
+            }
+            for other in told {
+                if !heard[other] {
+                    heard[other] = true;
+                    open.push_back((other, Some(node)));
+                }
+            }
+        }
+        (heard, crossings)
+    }
+}
+
+/// Load: the start of the whole mesh. Guards against links, and with them greetings, that grow
+/// with the square of the mesh.
+#[test]
+fn links_outside_the_data_centre_stay_few() {
+    for (nodes, data_centres) in [(12, 4), (73, 4), (195, 8), (300, 8), (1000, 8)] {
+        let mesh = mesh(nodes, data_centres);
+
+        let most = (0..nodes)
+            .map(|node| {
+                let is_outside = |id: &&u64| {
+                    let other = usize::try_from(**id).expect("few nodes");
+                    mesh.data_centre(other) != mesh.data_centre(node)
+                };
+                mesh.overlay(node)
+                    .wanted()
+                    .iter()
+                    .filter(is_outside)
+                    .count()
+            })
+            .max()
+            .expect("there are nodes");
+
+        println!("{nodes} nodes: {most} links outside the data centre at most");
+        assert!(most <= 24, "{nodes} nodes: {most}");
+    }
+}
+
+/// Guards against a small mesh that refuses requests for lack of links.
+#[test]
+fn a_small_mesh_is_linked_in_full() {
+    let mesh = mesh(12, 4);
+
+    assert_eq!(mesh.overlay(5).wanted().len(), 11);
+}
+
+/// Guards against nodes that never hear of a configuration or a stopped trial.
+#[test]
+fn news_reach_every_node_and_cross_a_fixed_number_of_times() {
+    for (nodes, data_centres) in [(3, 1), (12, 4), (73, 4), (195, 8), (1000, 8)] {
+        let mesh = mesh(nodes, data_centres);
+
+        let (heard, crossings) = mesh.spread(nodes / 2);
+
+        assert!(heard.iter().all(|heard| *heard), "{nodes} nodes");
+        assert!(
+            crossings <= 3 * (data_centres - 1),
+            "{nodes} nodes: {crossings}"
+        );
+    }
+}
+
+/// Guards against a data centre that is cut off from news by two relays that stand still.
+#[test]
+fn two_silent_relays_of_each_data_centre_are_borne() {
+    let mut mesh = mesh(195, 8);
+    let relays: Vec<usize> = (0..195)
+        .filter(|node| !mesh.overlay(*node).partners().is_empty())
+        .collect();
+    assert_eq!(relays.len(), 3 * 8);
+    for data_centre in 0..8 {
+        let mut here: Vec<usize> = relays
+            .iter()
+            .copied()
+            .filter(|node| mesh.data_centre(*node) == data_centre)
+            .collect();
+        here.sort_by_key(|node| mesh.ranks[*node]);
+        mesh.silent.extend(&here[..2]);
+    }
+    let origin = (0..195)
+        .find(|node| !relays.contains(node))
+        .expect("most are no relays");
+
+    let (heard, _) = mesh.spread(origin);
+
+    assert!(heard.iter().all(|heard| *heard));
+}
+
+/// Load: a data centre whose targets are full. Guards against requests that are refused though
+/// targets elsewhere are free.
+#[test]
+fn a_full_service_is_linked_further() {
+    let mesh = mesh(195, 8);
+    let members = mesh.members(0);
+    let usual = Overlay::plan(mesh.ranks[0], &members, &Needs::default());
+    let needs = Needs {
+        listeners: Vec::new(),
+        full_services: vec!["desk".into()],
+    };
+
+    let pressed = Overlay::plan(mesh.ranks[0], &members, &needs);
+
+    assert!(pressed.wanted().len() >= usual.wanted().len() + 8);
+    assert!(usual.wanted().iter().all(|id| pressed.wants(*id)));
+}
+
+/// Guards against a service with few targets, none of them near, that is reached by some only.
+#[test]
+fn a_service_without_near_targets_is_linked_everywhere() {
+    let mesh = mesh(200, 8);
+    let members: Vec<Member> = mesh
+        .members(0)
+        .into_iter()
+        .map(|member| {
+            let is_archive = member.distance > Distance::DataCentre && member.id < 8;
+            let service = if is_archive { "archive" } else { "desk" };
+            Member {
+                service: Some(service.into()),
+                ..member
+            }
+        })
+        .collect();
+
+    let overlay = Overlay::plan(mesh.ranks[0], &members, &Needs::default());
+
+    let archives = members
+        .iter()
+        .filter(|member| member.service.as_deref() == Some("archive"));
+    assert!(archives.clone().count() == 7 && archives.into_iter().all(|one| overlay.wants(one.id)));
+}
+
+quickcheck! {
+    /// Guards against nodes that live and are not told, whatever the sizes of the data centres.
+    fn news_reach_every_node_of_any_mesh(nodes: u8, data_centres: u8, origin: u8) -> bool {
+        let nodes = usize::from(nodes % 60) + 1;
+        let data_centres = usize::from(data_centres % 9) + 1;
+        let (heard, _) = mesh(nodes, data_centres).spread(usize::from(origin) % nodes);
+        heard.into_iter().all(|heard| heard)
+    }
+}
