Spread the first configuration inside each data centre

A node that had asked another one without a configuration waited 300 ms in vain, and an adopted first configuration was not passed on. Change: two nodes of each data centre read it themselves; who gets its first one tells three near nodes; who lacks one asks a near node each 100 ms, and one that has nothing newer says so. The encoded frame is kept for further askers. Ruled out: links and targets, known after 105 and 10 ms.

--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -29,6 +29,7 @@
 use crate::node::peers::SEED_PREFIX;
 use crate::node::targets::WorkOrigin;
 use crate::node::transfers::Incoming;
+use crate::traffic::FrameKind;
 
 /// Silence with calls outstanding after which a sign of life is asked for.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -503,18 +504,23 @@
 
     /// Sends a frame on a link.
     pub(super) fn tell(&mut self, id: u64, frame: &Frame) {
+        let mut bytes = Vec::new();
+        frame::encode(frame, &mut bytes);
+        self.tell_encoded(id, FrameKind::of(frame), &bytes);
+    }
+
+    /// Sends an encoded frame on a link.
+    pub(super) fn tell_encoded(&mut self, id: u64, kind: FrameKind, bytes: &[u8]) {
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
-        let mut bytes = Vec::new();
-        frame::encode(frame, &mut bytes);
         let distance = link
             .peer
             .and_then(|peer| self.peers.get(peer))
             .map_or(Distance::DataCentre, |peer| peer.distance);
-        self.traffic.note(frame, distance, bytes.len());
+        self.traffic.note(kind, distance, bytes.len());
         self.uplink.note_sent(bytes.len(), self.now);
         // A failed link shows in its next event, or by its silence.
-        let _ = link.stream.send(&bytes);
+        let _ = link.stream.send(bytes);
     }
 }
--- a/crates/sidecar/src/node/links_kept.rs
+++ b/crates/sidecar/src/node/links_kept.rs
@@ -169,7 +169,7 @@
     }
 
     /// Links to the other nodes of the data centre.
-    fn near_links(&self) -> Vec<u64> {
+    pub(super) fn near_links(&self) -> Vec<u64> {
         self.peers
             .iter()
             .filter(|(_, peer)| peer.is_linked && peer.distance <= Distance::DataCentre)
@@ -177,6 +177,15 @@
             .collect()
     }
 
+    /// Links to all connected nodes.
+    pub(super) fn all_links(&self) -> Vec<u64> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.is_linked)
+            .filter_map(|(_, peer)| peer.link)
+            .collect()
+    }
+
     /// Links to the relays of other data centres that this node tells news.
     fn partner_links(&self) -> Vec<u64> {
         self.overlay
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hemlockfall_core::ids::VersionName;
+use rand::RngExt;
 use serde_json::json;
 
 use crate::clock::Time;
@@ -25,11 +26,16 @@
 use crate::node::Node;
 use crate::node::ms;
 use crate::router::Router;
+use crate::traffic::FrameKind;
 
 /// Time after which another node is asked for the configuration.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// Changes of the configuration up to this size are sent to nodes that have not asked.
 const PUSHED_BYTES: usize = 4 * 1024;
+/// Rounds after which a node that lacks a configuration asks any node, not just near ones.
+const FAR_ROUNDS: u64 = 4;
+/// Nodes that are told when a node has its first configuration.
+const FIRST_OFFERS: usize = 3;
 /// Changes that are kept for nodes that have missed some.
 const KEPT_DELTAS: usize = 8;
 
@@ -73,8 +79,12 @@
     config_at: Time,
     /// The last changes, oldest first; each leads to the base of the next.
     deltas: VecDeque<ConfigDelta>,
-    /// When another node was last asked for the configuration.
-    asked_at: Option<Time>,
+    /// The link on which the configuration was last asked for, and when.
+    asked: Option<(u64, Time)>,
+    /// Newest version that was heard of.
+    newest: ConfigVersion,
+    /// The configuration in force as a frame, once another node has asked for it.
+    encoded: Option<Rc<Vec<u8>>>,
     pub(super) router: Router,
     /// Sorted by service.
     pub(super) trials: Vec<Trial>,
@@ -148,6 +158,16 @@
         self.deltas.push_back(delta);
     }
 
+    /// The configuration as a frame; many nodes ask for it when they start together.
+    fn encoded(&mut self, config: &MeshConfig) -> Rc<Vec<u8>> {
+        let encoded = self.encoded.get_or_insert_with(|| {
+            let mut bytes = Vec::new();
+            frame::encode(&Frame::Config(Box::new(config.clone())), &mut bytes);
+            Rc::new(bytes)
+        });
+        Rc::clone(encoded)
+    }
+
     /// The changes that lead from a version to the one in force; none if they are not kept.
     fn deltas_since(&self, known: ConfigVersion) -> Vec<ConfigDelta> {
         let start = self.deltas.iter().position(|delta| delta.base == known);
@@ -273,11 +293,21 @@
         let config = Rc::new(config);
         self.mesh.config = Some(Rc::clone(&config));
         self.mesh.config_at = self.now;
+        self.mesh.encoded = None;
         match before {
             Some(before) => self.spread_delta(config.delta_from(&before), source),
-            // Nodes that have none yet ask for it.
-            None if source == Source::Store => self.spread(&self.config_news(), None),
-            None => {}
+            None => self.offer_first_config(),
+        }
+    }
+
+    /// Tells a few nodes of the data centre that this one has a configuration. All of them may
+    /// have started together and lack one; each that gets it tells some more.
+    fn offer_first_config(&mut self) {
+        let mut links = self.near_links();
+        let frame = self.config_news();
+        for _ in 0..FIRST_OFFERS.min(links.len()) {
+            let choice = self.random.random_range(0..links.len());
+            self.tell(links.swap_remove(choice), &frame);
         }
     }
 
@@ -300,9 +330,34 @@
         }
     }
 
+    /// Another node says what it has, or that it has nothing newer.
     pub(super) fn take_config_news(&mut self, link: u64, config: ConfigVersion) {
         if config > self.mesh.config_version() {
+            self.mesh.newest = self.mesh.newest.max(config);
             self.ask_for_config(link);
+        } else if self.mesh.asked.is_some_and(|(asked, _)| asked == link) {
+            self.mesh.asked = None;
+        }
+    }
+
+    /// Asks for the configuration again as long as this node lacks one or knows of a newer one.
+    pub(super) fn check_config(&mut self) {
+        let is_behind =
+            self.mesh.config().is_none() || self.mesh.newest > self.mesh.config_version();
+        if !is_behind {
+            return;
+        }
+        // The data centre as a whole may lack it.
+        let asks_far = self.rounds.is_multiple_of(FAR_ROUNDS);
+        let near = self.near_links();
+        let links = if near.is_empty() || asks_far {
+            self.all_links()
+        } else {
+            near
+        };
+        let choice = self.random.random_range(0..links.len().max(1));
+        if let Some(link) = links.get(choice) {
+            self.ask_for_config(*link);
         }
     }
 
@@ -326,10 +381,10 @@
     pub(super) fn ask_for_config(&mut self, link: u64) {
         let is_waiting = self
             .mesh
-            .asked_at
-            .is_some_and(|at| self.now.saturating_sub(at) < ASK_AGAIN);
+            .asked
+            .is_some_and(|(_, at)| self.now.saturating_sub(at) < ASK_AGAIN);
         if !is_waiting {
-            self.mesh.asked_at = Some(self.now);
+            self.mesh.asked = Some((link, self.now));
             let known = self.mesh.config_version();
             self.tell(link, &Frame::ConfigRequest { known });
         }
@@ -344,9 +399,16 @@
         } else if let Some(config) = self.mesh.config.clone()
             && config.version > known
         {
-            self.tell(link, &Frame::Config(Box::new((*config).clone())));
+            let encoded = self.mesh.encoded(&config);
+            self.tell_encoded(link, FrameKind::Config, &encoded);
+        } else {
+            let news = self.config_news();
+            self.tell(link, &news);
+        }
+        let news = self.rollout_news();
+        if !news.is_empty() {
+            self.tell(link, &Frame::Rollouts(news));
         }
-        self.tell(link, &Frame::Rollouts(self.rollout_news()));
     }
 
     /// A node that follows the store knows these versions.
@@ -355,6 +417,7 @@
             return;
         }
         let now = self.now;
+        self.mesh.newest = self.mesh.newest.max(beat.config);
         let is_behind = beat.config > self.mesh.config_version()
             || beat.rollouts > self.mesh.rollouts_revision();
         if is_behind {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -343,6 +343,7 @@
         self.check_trials();
         self.check_stop();
         self.check_following();
+        self.check_config();
         self.drive_store();
         if self.rounds.is_multiple_of(FLUSH_ROUNDS) {
             self.log.flush();
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -45,6 +45,9 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(1200);
 /// Time in which a starting node that does not follow waits for another node's configuration.
 const PEER_CONFIG_WAIT: Duration = Duration::from_millis(700);
+/// Nodes of each data centre that read the configuration themselves when they start. When all nodes
+/// start together, few that pass it on would take longer than the store does.
+const FIRST_READERS: usize = 2;
 /// Rounds between two signs of a follower; more with many nodes, since all hear them.
 const BEAT_ROUNDS: u64 = 5;
 const BEAT_ROUNDS_LARGE: u64 = 10;
@@ -289,14 +292,16 @@
             return false;
         }
         let own = rank_of(&self.settings.name);
-        let before = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.rank < own)
+        let is_before = |peer: &Peer| peer.rank < own;
+        let peers = || self.peers.iter().map(|(_, peer)| peer);
+        let before = peers().filter(|peer| is_before(peer)).count();
+        let before_here = peers()
+            .filter(|peer| is_before(peer) && peer.distance <= Distance::DataCentre)
             .count();
+        let is_first_here = self.mesh.config().is_none() && before_here < FIRST_READERS;
         let waited = self.now.saturating_sub(self.store.started);
         let is_without = self.mesh.config().is_none() && waited > PEER_CONFIG_WAIT;
-        before < FOLLOWERS || is_without || self.store.following.is_follower()
+        before < FOLLOWERS || is_first_here || is_without || self.store.following.is_follower()
     }
 
     /// Tells whether this node's watch on the configuration is in order.
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -94,8 +94,7 @@
 
 impl Traffic {
     /// `note` counts a frame.
-    pub fn note(&mut self, frame: &Frame, distance: Distance, bytes: usize) {
-        let kind = FrameKind::of(frame);
+    pub fn note(&mut self, kind: FrameKind, distance: Distance, bytes: usize) {
         let index = match self
             .sent
             .binary_search_by_key(&(kind, distance), |sent| (sent.kind, sent.distance))
