Expect runs at targets that have just started to take twice as long

Cause: after a restart of the whole mesh, targets are slow for some seconds, and the gates, with no run measured, expected 0.3 of the target latency: requests waited behind cold runs and were late. Change: times are kept as of a warm target and doubled while it is cold; without any measured run 0.35 of the target latency is expected.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -16,7 +16,9 @@
 /// Weight of the newest run in the share of failed runs.
 const FAILURE_WEIGHT: f64 = 0.05;
 /// Mean time of a run until one was measured, as a part of the route's target latency.
-const FIRST_RUN_SHARE: f64 = 0.3;
+const FIRST_RUN_SHARE: f64 = 0.35;
+/// Times that a run takes longer at a target that has just started.
+const COLD_FACTOR: f64 = 2.0;
 /// Routes whose run times are kept.
 const ROUTE_CAPACITY: usize = 64;
 /// Part of the route's target latency that must be left after the expected answer.
@@ -117,7 +119,9 @@
     running: usize,
     /// Sorted by priority, then due time.
     waiting: Vec<Offer>,
-    /// Sorted by route.
+    /// Whether the target has just started and is slow.
+    is_cold: bool,
+    /// Sorted by route; times at a warm target.
     run_times: Vec<(RouteName, f64)>,
     mean_run_ms: f64,
     failed_share: f64,
@@ -129,6 +133,11 @@
         self.slots = slots;
     }
 
+    /// `set_cold` tells whether the target has just started and is slow.
+    pub fn set_cold(&mut self, is_cold: bool) {
+        self.is_cold = is_cold;
+    }
+
     /// `offer` decides on a request.
     pub fn offer(&mut self, offer: Offer, now: Time) -> Admission {
         let run = self.expected_run(&offer.route, offer.target_latency);
@@ -157,7 +166,7 @@
     /// `finished` returns a slot and takes in how long the run took.
     pub fn finished(&mut self, route: &RouteName, took: Duration, succeeded: bool) {
         self.release();
-        let took_ms = took.as_secs_f64() * 1000.0;
+        let took_ms = took.as_secs_f64() * 1000.0 / self.cold_factor();
         self.mean_run_ms = blend(self.mean_run_ms, took_ms, RUN_WEIGHT);
         let failure = if succeeded { 0.0 } else { 1.0 };
         self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
@@ -230,7 +239,7 @@
             running: saturate(self.running),
             queued: saturate(self.waiting.len()),
             slots: saturate(self.slots),
-            run_ms: rounded(self.mean_run_ms),
+            run_ms: rounded(self.mean_run_ms * self.cold_factor()),
             route_run_ms: 0,
             failed_permille: rounded(self.failed_share * 1000.0),
             link_busy_ms: 0,
@@ -244,7 +253,9 @@
         let found = self
             .run_times
             .binary_search_by(|(name, _)| name.as_str().cmp(route));
-        let route_run_ms = found.map_or(0, |index| rounded(self.run_times[index].1));
+        let route_run_ms = found.map_or(0, |index| {
+            rounded(self.run_times[index].1 * self.cold_factor())
+        });
         LoadReport {
             route_run_ms,
             ..self.load()
@@ -266,7 +277,8 @@
             .map(|offer| self.run_ms(&offer.route, offer.target_latency))
             .sum();
         let slots = f64::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
-        Duration::from_secs_f64((ahead_ms + self.mean_run_ms) / slots / 1000.0)
+        let next_ms = self.mean_run_ms * self.cold_factor();
+        Duration::from_secs_f64((ahead_ms + next_ms) / slots / 1000.0)
     }
 
     /// Removes the requests from a place on that can no longer be answered in time.
@@ -297,10 +309,15 @@
     }
 
     fn run_ms(&self, route: &RouteName, target_latency: Duration) -> f64 {
-        match self.run_times.binary_search_by(|(name, _)| name.cmp(route)) {
+        let warm_ms = match self.run_times.binary_search_by(|(name, _)| name.cmp(route)) {
             Ok(index) => self.run_times[index].1,
             Err(_) => target_latency.as_secs_f64() * 1000.0 * FIRST_RUN_SHARE,
-        }
+        };
+        warm_ms * self.cold_factor()
+    }
+
+    fn cold_factor(&self) -> f64 {
+        if self.is_cold { COLD_FACTOR } else { 1.0 }
     }
 }
 
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -138,6 +138,8 @@
 
     /// Tells other nodes when the target begins or ceases to take requests.
     pub(super) fn check_target(&mut self) {
+        let is_cold = self.target.own.is_cold(self.now);
+        self.target.gate.set_cold(is_cold);
         let is_open = self.is_target_open();
         if std::mem::replace(&mut self.target.was_open, is_open) != is_open {
             self.record_changed();
--- a/crates/sidecar/tests/admission.rs
+++ b/crates/sidecar/tests/admission.rs
@@ -130,3 +130,23 @@
     gate.release();
     assert!(gate.dispatch(at(10)).run.is_empty());
 }
+
+/// Load: all targets have just started and are slow. Guards against requests that wait behind cold
+/// runs, whose answers come late; warm targets are expected to be fast again at once.
+#[test]
+fn a_cold_target_admits_fewer_requests() {
+    let mut gate = full_gate();
+    gate.set_cold(true);
+
+    let cold = gate.offer(offer(1, 1, 300), at(0));
+    let cold_report = gate.load_for("lookup").route_run_ms;
+    gate.set_cold(false);
+    let warm = gate.offer(offer(2, 1, 300), at(0));
+
+    assert!(matches!(cold, Admission::Reject { .. }), "{cold:?}");
+    assert!(matches!(warm, Admission::Wait { .. }), "{warm:?}");
+    assert_eq!(
+        (cold_report, gate.load_for("lookup").route_run_ms),
+        (200, 100)
+    );
+}
