--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -102,13 +102,15 @@
             .map(|bucket| bucket.repeats_milli)
             .sum();
         let nodes = u64::try_from(nodes.max(1)).unwrap_or(u64::MAX);
-        let allowed = requests * limits.ratio_permille / 1000 + limits.allowance / nodes;
+        // In thousandths, as a node's part of the allowance is small in a large mesh.
+        let allowed_milli =
+            requests * limits.ratio_permille + limits.allowance * WHOLE_MILLI / nodes;
         let percent = if priority <= URGENT_PRIORITY {
             URGENT_PERCENT
         } else {
             OTHER_PERCENT
         };
-        if repeats_milli >= allowed * WHOLE_MILLI * percent / 100 {
+        if repeats_milli + WHOLE_MILLI > allowed_milli * percent / 100 {
             return false;
         }
         self.bucket(service, now).repeats_milli += WHOLE_MILLI;
