Keep requests that arrive before a starting node knows enough

Change: such a request is kept for a fifth of its time, 500 ms at most. Nodes in other data centres are asked for a first configuration only after a second. Test: requests_before_the_first_configuration_are_served, seen to fail without.

--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -227,7 +227,7 @@
             answer: None,
         });
         match port {
-            Port::Callers => self.begin_call(id, token, request),
+            Port::Callers => self.begin_call(id, token, request, self.now),
             Port::Control => self.control_call(id, token, &request),
             Port::Ready | Port::Metrics | Port::Peers => self.check_call(id, token, &request),
         }
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -109,13 +109,21 @@
 }
 
 impl Node {
-    pub(super) fn begin_call(&mut self, caller: u64, token: u64, request: HttpRequest) {
-        let request_id: RequestId = request
-            .header(self.names.request_id)
-            .unwrap_or_default()
-            .into();
+    /// Begins a request that arrived at a time.
+    pub(super) fn begin_call(
+        &mut self,
+        caller: u64,
+        token: u64,
+        request: HttpRequest,
+        arrived: Time,
+    ) {
+        let request_id = self.request_id(&request);
         let Some(config) = self.mesh.config() else {
-            self.refuse_early(caller, token, &request_id, 503, CODE_NO_CONFIG);
+            if self.may_keep(&request, arrived) {
+                self.keep_early(caller, token, request, arrived);
+            } else {
+                self.refuse_early(caller, token, &request_id, 503, CODE_NO_CONFIG);
+            }
             return;
         };
         if self.is_closing() {
@@ -130,6 +138,10 @@
             self.answer_caller(caller, token, answer);
             return;
         };
+        if self.awaits_targets(&route) && self.may_keep(&request, arrived) {
+            self.keep_early(caller, token, request, arrived);
+            return;
+        }
         let Some(service) = self.mesh.router.choose_part(&route) else {
             self.refuse_early(caller, token, &request_id, 503, CODE_NO_TARGET);
             return;
@@ -142,10 +154,7 @@
             self.refuse_early(caller, token, &request_id, 503, CODE_SUSPECTED);
             return;
         }
-        let waits = request
-            .header(self.names.deadline_ms)
-            .and_then(|text| text.parse().ok())
-            .map_or(route.timeout, Duration::from_millis);
+        let waits = self.caller_waits(&request).unwrap_or(route.timeout);
         // Nodes that this one is not connected with use their part of the allowance as well.
         let (version, trial_use) = self.mesh.version_rule(
             &service,
@@ -159,12 +168,12 @@
         if share > 0.0 {
             self.budget.count_call(&service, share, self.now);
         }
-        let deadline = self.now + waits.min(route.timeout);
-        let until = self.now + waits;
+        let deadline = arrived + waits.min(route.timeout);
+        let until = arrived + waits;
         let since = self
             .returning
             .first_asked(fingerprint, until)
-            .unwrap_or(self.now);
+            .unwrap_or(arrived);
         let call = Call {
             caller,
             token,
@@ -174,7 +183,7 @@
             version,
             trial_use,
             fingerprint,
-            arrived: self.now,
+            arrived,
             since,
             until,
             due: since + route.target_latency,
@@ -194,6 +203,17 @@
         self.attempt(id);
     }
 
+    fn request_id(&self, request: &HttpRequest) -> RequestId {
+        let text = request.header(self.names.request_id);
+        text.unwrap_or_default().into()
+    }
+
+    /// How long the caller of a request says that it waits.
+    pub(super) fn caller_waits(&self, request: &HttpRequest) -> Option<Duration> {
+        let text = request.header(self.names.deadline_ms)?;
+        Some(Duration::from_millis(text.parse().ok()?))
+    }
+
     fn refuse_early(&mut self, caller: u64, token: u64, id: &RequestId, status: u16, code: &str) {
         if self.log.admits(Urgency::Failure, self.now) {
             let config = self.mesh.config().map(|config| config.version);
@@ -475,6 +495,7 @@
     /// The caller has closed its connection.
     pub(super) fn caller_gone(&mut self, token: u64) {
         self.leaving.retain(|leaving| leaving.token != token);
+        self.forget_early(token);
         let found = self
             .calls
             .iter()
--- /dev/null
+++ b/crates/sidecar/src/node/early.rs
@@ -0,0 +1,74 @@
+//! Requests that arrive before the node knows a configuration and targets.
+//!
+//! A node that starts knows both within some hundred milliseconds. Callers often ask no more than
+//! twice, so such requests are kept for a short part of their time.
+
+use std::time::Duration;
+
+use hemlockfall_http::http::HttpRequest;
+
+use crate::clock::Time;
+use crate::model::Route;
+use crate::node::Node;
+
+/// Rounds after its start in which a node learns of targets.
+const STARTING_ROUNDS: u64 = 12;
+/// Longest time that a request is kept, and the part of its own time, in percent.
+const LONGEST: Duration = Duration::from_millis(500);
+const PART_PERCENT: u32 = 20;
+/// Requests that are kept at once.
+const CAPACITY: usize = 256;
+
+/// `Early` is a request that waits.
+pub(crate) struct Early {
+    caller: u64,
+    token: u64,
+    request: HttpRequest,
+    arrived: Time,
+}
+
+impl Node {
+    /// Tells whether a request that arrived at a time may be kept.
+    pub(super) fn may_keep(&self, request: &HttpRequest, arrived: Time) -> bool {
+        let waits = self.caller_waits(request).unwrap_or(LONGEST);
+        let kept = (waits * PART_PERCENT / 100).min(LONGEST);
+        self.now < arrived + kept && self.early.len() < CAPACITY
+    }
+
+    pub(super) fn keep_early(
+        &mut self,
+        caller: u64,
+        token: u64,
+        request: HttpRequest,
+        arrived: Time,
+    ) {
+        self.early.push(Early {
+            caller,
+            token,
+            request,
+            arrived,
+        });
+    }
+
+    /// Tells whether a target for a route may become known at any moment.
+    pub(super) fn awaits_targets(&self, route: &Route) -> bool {
+        self.rounds < STARTING_ROUNDS
+            && !route
+                .parts
+                .iter()
+                .any(|part| self.knows_target(&part.service))
+    }
+
+    /// Begins the kept requests if the node knows enough by now; the others are kept on or, when
+    /// their time is over, refused.
+    pub(super) fn begin_early(&mut self) {
+        for early in std::mem::take(&mut self.early) {
+            self.begin_call(early.caller, early.token, early.request, early.arrived);
+        }
+    }
+
+    /// The caller of a kept request has left.
+    pub(super) fn forget_early(&mut self, token: u64) {
+        self.early.retain(|early| early.token != token);
+    }
+}
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -32,8 +32,10 @@
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// Changes of the configuration up to this size are sent to nodes that have not asked.
 const PUSHED_BYTES: usize = 4 * 1024;
-/// Rounds after which a node that lacks a configuration asks any node, not just near ones.
+/// Rounds after which a node that lacks a configuration asks any node, not just near ones, and
+/// the first of them after its start.
 const FAR_ROUNDS: u64 = 4;
+const FIRST_FAR_ROUND: u64 = 10;
 /// Nodes that are told when a node has its first configuration.
 const FIRST_OFFERS: usize = 3;
 /// Changes that are kept for nodes that have missed some.
@@ -294,9 +296,11 @@
         self.mesh.config = Some(Rc::clone(&config));
         self.mesh.config_at = self.now;
         self.mesh.encoded = None;
-        match before {
-            Some(before) => self.spread_delta(config.delta_from(&before), source),
-            None => self.offer_first_config(),
+        if let Some(before) = before {
+            self.spread_delta(config.delta_from(&before), source);
+        } else {
+            self.offer_first_config();
+            self.begin_early();
         }
     }
 
@@ -347,8 +351,9 @@
         if !is_behind {
             return;
         }
-        // The data centre as a whole may lack it.
-        let asks_far = self.rounds.is_multiple_of(FAR_ROUNDS);
+        // The data centre as a whole may lack it; other ones are asked later, as bytes between
+        // data centres are charged.
+        let asks_far = self.rounds > FIRST_FAR_ROUND && self.rounds.is_multiple_of(FAR_ROUNDS);
         let near = self.near_links();
         let links = if near.is_empty() || asks_far {
             self.all_links()
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod connections;
 mod control;
+mod early;
 mod leaving;
 mod link_calls;
 mod links;
@@ -52,6 +53,7 @@
 use crate::node::callers::Caller;
 use crate::node::calls::Call;
 use crate::node::connections::TargetConnection;
+use crate::node::early::Early;
 use crate::node::leaving::Leaving;
 use crate::node::links::Link;
 use crate::node::links_kept::News;
@@ -153,6 +155,8 @@
     signals: Option<SignalPipe>,
     callers: Table<Caller>,
     calls: Table<Call>,
+    /// Requests that wait for the first configuration.
+    early: Vec<Early>,
     next_token: u64,
     budget: RetryBudget,
     suspects: Suspects,
@@ -203,6 +207,7 @@
             signals: None,
             callers: Table::default(),
             calls: Table::default(),
+            early: Vec::new(),
             next_token: 1,
             budget: RetryBudget::new(settings.budget()),
             suspects: Suspects::default(),
@@ -334,6 +339,7 @@
             self.after_pause();
         }
         self.check_callers();
+        self.begin_early();
         self.check_overlay();
         self.check_links();
         self.check_members();
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -15,6 +15,7 @@
 use crate::following::rank_of;
 use crate::model::LoadReport;
 use crate::model::NodeRecord;
+use crate::model::TargetRecord;
 use crate::node::Node;
 use crate::node::calls::Call;
 use crate::node::calls::is_allowed;
@@ -112,6 +113,11 @@
                 let has_moved = peer.record.peer_address != record.peer_address;
                 let has_restarted = peer.record.incarnation != record.incarnation;
                 keep_left(&mut record, &peer.record);
+                let key =
+                    |record: &NodeRecord| record.target.as_ref().map(|target| target.key.clone());
+                if key(&record) != key(&peer.record) {
+                    peer.route_runs.clear();
+                }
                 peer.record = record;
                 peer.is_gone = false;
                 if has_restarted {
@@ -227,6 +233,16 @@
         }
     }
 
+    /// Tells whether a target of a service takes requests, at this node or a linked one.
+    pub(super) fn knows_target(&self, service: &str) -> bool {
+        let is_target = |target: &TargetRecord| target.is_ready && target.service == service;
+        let own = self.target.own.record(self.is_target_open());
+        own.as_ref().is_some_and(is_target)
+            || self.peers.iter().any(|(_, peer)| {
+                peer.is_linked && peer.record.target.as_ref().is_some_and(is_target)
+            })
+    }
+
     /// The nodes whose target may run a request.
     pub(super) fn candidates(&self, call: &Call) -> Vec<Candidate> {
         let strict = self.candidates_for(call, &call.version);
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -50,7 +50,10 @@
             return false;
         };
         let elapsed = self.now.saturating_sub(since);
-        let is_idle = self.calls.is_empty() && self.target.works.is_empty() && !self.has_answers();
+        let is_idle = self.calls.is_empty()
+            && self.early.is_empty()
+            && self.target.works.is_empty()
+            && !self.has_answers();
         let is_over = elapsed >= self.settings.grace() * LAST_MOMENT_PERCENT / 100;
         (elapsed >= NOTICE && is_idle) || is_over
     }
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -272,6 +272,25 @@
     assert!(is_served_within(node, &shown, CONFIG_APPLY));
 }
 
+/// Guards against a node that refuses requests for the moments in which it gets its first
+/// configuration, while callers ask only once more.
+#[test]
+fn requests_before_the_first_configuration_are_served() {
+    let mut world = start(&world("early_requests", 2));
+    let node = world.sites[1].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    world.sites[1].restart_node().expect("the node starts");
+
+    let mut ended = Ended::NotSent;
+    let started = Instant::now();
+    while matches!(ended, Ended::NotSent) && started.elapsed() < SERVES_WITHIN {
+        let sent = request(2, "/stock/2", false, Duration::from_secs(3));
+        ended = send(node, &sent);
+    }
+
+    assert!(matches!(ended, Ended::Served), "{ended:?}");
+}
+
 /// The metrics pages of all nodes; one or more of them follow the store.
 fn metrics_of(world: &World) -> String {
     world
