--- a/crates/sidecar/src/node/links_kept.rs
+++ b/crates/sidecar/src/node/links_kept.rs
@@ -16,6 +16,8 @@
 
 /// Rounds after which the links are planned anew at the latest.
 const PLAN_ROUNDS: u64 = 10;
+/// Rounds after the start in which the members become known; a large mesh looks small before.
+const SETTLING_ROUNDS: u64 = 4;
 /// Time for which a link that is no longer wanted is kept after its last call.
 const UNWANTED_KEPT: Duration = Duration::from_secs(15);
 /// Failed attempts to connect after which a node counts as failed.
@@ -90,6 +92,7 @@
                 .iter()
                 .map(|(service, _)| service.clone())
                 .collect(),
+            is_starting: !self.store.nodes_listed || self.rounds < SETTLING_ROUNDS,
         };
         self.overlay = Overlay::plan(rank_of(&self.settings.name), &members, &needs);
     }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -379,7 +379,7 @@
         }
     }
 
-    /// Tells what was sent to other nodes, by kind and distance.
+    /// Tells what was sent to other nodes, by kind and distance, and what the store was asked.
     fn report_traffic(&mut self) {
         let sent = self.traffic.take();
         let mut fields = serde_json::Map::new();
@@ -394,10 +394,15 @@
                 json!([item.frames, item.bytes]),
             );
         }
+        let mut store_calls = serde_json::Map::new();
+        for (name, count) in std::mem::take(&mut self.store.call_counts) {
+            store_calls.insert(name.to_owned(), count.into());
+        }
         self.state_line(
-            "link_traffic",
+            "traffic",
             json!({
                 "links": self.links.len(), "peers": self.peers.len(), "frames_and_bytes": fields,
+                "store_calls": store_calls,
             }),
         );
     }
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -94,6 +94,8 @@
     was_following: bool,
     /// Signs that were given.
     beats: u32,
+    /// Calls since they were last reported, sorted by name.
+    pub(super) call_counts: Vec<(&'static str, u64)>,
 }
 
 /// `Lane` is one connection with its call.
@@ -149,6 +151,17 @@
             following: Following::new(now),
             was_following: false,
             beats: 0,
+            call_counts: Vec::new(),
+        }
+    }
+
+    fn count_call(&mut self, name: &'static str) {
+        match self
+            .call_counts
+            .binary_search_by_key(&name, |(known, _)| known)
+        {
+            Ok(index) => self.call_counts[index].1 += 1,
+            Err(index) => self.call_counts.insert(index, (name, 1)),
         }
     }
 
@@ -350,6 +363,7 @@
     }
 
     fn begin_store_call(&mut self, channel: Channel, call: StoreCall) {
+        self.store.count_call(call.name());
         let request = self.platform.store_request(&call);
         let mut output = Vec::new();
         response::write_request(&mut output, &request, &[]);
--- a/crates/sidecar/src/overlay.rs
+++ b/crates/sidecar/src/overlay.rs
@@ -65,6 +65,8 @@
     pub listeners: Vec<u64>,
     /// Services whose linked targets are too full.
     pub full_services: Vec<ServiceName>,
+    /// Whether the members are not all known yet, as the node has just started.
+    pub is_starting: bool,
 }
 
 /// `Overlay` is what a node should be linked with.
@@ -81,9 +83,10 @@
     #[must_use]
     pub fn plan(own: Rank, members: &[Member], needs: &Needs) -> Self {
         let partners = partners(own, members);
+        let is_small = members.len() < FULL_MESH && !needs.is_starting;
         let mut wanted: Vec<u64> = members
             .iter()
-            .filter(|member| member.distance <= Distance::DataCentre || members.len() < FULL_MESH)
+            .filter(|member| member.distance <= Distance::DataCentre || is_small)
             .map(|member| member.id)
             .collect();
         wanted.extend(&partners);
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -129,6 +129,25 @@
     },
 }
 
+impl StoreCall {
+    /// `name` is the call as metrics and logs call it.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::List {
+                kind: StoreKind::Nodes,
+                ..
+            } => "list_nodes",
+            Self::List { .. } => "list",
+            Self::Watch { .. } => "watch",
+            Self::CreateNode(_) => "create_node",
+            Self::ReplaceNode { .. } => "replace_node",
+            Self::RemoveNode(_) => "remove_node",
+            Self::SetRolloutState { .. } => "set_rollout_state",
+        }
+    }
+}
+
 /// `StoreObject` is one object of a followed kind.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreObject {
--- a/crates/sidecar/tests/overlay.rs
+++ b/crates/sidecar/tests/overlay.rs
@@ -142,6 +142,29 @@
     assert_eq!(mesh.overlay(5).wanted().len(), 11);
 }
 
+/// Load: the start of a large mesh, of which a node knows a few others at first. Guards against
+/// links to all of these, wherever they are.
+#[test]
+fn a_node_that_starts_does_not_take_the_mesh_for_small() {
+    let mesh = mesh(195, 8);
+    let unknown_targets = |member| Member {
+        service: None,
+        ..member
+    };
+    let first = mesh.members(0).into_iter().take(20);
+    let members: Vec<Member> = first.map(unknown_targets).collect();
+    let needs = Needs {
+        is_starting: true,
+        ..Needs::default()
+    };
+
+    let starting = Overlay::plan(mesh.ranks[0], &members, &needs);
+    let settled = Overlay::plan(mesh.ranks[0], &members, &Needs::default());
+
+    assert!(starting.wanted().len() < 10);
+    assert_eq!(settled.wanted().len(), 20);
+}
+
 /// Guards against nodes that never hear of a configuration or a stopped trial.
 #[test]
 fn news_reach_every_node_and_cross_a_fixed_number_of_times() {
@@ -194,6 +217,7 @@
     let needs = Needs {
         listeners: Vec::new(),
         full_services: vec!["desk".into()],
+        is_starting: false,
     };
 
     let pressed = Overlay::plan(mesh.ranks[0], &members, &needs);
