Tell near nodes the load of targets, and compare three of them at a time

Cause: a node heard of the load of a target with its answers only, which in a data centre of 24 nodes come seldom from each; it stayed with its own target or went to one that it knew to be fast. Change: the load is told to the nodes of the data centre when it has changed, at most ten times a second, with the times of the four usual routes each second; and a node compares its own target, three near ones picked at random and all others.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -4,6 +4,7 @@
 //! slots wait in the order of priority and due time as long as they can be answered in time;
 //! all others are rejected at once and have not run.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use hemlockfall_core::ids::RouteName;
@@ -21,6 +22,8 @@
 const COLD_FACTOR: f64 = 2.0;
 /// Routes whose run times are kept.
 const ROUTE_CAPACITY: usize = 64;
+/// Routes whose times are told to near nodes.
+const USUAL_ROUTES: usize = 4;
 /// Part of the route's target latency that must be left after the expected answer.
 const MARGIN_SHARE: f64 = 0.2;
 /// Requests that may wait, for each slot.
@@ -112,6 +115,20 @@
     pub expired: Vec<WorkId>,
 }
 
+/// `RouteTimes` is how long runs of a route take at a warm target.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTimes {
+    mean_ms: f64,
+    runs: u32,
+}
+
+impl RouteTimes {
+    fn note(&mut self, took_ms: f64) {
+        self.mean_ms = blend(self.mean_ms, took_ms, RUN_WEIGHT);
+        self.runs = self.runs.saturating_add(1);
+    }
+}
+
 /// `Gate` owns the slots of the target and the requests that wait for one.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -121,8 +138,8 @@
     waiting: Vec<Offer>,
     /// Whether the target has just started and is slow.
     is_cold: bool,
-    /// Sorted by route; times at a warm target.
-    run_times: Vec<(RouteName, f64)>,
+    /// Sorted by route.
+    routes: Vec<(RouteName, RouteTimes)>,
     mean_run_ms: f64,
     failed_share: f64,
 }
@@ -170,18 +187,18 @@
         self.mean_run_ms = blend(self.mean_run_ms, took_ms, RUN_WEIGHT);
         let failure = if succeeded { 0.0 } else { 1.0 };
         self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
-        match self.run_times.binary_search_by(|(name, _)| name.cmp(route)) {
-            Ok(index) => {
-                let mean_ms = &mut self.run_times[index].1;
-                *mean_ms = blend(*mean_ms, took_ms, RUN_WEIGHT);
-            }
+        match self.routes.binary_search_by(|(name, _)| name.cmp(route)) {
+            Ok(index) => self.routes[index].1.note(took_ms),
             Err(index) => {
-                if self.run_times.len() >= ROUTE_CAPACITY {
-                    self.run_times.clear();
-                    self.run_times.push((route.clone(), took_ms));
+                let index = if self.routes.len() >= ROUTE_CAPACITY {
+                    self.routes.clear();
+                    0
                 } else {
-                    self.run_times.insert(index, (route.clone(), took_ms));
-                }
+                    index
+                };
+                let mut times = RouteTimes::default();
+                times.note(took_ms);
+                self.routes.insert(index, (route.clone(), times));
             }
         }
     }
@@ -247,14 +264,26 @@
         }
     }
 
+    /// `usual_routes` lists the routes with the most runs.
+    #[must_use]
+    pub fn usual_routes(&self) -> Vec<RouteName> {
+        let mut routes: Vec<&(RouteName, RouteTimes)> = self.routes.iter().collect();
+        routes.sort_by_key(|(_, times)| Reverse(times.runs));
+        routes
+            .into_iter()
+            .take(USUAL_ROUTES)
+            .map(|(route, _)| route.clone())
+            .collect()
+    }
+
     /// `load_for` is the load with the mean run time of a route.
     #[must_use]
     pub fn load_for(&self, route: &str) -> LoadReport {
         let found = self
-            .run_times
+            .routes
             .binary_search_by(|(name, _)| name.as_str().cmp(route));
         let route_run_ms = found.map_or(0, |index| {
-            rounded(self.run_times[index].1 * self.cold_factor())
+            rounded(self.routes[index].1.mean_ms * self.cold_factor())
         });
         LoadReport {
             route_run_ms,
@@ -309,8 +338,8 @@
     }
 
     fn run_ms(&self, route: &RouteName, target_latency: Duration) -> f64 {
-        let warm_ms = match self.run_times.binary_search_by(|(name, _)| name.cmp(route)) {
-            Ok(index) => self.run_times[index].1,
+        let warm_ms = match self.routes.binary_search_by(|(name, _)| name.cmp(route)) {
+            Ok(index) => self.routes[index].1.mean_ms,
             Err(_) => target_latency.as_secs_f64() * 1000.0 * FIRST_RUN_SHARE,
         };
         warm_ms * self.cold_factor()
--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -44,6 +44,9 @@
 /// see the same reports do not all pick the same target.
 const TIE: f64 = 0.01;
 
+/// Near candidates that are compared.
+const SAMPLE: usize = 3;
+
 /// `Distance` is how far away a node is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -251,6 +254,19 @@
         .min_by_key(|node| order(*node))
 }
 
+/// Some of the near candidates and all others.
+fn sample(candidates: &[Candidate], random: &mut impl Rng) -> Vec<Candidate> {
+    let (mut near, mut sampled): (Vec<Candidate>, Vec<Candidate>) = candidates
+        .iter()
+        .copied()
+        .partition(|candidate| candidate.distance == Distance::DataCentre);
+    for _ in 0..SAMPLE.min(near.len()) {
+        let index = random.random_range(0..near.len());
+        sampled.push(near.swap_remove(index));
+    }
+    sampled
+}
+
 /// `choose` picks the candidate with the smallest expected loss; `None` when there is none or
 /// all are known to be too full to answer in time.
 pub fn choose(
@@ -260,7 +276,8 @@
     random: &mut impl Rng,
 ) -> Option<u64> {
     let usual_run_ms = usual_run_ms(candidates);
-    let mut losses: Vec<(f64, u64)> = candidates
+    let sampled = sample(candidates, random);
+    let mut losses: Vec<(f64, u64)> = sampled
         .iter()
         .filter(|candidate| !candidate.is_known_full(demand.time_left, now))
         .map(|candidate| (candidate.loss(demand, usual_run_ms, now), candidate.node))
--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -7,6 +7,7 @@
 use hemlockfall_core::ids::DataCentreName;
 use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
+use hemlockfall_core::ids::RouteName;
 use hemlockfall_core::ids::ServiceName;
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_http::http::Header;
@@ -207,6 +208,8 @@
         /// Load of the target.
         load: LoadReport,
     },
+    /// Load of the target beside the sender.
+    Load(LoadFrame),
     /// Asks for a sign of life.
     Ping {
         /// When it was sent, in milliseconds of the sender's clock.
@@ -266,6 +269,15 @@
     pub sum: u64,
 }
 
+/// `LoadFrame` tells the load of a target to near nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadFrame {
+    /// Load.
+    pub load: LoadReport,
+    /// Routes with their mean run times and times on the link, in milliseconds; told now and then.
+    pub routes: Vec<(RouteName, u16, u16)>,
+}
+
 /// `BeatFrame` is a sign of a node that follows the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeatFrame {
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -259,6 +259,7 @@
                 self.note_link_load(id, call, load);
                 self.link_call_ended(id, call, AttemptEnd::Failed(failure));
             }
+            Frame::Load(load) => self.take_load(id, load),
             Frame::Ping { sent_ms } => {
                 if let Some(link) = self.links.get_mut(id) {
                     link.transit.delay(sent_ms, self.now);
--- /dev/null
+++ b/crates/sidecar/src/node/loads.rs
@@ -0,0 +1,60 @@
+//! Reports of the target's load to the nodes of the data centre.
+//!
+//! An answer brings the load of its target along, but in a large data centre a node hears of most
+//! targets seldom that way. Bytes inside a data centre are free.
+
+use crate::edge::frame::Frame;
+use crate::edge::frame::LoadFrame;
+use crate::model::LoadReport;
+use crate::node::Node;
+
+/// Requests at the target that make a difference to what was last told.
+const CHANGE: u16 = 1;
+/// Rounds after which the load is told in any case, with the times of routes.
+const ROUNDS: u64 = 10;
+
+/// `Told` is what near nodes were last told.
+#[derive(Debug, Default)]
+pub(crate) struct Told {
+    requests: u16,
+}
+
+impl Node {
+    /// Tells near nodes the load when it has changed.
+    pub(super) fn report_load(&mut self) {
+        if !self.is_target_open() {
+            return;
+        }
+        let load = self.load();
+        let requests = load.running.saturating_add(load.queued);
+        let is_due = self.rounds.is_multiple_of(ROUNDS);
+        if !is_due && requests.abs_diff(self.told.requests) < CHANGE {
+            return;
+        }
+        self.told.requests = requests;
+        let routes = if is_due {
+            self.route_times()
+        } else {
+            Vec::new()
+        };
+        let frame = Frame::Load(LoadFrame { load, routes });
+        for link in self.near_links() {
+            self.tell(link, &frame);
+        }
+    }
+
+    pub(super) fn take_load(&mut self, link: u64, frame: LoadFrame) {
+        let Some(peer) = self.links.get(link).and_then(|link| link.peer) else {
+            return;
+        };
+        self.note_load(peer, None, frame.load);
+        for (route, route_run_ms, route_send_ms) in frame.routes {
+            let load = LoadReport {
+                route_run_ms,
+                route_send_ms,
+                ..frame.load
+            };
+            self.note_load(peer, Some(route), load);
+        }
+    }
+}
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod link_calls;
 mod links;
 mod links_kept;
+mod loads;
 mod members;
 mod mesh;
 mod peers;
@@ -57,6 +58,7 @@
 use crate::node::leaving::Leaving;
 use crate::node::links::Link;
 use crate::node::links_kept::News;
+use crate::node::loads::Told;
 use crate::node::mesh::Mesh;
 use crate::node::peers::Peer;
 use crate::node::signals::SignalPipe;
@@ -175,6 +177,8 @@
     /// Services without a free target among those linked, and until when; sorted by service.
     full_services: Vec<(ServiceName, Time)>,
     news: News,
+    /// Load that near nodes were last told.
+    told: Told,
     links: Table<Link>,
     uplink: Uplink,
     uplink_timer: Option<Time>,
@@ -223,6 +227,7 @@
             overlay_is_due: true,
             full_services: Vec::new(),
             news: News::default(),
+            told: Told::default(),
             links: Table::default(),
             uplink: Uplink::new(settings.link_bytes_per_s()),
             uplink_timer: None,
@@ -345,6 +350,7 @@
         self.check_members();
         self.check_connections();
         self.check_target();
+        self.report_load();
         self.check_leaving();
         self.check_trials();
         self.check_stop();
--- a/crates/sidecar/src/node/transfers.rs
+++ b/crates/sidecar/src/node/transfers.rs
@@ -1,5 +1,6 @@
 //! Large answers on links: sent in parts as the VM's link takes them, and put together again.
 
+use hemlockfall_core::ids::RouteName;
 use hemlockfall_http::http::HttpAnswer;
 
 use crate::admission::LinkNeed;
@@ -171,6 +172,24 @@
         }
     }
 
+    /// Load of the target and of the link.
+    pub(super) fn load(&self) -> LoadReport {
+        LoadReport {
+            link_busy_ms: saturated_ms(self.uplink.busy_for(self.now)),
+            ..self.target.gate.load()
+        }
+    }
+
+    /// Mean times of the routes that the target runs often, on the link as well.
+    pub(super) fn route_times(&self) -> Vec<(RouteName, u16, u16)> {
+        let routes = self.target.gate.usual_routes();
+        let times = routes.into_iter().map(|route| {
+            let load = self.load_for(&route);
+            (route, load.route_run_ms, load.route_send_ms)
+        });
+        times.collect()
+    }
+
     /// Load of the target and of the link, as other nodes are told it.
     pub(super) fn load_for(&self, route: &str) -> LoadReport {
         let bytes = self.large_answer_bytes(route);
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -18,6 +18,8 @@
     Calls,
     /// Answers and refusals.
     Answers,
+    /// Loads of targets.
+    Loads,
     /// Signs of life.
     Pings,
     /// Signs of the nodes that follow the store.
@@ -43,6 +45,7 @@
             | Frame::AnswerPart(_)
             | Frame::NotRun { .. }
             | Frame::Failed { .. } => Self::Answers,
+            Frame::Load(_) => Self::Loads,
             Frame::Ping { .. } | Frame::Pong => Self::Pings,
             Frame::Beat(_) => Self::Beats,
             Frame::ConfigDelta(_)
@@ -63,6 +66,7 @@
             Self::Members => "members",
             Self::Calls => "calls",
             Self::Answers => "answers",
+            Self::Loads => "loads",
             Self::Pings => "pings",
             Self::Beats => "beats",
             Self::Config => "config",
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -176,3 +176,43 @@
 
     assert_eq!(choose(&[shedding, busy], &demand(1.0)), Some(OTHER));
 }
+
+/// Load: the nodes of a data centre see the same reports, some tenths of a second old. Guards
+/// against all of them choosing the target that looked best, so that it is full while others idle.
+#[test]
+fn nodes_with_the_same_reports_do_not_choose_the_same_target() {
+    const TARGETS: u64 = 14;
+    let candidates: Vec<Candidate> = (1..=TARGETS)
+        .map(|node| {
+            let mut candidate = candidate(node, Distance::DataCentre, 3);
+            // One target is faster than the others.
+            candidate.load.route_run_ms = if node == 1 { 60 } else { 100 };
+            candidate
+        })
+        .collect();
+    let mut random = SmallRng::seed_from_u64(1);
+
+    let fastest = (0..1000)
+        .filter(|_| balance::choose(&candidates, &demand(0.4), at(1_010), &mut random) == Some(1))
+        .count();
+
+    // Three of 14 are compared, so that the fastest gets three times its equal part at most.
+    assert!((100..280).contains(&fastest), "{fastest}");
+}
+
+/// Guards against a request that stays at a full data centre since the few near targets that were
+/// compared happened to be full, while one elsewhere is free.
+#[test]
+fn far_targets_are_always_compared() {
+    let mut candidates: Vec<Candidate> = (1..=14)
+        .map(|node| candidate(node, Distance::DataCentre, 32))
+        .collect();
+    candidates.push(candidate(20, Distance::Region, 0));
+    let mut random = SmallRng::seed_from_u64(1);
+
+    let elsewhere = (0..100)
+        .filter(|_| balance::choose(&candidates, &demand(0.4), at(1_010), &mut random) == Some(20))
+        .count();
+
+    assert_eq!(elsewhere, 100);
+}
