Call the store less at the first start and while it is away

Cause: at the first start every node read the entries of all nodes while these were still being written, and read them again; with the store away for twelve seconds one further node began to call it every 300 ms, and nodes that had just started called it although a follower was heard. Change: at the first start the list is read after 700 ms and may be some seconds old, which costs a tenth; if it lacks the node's own entry it is read anew. After eight substitutes further ones come every 1.5 s. Longest pause 2 s. Ruled out: old lists at later starts, since a leave of the last seconds could be missing from them.

--- a/crates/sidecar/src/following.rs
+++ b/crates/sidecar/src/following.rs
@@ -17,6 +17,11 @@
 const SILENCE_MARGIN: Duration = Duration::from_millis(800);
 /// Lead of a node over the next one in the order, so that not all call a store that is away.
 const LEAD: Duration = Duration::from_millis(300);
+/// Nodes that come to follow one after the other by that lead. When none of them reaches the store
+/// it is most likely away for all, and further nodes only add failed calls, each of which is
+/// charged: they come by a longer lead.
+const SUBSTITUTES: u32 = 8;
+const LATER_LEAD: Duration = Duration::from_millis(1500);
 
 /// Time that a node needs after its start to connect with those that live, and for each node that
 /// it knows of. Until then it takes all of them to live.
@@ -97,6 +102,12 @@
         }
         let since = *self.thin_since.get_or_insert(now);
         let place = u32::try_from(before - FOLLOWERS).unwrap_or(u32::MAX);
-        self.is_follower = now.saturating_sub(since) >= LEAD.saturating_mul(place);
+        self.is_follower = now.saturating_sub(since) >= lead_of(place);
     }
 }
+
+/// Returns how long a node waits for the ones before it to follow.
+fn lead_of(place: u32) -> Duration {
+    let later = place.saturating_sub(SUBSTITUTES);
+    LEAD.saturating_mul(place.min(SUBSTITUTES)) + LATER_LEAD.saturating_mul(later)
+}
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -42,9 +42,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest and longest time between failed calls.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
-const BACKOFF_MAX: Duration = Duration::from_millis(1200);
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// Time in which a starting node that does not follow waits for another node's configuration.
 const PEER_CONFIG_WAIT: Duration = Duration::from_millis(700);
+/// Time in which all nodes of a mesh that starts for the first time write their entries. A reading
+/// before its end would miss some and be needed again.
+const FIRST_ENTRIES_WAIT: Duration = Duration::from_millis(700);
 /// Nodes of each data centre that read the configuration themselves when they start. When all nodes
 /// start together, few that pass it on would take longer than the store does.
 const FIRST_READERS: usize = 2;
@@ -87,6 +90,10 @@
     pub(super) entry_is_known: bool,
     pub(super) nodes_listed: bool,
     pub(super) nodes_after: Option<smol_str::SmolStr>,
+    /// Whether a reading that may be old lacked this node's own entry.
+    pub(super) stale_list_was_short: bool,
+    /// Whether the list of entries that is being read had this node's own entry so far.
+    pub(super) own_entry_was_listed: bool,
     pub(super) is_lost: bool,
     pub(super) started: Time,
     pub(super) following: Following,
@@ -146,6 +153,8 @@
             entry_is_known: false,
             nodes_listed: false,
             nodes_after: None,
+            stale_list_was_short: false,
+            own_entry_was_listed: false,
             is_lost: false,
             started: now,
             following: Following::new(now),
@@ -241,7 +250,11 @@
             Channel::Rollouts => (StoreKind::Rollouts, self.store.rollouts.revision),
         };
         match revision {
-            None if self.should_list() => Some(StoreCall::List { kind, after: None }),
+            None if self.should_list() => Some(StoreCall::List {
+                kind,
+                after: None,
+                may_be_stale: false,
+            }),
             Some(revision) if self.store.following.is_follower() => Some(StoreCall::Watch {
                 kind,
                 revision,
@@ -261,15 +274,30 @@
                 Some(revision) => StoreCall::ReplaceNode { entry, revision },
             });
         }
-        if !self.store.nodes_listed {
-            return Some(StoreCall::List {
-                kind: StoreKind::Nodes,
-                after: self.store.nodes_after.clone(),
-            });
+        if !self.store.nodes_listed
+            && let Some(list) = self.next_list_of_nodes()
+        {
+            return Some(list);
         }
         self.store.queue.pop_front()
     }
 
+    /// The next page of the nodes' entries, once it is due. At the first start of a mesh nobody has
+    /// left yet, and a reading that is some seconds old will do, which costs a tenth and does not
+    /// count towards the store's rate; if it lacks this node's own entry, it is too old.
+    fn next_list_of_nodes(&self) -> Option<StoreCall> {
+        let is_first = self.settings.is_first_start;
+        let age = self.now.saturating_sub(self.store.started);
+        if is_first && age < FIRST_ENTRIES_WAIT {
+            return None;
+        }
+        Some(StoreCall::List {
+            kind: StoreKind::Nodes,
+            after: self.store.nodes_after.clone(),
+            may_be_stale: is_first && !self.store.stale_list_was_short,
+        })
+    }
+
     fn own_entry(&self) -> NodeEntry {
         NodeEntry {
             node: self.settings.name.clone(),
@@ -313,7 +341,9 @@
             .count();
         let is_first_here = self.mesh.config().is_none() && before_here < FIRST_READERS;
         let waited = self.now.saturating_sub(self.store.started);
-        let is_without = self.mesh.config().is_none() && waited > PEER_CONFIG_WAIT;
+        // A follower that is heard will pass the configuration on.
+        let is_unheard = peers().all(|peer| peer.beat_at.is_none());
+        let is_without = self.mesh.config().is_none() && is_unheard && waited > PEER_CONFIG_WAIT;
         before < FOLLOWERS || is_first_here || is_without || self.store.following.is_follower()
     }
 
--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -29,21 +29,31 @@
     ) {
         match (call, reply) {
             (
-                StoreCall::List { kind, .. },
+                StoreCall::List {
+                    kind, may_be_stale, ..
+                },
                 StoreReply::Listed {
                     objects,
                     next,
                     revision,
                 },
             ) => {
+                let names_this_node = objects.iter().any(|object| self.is_own_entry(object));
                 for object in objects {
                     self.take_store_object(object);
                 }
                 match kind {
                     StoreKind::Nodes => {
-                        self.store.nodes_listed = next.is_none();
+                        self.store.own_entry_was_listed |= names_this_node;
+                        let is_whole = next.is_none();
                         self.store.nodes_after = next;
-                        self.store.entry_is_known = self.store.nodes_listed;
+                        if is_whole {
+                            let was_listed = std::mem::take(&mut self.store.own_entry_was_listed);
+                            let is_short = may_be_stale && !was_listed;
+                            self.store.stale_list_was_short |= is_short;
+                            self.store.nodes_listed = !is_short;
+                            self.store.entry_is_known |= !is_short;
+                        }
                     }
                     StoreKind::Config | StoreKind::Rollouts => {
                         self.store.lane(channel).revision = Some(revision);
@@ -130,6 +140,10 @@
         }
     }
 
+    fn is_own_entry(&self, object: &StoreObject) -> bool {
+        matches!(object, StoreObject::Node { entry, .. } if entry.node == self.settings.name)
+    }
+
     fn take_node_entry(&mut self, entry: NodeEntry, revision: ObjectRevision) {
         if entry.node == self.settings.name {
             self.store.entry_revision = Some(revision);
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -99,6 +99,8 @@
         kind: StoreKind,
         /// Name of the last object of the page before.
         after: Option<SmolStr>,
+        /// Whether an answer that is some seconds old will do.
+        may_be_stale: bool,
     },
     /// Waits for changes of a kind.
     Watch {
@@ -134,6 +136,11 @@
     #[must_use]
     pub fn name(&self) -> &'static str {
         match self {
+            Self::List {
+                kind: StoreKind::Nodes,
+                may_be_stale: true,
+                ..
+            } => "list_nodes_stale",
             Self::List {
                 kind: StoreKind::Nodes,
                 ..
--- a/crates/sidecar/tests/following.rs
+++ b/crates/sidecar/tests/following.rs
@@ -143,6 +143,22 @@
     assert_eq!((while_refused, after), (vec![0, 1, 2, 3], vec![0, 1, 2]));
 }
 
+/// Load: the store is away for twelve seconds. Guards against a mesh of which a fourth calls it
+/// meanwhile, each failed call being charged.
+#[test]
+fn few_nodes_call_a_store_that_is_away() {
+    let mut nodes = nodes(200);
+    nodes.pass(Duration::from_secs(5));
+    for place in 0..200 {
+        nodes.lose_store(place);
+    }
+
+    nodes.pass(Duration::from_secs(12));
+    let following = nodes.followers().len();
+
+    assert!(following <= 20, "{following} nodes call the store");
+}
+
 /// Load: all nodes start at once and need a while to connect. Guards against a herd that reads
 /// the store, each because it sees no other node.
 #[test]
