Keep the runs of a node that is silent for a while

Cause: a link without a sign of life for 750 ms was closed, and every call on it was given up, also calls that may run once at most and have seconds left: the node that stood still answered them into a closed link. Change: calls that may be repeated go elsewhere as before. For the others the link is replaced at once for new calls and news, but kept until they are answered, their time is over or the connection fails. Ruled out: a longer wait before a link is given up, since calls that may be repeated would lose the time that their repeat needs.

--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -35,7 +35,7 @@
 const PING_AFTER: Duration = Duration::from_millis(150);
 /// Time for a sign of life, besides the way, until no further calls are sent on the link.
 const STALLED_AFTER: Duration = Duration::from_millis(200);
-/// Time for a sign of life until the link counts as lost. Lost packets are sent again within it.
+/// Time for a sign of life until the link is given up. Lost packets are sent again within it.
 const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Silence on an idle link after which a sign of life is asked for; grows with the number of
 /// links, so that the traffic of a node stays bounded.
@@ -60,8 +60,10 @@
     pub(super) writer: TextWriter,
     pub(super) reader: TextReader,
     opened: Time,
-    last_heard: Time,
+    pub(super) last_heard: Time,
     ping_sent: Option<Time>,
+    /// Whether another link takes its place, and it only waits for answers.
+    pub(super) is_retired: bool,
     pub(super) transit: Transit,
     /// Sequence of this node's record when the link was opened; it greets with that record.
     greeted_with: u64,
@@ -105,6 +107,7 @@
             opened: self.now,
             last_heard: self.now,
             ping_sent: None,
+            is_retired: false,
             transit: Transit::default(),
             greeted_with: self.record_sequence,
             calls: Vec::new(),
@@ -412,6 +415,9 @@
             } else {
                 self.dial_failed(peer);
             }
+        } else if let Some(found) = self.peers.get_mut(peer) {
+            let calls = u16::try_from(link.calls.len()).unwrap_or(u16::MAX);
+            found.outstanding = found.outstanding.saturating_sub(calls);
         }
         for call in link.calls {
             self.attempt_ended(call, AttemptEnd::Failed(Failure::LinkLost));
@@ -440,9 +446,10 @@
         let links = u32::try_from(self.overlay.wanted().len()).unwrap_or(u32::MAX);
         let idle_ping = IDLE_PING.max(IDLE_PING_PER_LINK.saturating_mul(links));
         let mut lost = Vec::new();
+        let mut given_up = Vec::new();
         let mut silent = Vec::new();
         for (id, link) in self.links.iter() {
-            if !link.is_dialed {
+            if !link.is_dialed || link.is_retired {
                 continue;
             }
             let is_established = link
@@ -456,7 +463,7 @@
                 continue;
             }
             match link.ping_sent {
-                Some(at) if now.saturating_sub(at) > LOST_AFTER => lost.push(id),
+                Some(at) if now.saturating_sub(at) > LOST_AFTER => given_up.push(id),
                 Some(_) => {}
                 None => {
                     let quiet = now.saturating_sub(link.last_heard);
@@ -472,8 +479,12 @@
             }
         }
         for id in lost {
-            self.link_lost(id, "silent");
+            self.link_lost(id, "not connected");
         }
+        for id in given_up {
+            self.link_silent(id);
+        }
+        self.close_retired();
         for id in silent {
             self.ping(id);
         }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod run;
 mod signals;
+mod silence;
 mod stop;
 mod store;
 mod store_replies;
--- /dev/null
+++ b/crates/sidecar/src/node/silence.rs
@@ -0,0 +1,86 @@
+//! Links whose other end is silent: it may stand still for a moment, and its runs with it.
+//!
+//! A silent node is told apart from one that is gone by nothing but time. Requests that may be
+//! repeated are sent elsewhere; the others wait on, since giving them up would lose answers that a
+//! node gives when it goes on. The link is replaced at once and kept for these answers alone.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::edge::frame::Failure;
+use crate::model::Repeat;
+use crate::node::Node;
+use crate::node::calls::AttemptEnd;
+use crate::node::ms;
+
+/// Time left below which a request is not sent elsewhere: an answer could not come in time.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
+
+impl Node {
+    /// No sign of life came on a link in time.
+    pub(super) fn link_silent(&mut self, id: u64) {
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
+        let Some(peer) = link.peer else {
+            return self.link_lost(id, "silent");
+        };
+        let repeated: Vec<u64> = link
+            .calls
+            .iter()
+            .copied()
+            .filter(|call| self.may_repeat_elsewhere(*call))
+            .collect();
+        let kept = link.calls.len() - repeated.len();
+        if kept == 0 {
+            return self.link_lost(id, "silent");
+        }
+        let silent_ms = ms(self.now.saturating_sub(link.last_heard));
+        let now = self.now;
+        self.overlay_is_due = true;
+        if let Some(found) = self.peers.get_mut(peer) {
+            found.link = None;
+            found.is_linked = false;
+            found.dial_at = now;
+            found.beat_at = None;
+            let name = found.record.node.clone();
+            self.state_line(
+                "link_silent",
+                json!({
+                    "peer": name, "silent_ms": silent_ms, "calls_kept": kept,
+                    "calls_repeated": repeated.len(),
+                }),
+            );
+        }
+        if let Some(link) = self.links.get_mut(id) {
+            link.is_retired = true;
+        }
+        for call in repeated {
+            self.cancel_at_peer(call, peer, id);
+            self.attempt_ended(call, AttemptEnd::Failed(Failure::LinkLost));
+        }
+    }
+
+    fn may_repeat_elsewhere(&self, call: u64) -> bool {
+        let now = self.now;
+        self.calls.get(call).is_none_or(|call| {
+            call.route.repeat == Repeat::Idempotent
+                && call.arrivals + 1 < call.route.max_attempts
+                && call.deadline.saturating_sub(now) > MIN_TIME_LEFT
+        })
+    }
+
+    /// Closes the links that were kept for answers and wait for none any more.
+    pub(super) fn close_retired(&mut self) {
+        let done: Vec<u64> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.is_retired && link.calls.is_empty())
+            .map(|(id, _)| id)
+            .collect();
+        for id in done {
+            self.links.remove(id);
+        }
+    }
+}
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -225,6 +225,45 @@
     assert!(late.is_empty(), "{late:#?}");
 }
 
+/// Guards against a node that gives up the runs of one that stands still for longer than a link waits
+/// for a sign of life, although there is time for their answers. Orders may run once at most.
+#[test]
+fn runs_at_a_node_that_is_silent_for_a_while_are_not_given_up() {
+    let mut world = start(&world("silent_node", 2));
+    let node = world.sites[1].callers;
+    assert!(is_served_within(node, "/orders/1", SERVES_WITHIN));
+    world.sites[0]
+        .node
+        .signal(Signal::Stop)
+        .expect("the node runs");
+    let threads: Vec<_> = (0..6)
+        .map(|number| {
+            thread::spawn(move || {
+                let sent = request(number, "/orders/2", true, Duration::from_millis(1900));
+                (sent.id.clone(), send(node, &sent))
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1100));
+
+    world.sites[0]
+        .node
+        .signal(Signal::Continue)
+        .expect("the node runs");
+    let ended: Vec<(String, Ended)> = threads
+        .into_iter()
+        .map(|thread| thread.join().expect("the caller ends"))
+        .collect();
+
+    let given_up: Vec<_> = ended
+        .iter()
+        .filter(|(_, ended)| !matches!(ended, Ended::Served))
+        .collect();
+    assert!(given_up.is_empty(), "{given_up:#?}");
+    let runs = ended.iter().map(|(id, _)| world.ledger.runs_of(id));
+    assert_eq!(runs.collect::<Vec<_>>(), [1; 6]);
+}
+
 /// Guards against a target that no other node uses: its node has told the others about it before
 /// their links stood, and the greeting on the links was sent before the target was there.
 #[test]
