Test that a late second copy of an answer is given to nobody

Change: the target's stand-in can send a second copy of each answer after some time; a_late_second_copy_is_given_to_nobody has four callers at a target with one slot, whose copies come while the connection runs the next request.

--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use hemlockfall_standins::target::ConnectionHabit;
 use rand::RngExt;
 
 use crate::errors::Error;
@@ -98,7 +99,7 @@
         callers_per_node: CALLERS_PER_NODE,
         run_time: RUN_TIME,
         slots: SLOTS,
-        ends_connections: false,
+        habit: ConnectionHabit::Keep,
         directory,
     };
     let mut world = World::start(&options).or_else(|_| World::start(&options))?;
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -16,6 +16,7 @@
 use hemlockfall_standins::caller::Sent;
 use hemlockfall_standins::store::Store;
 use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::target::ConnectionHabit;
 use hemlockfall_standins::target::RunObserver;
 use hemlockfall_standins::target::Target;
 use hemlockfall_standins::target::TargetOptions;
@@ -63,8 +64,8 @@
     pub run_time: Duration,
     /// Requests that a target runs at once.
     pub slots: u32,
-    /// Whether targets end each connection with its first answer.
-    pub ends_connections: bool,
+    /// How targets treat their connections.
+    pub habit: ConnectionHabit,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -82,8 +83,8 @@
     pub run_time: Duration,
     /// Requests that the target runs at once.
     pub slots: u32,
-    /// Whether the target ends each connection with its first answer.
-    pub ends_connections: bool,
+    /// How the target treats its connections.
+    pub habit: ConnectionHabit,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -202,7 +203,7 @@
             is_first_start,
             run_time: self.options.run_time,
             slots: self.options.slots,
-            ends_connections: self.options.ends_connections,
+            habit: self.options.habit,
             directory: self.options.directory.clone(),
         };
         let store = self.store.address();
@@ -405,7 +406,7 @@
     pub fn start_target(&mut self, ledger: &Arc<Ledger>) -> Result<()> {
         self.lives += 1;
         // A proxy would pass an answer and the end of its connection on one after the other.
-        let announced = if self.options.ends_connections {
+        let announced = if self.options.habit == ConnectionHabit::End {
             self.addresses.target
         } else {
             self.addresses.announced
@@ -421,7 +422,7 @@
             run_time: self.options.run_time,
             slots: self.options.slots,
             fails_permille: self.fails_permille,
-            ends_connections: self.options.ends_connections,
+            habit: self.options.habit,
         };
         let ledger = Arc::clone(ledger);
         let observer: RunObserver = Arc::new(move |run| ledger.run(&run));
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -11,6 +11,7 @@
 use hemlockfall_standins::caller::Ended;
 use hemlockfall_standins::caller::Sent;
 use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::target::ConnectionHabit;
 use xtask::harness::process::Signal;
 use xtask::soak::proxy::Mode;
 use xtask::soak::world::CONFIG_APPLY;
@@ -34,7 +35,7 @@
         callers_per_node: 0,
         run_time: Duration::from_millis(15),
         slots: 8,
-        ends_connections: false,
+        habit: ConnectionHabit::Keep,
         directory,
     }
 }
@@ -151,7 +152,24 @@
     let mut options = world("ended_connection", 1);
     options.slots = 1;
     options.run_time = Duration::from_millis(20);
-    options.ends_connections = true;
+    options.habit = ConnectionHabit::End;
+    let world = start(&options);
+    let node = world.sites[0].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+
+    let lost = lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2));
+
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
+/// Guards against a second copy of an answer that comes when the connection is in use again: the next
+/// caller would get an answer that is not its own.
+#[test]
+fn a_late_second_copy_is_given_to_nobody() {
+    let mut options = world("second_copy", 1);
+    options.slots = 1;
+    options.run_time = Duration::from_millis(20);
+    options.habit = ConnectionHabit::SecondCopy(Duration::from_millis(8));
     let world = start(&options);
     let node = world.sites[0].callers;
     assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
