Test that a target that has left stays away after its node restarts

Two tests with real nodes: a target leaves, its node is killed and started again, and heartbeats that the target made before it left come in at once; in one of them the store refuses all calls, so that only the other node knows of the leave.

--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -302,6 +302,55 @@
     }
 }
 
+/// Restarts the node of a target that has left, with heartbeats that the target made before it left,
+/// and returns the requests that reached the target afterwards.
+fn runs_after_leave_and_restart(world: &mut World) -> Vec<String> {
+    let left = world.sites[0].target.take().expect("the target runs");
+    assert!(left.leave(false), "the leave is acknowledged");
+    thread::sleep(Duration::from_millis(300));
+    world.sites[0]
+        .node
+        .signal(Signal::Kill)
+        .expect("the node runs");
+    world.sites[0].restart_node().expect("the node starts");
+    let mut sent = Vec::new();
+    for number in 0..60 {
+        left.late_beat();
+        let node = world.sites[number % 2].callers;
+        let order = request(number, "/orders/9", true, Duration::from_millis(100));
+        send(node, &order);
+        sent.push(order.id);
+    }
+    sent.retain(|id| world.ledger.runs_of(id) > 0);
+    sent
+}
+
+/// Guards against a target that has left and is in use again after its node has restarted, because an
+/// old heartbeat comes before the node knows of the leave.
+#[test]
+fn a_left_target_stays_away_after_a_restart() {
+    let mut world = start(&world("left_target", 2));
+    let other = world.sites[1].callers;
+    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+
+    let runs = runs_after_leave_and_restart(&mut world);
+
+    assert!(runs.is_empty(), "{runs:#?}");
+}
+
+/// The same while the store refuses all calls, so that only other nodes know of the leave.
+#[test]
+fn a_left_target_stays_away_after_a_restart_without_the_store() {
+    let mut world = start(&world("left_target_no_store", 2));
+    let other = world.sites[1].callers;
+    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    world.store.set_fault(StoreFault::Busy);
+
+    let runs = runs_after_leave_and_restart(&mut world);
+
+    assert!(runs.is_empty(), "{runs:#?}");
+}
+
 /// Guards against a configuration that is taken over in part, or that takes what was in force with
 /// it, when one of its routes is of an unknown kind.
 #[test]
