--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -11,6 +11,7 @@
 use hemlockfall_standins::caller::Ended;
 use hemlockfall_standins::caller::Sent;
 use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::target::ConnectionHabit;
 use xtask::harness::process::Signal;
 use xtask::soak::proxy::Mode;
 use xtask::soak::world::CONFIG_APPLY;
@@ -34,7 +35,7 @@
         callers_per_node: 0,
         run_time: Duration::from_millis(15),
         slots: 8,
-        ends_connections: false,
+        habit: ConnectionHabit::Keep,
         directory,
     }
 }
@@ -151,7 +152,24 @@
     let mut options = world("ended_connection", 1);
     options.slots = 1;
     options.run_time = Duration::from_millis(20);
-    options.ends_connections = true;
+    options.habit = ConnectionHabit::End;
+    let world = start(&options);
+    let node = world.sites[0].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+
+    let lost = lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2));
+
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
+/// Guards against a second copy of an answer that comes when the connection is in use again: the next
+/// caller would get an answer that is not its own.
+#[test]
+fn a_late_second_copy_is_given_to_nobody() {
+    let mut options = world("second_copy", 1);
+    options.slots = 1;
+    options.run_time = Duration::from_millis(20);
+    options.habit = ConnectionHabit::SecondCopy(Duration::from_millis(8));
     let world = start(&options);
     let node = world.sites[0].callers;
     assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
@@ -225,6 +243,45 @@
     assert!(late.is_empty(), "{late:#?}");
 }
 
+/// Guards against a node that gives up the runs of one that stands still for longer than a link waits
+/// for a sign of life, although there is time for their answers. Orders may run once at most.
+#[test]
+fn runs_at_a_node_that_is_silent_for_a_while_are_not_given_up() {
+    let mut world = start(&world("silent_node", 2));
+    let node = world.sites[1].callers;
+    assert!(is_served_within(node, "/orders/1", SERVES_WITHIN));
+    world.sites[0]
+        .node
+        .signal(Signal::Stop)
+        .expect("the node runs");
+    let threads: Vec<_> = (0..6)
+        .map(|number| {
+            thread::spawn(move || {
+                let sent = request(number, "/orders/2", true, Duration::from_millis(1900));
+                (sent.id.clone(), send(node, &sent))
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1100));
+
+    world.sites[0]
+        .node
+        .signal(Signal::Continue)
+        .expect("the node runs");
+    let ended: Vec<(String, Ended)> = threads
+        .into_iter()
+        .map(|thread| thread.join().expect("the caller ends"))
+        .collect();
+
+    let given_up: Vec<_> = ended
+        .iter()
+        .filter(|(_, ended)| !matches!(ended, Ended::Served))
+        .collect();
+    assert!(given_up.is_empty(), "{given_up:#?}");
+    let runs = ended.iter().map(|(id, _)| world.ledger.runs_of(id));
+    assert_eq!(runs.collect::<Vec<_>>(), [1; 6]);
+}
+
 /// Guards against a target that no other node uses: its node has told the others about it before
 /// their links stood, and the greeting on the links was sent before the target was there.
 #[test]
@@ -245,6 +302,55 @@
     }
 }
 
+/// Restarts the node of a target that has left, with heartbeats that the target made before it left,
+/// and returns the requests that reached the target afterwards.
+fn runs_after_leave_and_restart(world: &mut World) -> Vec<String> {
+    let left = world.sites[0].target.take().expect("the target runs");
+    assert!(left.leave(false), "the leave is acknowledged");
+    thread::sleep(Duration::from_millis(300));
+    world.sites[0]
+        .node
+        .signal(Signal::Kill)
+        .expect("the node runs");
+    world.sites[0].restart_node().expect("the node starts");
+    let mut sent = Vec::new();
+    for number in 0..60 {
+        left.late_beat();
+        let node = world.sites[number % 2].callers;
+        let order = request(number, "/orders/9", true, Duration::from_millis(100));
+        send(node, &order);
+        sent.push(order.id);
+    }
+    sent.retain(|id| world.ledger.runs_of(id) > 0);
+    sent
+}
+
+/// Guards against a target that has left and is in use again after its node has restarted, because an
+/// old heartbeat comes before the node knows of the leave.
+#[test]
+fn a_left_target_stays_away_after_a_restart() {
+    let mut world = start(&world("left_target", 2));
+    let other = world.sites[1].callers;
+    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+
+    let runs = runs_after_leave_and_restart(&mut world);
+
+    assert!(runs.is_empty(), "{runs:#?}");
+}
+
+/// The same while the store refuses all calls, so that only other nodes know of the leave.
+#[test]
+fn a_left_target_stays_away_after_a_restart_without_the_store() {
+    let mut world = start(&world("left_target_no_store", 2));
+    let other = world.sites[1].callers;
+    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    world.store.set_fault(StoreFault::Busy);
+
+    let runs = runs_after_leave_and_restart(&mut world);
+
+    assert!(runs.is_empty(), "{runs:#?}");
+}
+
 /// Guards against a configuration that is taken over in part, or that takes what was in force with
 /// it, when one of its routes is of an unknown kind.
 #[test]
