Hold trials after a pause until the state of orders can be known

Cause: a node that had stood still went on with the orders that it knew. Requests that were waiting were read before the news, so that its part of the trial's allowance went to a version that had been stopped meanwhile; a judge would have decided without the evidence of that time. Change: when an event shows that the process stood still for 900 ms or more, it sends nothing to versions under trial and judges none for 1.2 s, which is longer than the time between two beats of a follower, which tell the orders' revision. Ruled out: reading links before callers, since the links of a node that stood still have been given up by the others, and the news comes with the next beat.

--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -90,6 +90,8 @@
     pub(super) router: Router,
     /// Sorted by service.
     pub(super) trials: Vec<Trial>,
+    /// Until when this node may not know that an order has ended.
+    trials_held_until: Time,
 }
 
 /// `Trial` is a roll-out with what this node has learnt about it.
@@ -183,6 +185,15 @@
         revisions.max().unwrap_or_default()
     }
 
+    /// Keeps this node from acting on orders until it can know their state.
+    pub(super) fn hold_trials_until(&mut self, until: Time) {
+        self.trials_held_until = until;
+    }
+
+    pub(super) fn are_trials_held(&self, now: Time) -> bool {
+        now < self.trials_held_until
+    }
+
     /// The versions that a new request of a service may run on.
     pub(super) fn version_rule(
         &mut self,
@@ -192,6 +203,9 @@
         nodes: usize,
         now: Time,
     ) -> (VersionRule, TrialUse) {
+        if self.are_trials_held(now) {
+            return (self.repeat_rule(service), TrialUse::None);
+        }
         let Some(trial) = self.trial_mut(service) else {
             return (VersionRule::Any, TrialUse::None);
         };
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -82,6 +82,9 @@
 const TICK: Duration = Duration::from_millis(100);
 /// A round this late shows that the process did not run, or that the VM was suspended.
 const PAUSE: Duration = Duration::from_millis(900);
+/// Time after a pause in which nothing goes to a version under trial and none is judged: orders may
+/// have ended meanwhile, and the next beat of a follower tells of that.
+const TRIALS_HELD: Duration = Duration::from_millis(1200);
 /// Log lines are written at the latest after this many rounds.
 const FLUSH_ROUNDS: u64 = 5;
 /// What was sent to other nodes is reported after this many rounds.
@@ -287,7 +290,7 @@
         reason = "stakker passes events by value"
     )]
     fn ready(&mut self, cx: CX![], socket: Socket, ready: Ready) {
-        self.now = clock::now();
+        self.read_clock();
         match socket {
             Socket::Listener(port) => self.accept(port),
             Socket::Caller(id) => self.caller_ready(id, &ready),
@@ -299,8 +302,17 @@
         self.settle(cx);
     }
 
-    fn wake(&mut self, cx: CX![]) {
+    /// Takes the time of an event. After a pause the first events may be requests, before the news
+    /// that came meanwhile has been read.
+    fn read_clock(&mut self) {
         self.now = clock::now();
+        if self.now.saturating_sub(self.last_tick) > PAUSE {
+            self.mesh.hold_trials_until(self.now + TRIALS_HELD);
+        }
+    }
+
+    fn wake(&mut self, cx: CX![]) {
+        self.read_clock();
         self.armed = None;
         self.settle(cx);
     }
--- a/crates/sidecar/src/node/trials.rs
+++ b/crates/sidecar/src/node/trials.rs
@@ -111,6 +111,10 @@
     }
 
     fn judge(&mut self, service: &str) {
+        if self.mesh.are_trials_held(self.now) {
+            // Evidence of the time in which the process stood still has not been read.
+            return;
+        }
         let rank = self.rank_among_followers();
         let Some(trial) = self.mesh.trial_mut(service) else {
             return;
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -124,6 +124,12 @@
         seen.trial_runs = (0, 0);
     }
 
+    /// `bad_version_runs` is how often the bad version ran since its order.
+    #[must_use]
+    pub fn bad_version_runs(&self) -> usize {
+        self.lock().trial_runs.1
+    }
+
     /// `broken` adds a broken promise.
     pub fn broken(&self, text: String) {
         self.lock().broken.push(text);
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -351,6 +351,55 @@
     assert!(runs.is_empty(), "{runs:#?}");
 }
 
+/// Guards against a node that stood still while a bad version was stopped, and goes on to send it its
+/// part of the requests, for which it had the permission before.
+#[test]
+fn a_node_that_stood_still_sends_nothing_to_a_version_stopped_meanwhile() {
+    let mut world = start(&world("paused_permission", 6));
+    let paused = world.sites[1].callers;
+    assert!(is_served_within(paused, "/stock/1", SERVES_WITHIN));
+    let finish_in = Duration::from_secs(15);
+    let order = wire::rollout("desk", "v2-bad", finish_in);
+    world.ledger.trial_ordered("v2-bad");
+    world.store.put("rollouts", "desk", order);
+    let ledger = std::sync::Arc::clone(&world.ledger);
+    world.sites[0]
+        .start_bad_version("v2-bad", &ledger)
+        .expect("the target starts");
+    thread::sleep(Duration::from_millis(800));
+    let others = [2, 3, 4, 5].map(|index| world.sites[index].callers);
+    world.sites[1]
+        .node
+        .signal(Signal::Stop)
+        .expect("the node runs");
+    let started = Instant::now();
+    while world.store.status("rollouts", "desk")["state"] != "rolled_back" {
+        assert!(started.elapsed() < finish_in, "the bad version is stopped");
+        lost_requests(&others, "/stock/1", Duration::from_millis(300));
+    }
+    let runs_before = ledger.bad_version_runs();
+    let waiting: Vec<_> = (0..40)
+        .map(|number| {
+            thread::spawn(move || {
+                let sent = request(number, "/stock/3", false, Duration::from_millis(1900));
+                send(paused, &sent);
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+
+    world.sites[1]
+        .node
+        .signal(Signal::Continue)
+        .expect("the node runs");
+    for caller in waiting {
+        caller.join().expect("a caller does not panic");
+    }
+
+    let runs = ledger.bad_version_runs() - runs_before;
+    assert_eq!(runs, 0, "runs of the stopped version");
+}
+
 /// Guards against a configuration that is taken over in part, or that takes what was in force with
 /// it, when one of its routes is of an unknown kind.
 #[test]
