Test that orders around planned restarts run once

Orders go to all nodes while two nodes are stopped as planned and started again: none may run twice, and none may end without an answer once it was sent.

--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -400,6 +400,34 @@
     assert_eq!(runs, 0, "runs of the stopped version");
 }
 
+/// Load: orders at all nodes while one node after the other is stopped as planned and started again.
+/// Guards against a hand-over in which both processes act for a moment, and an order goes out twice.
+#[test]
+fn orders_around_planned_restarts_run_once() {
+    let mut world = start(&world("planned_restarts", 4));
+    let all: Vec<SocketAddr> = world.sites.iter().map(|site| site.callers).collect();
+    for node in &all {
+        assert!(is_served_within(*node, "/orders/1", SERVES_WITHIN));
+    }
+    let callers = all.repeat(2);
+    let load = thread::spawn(move || lost_requests(&callers, "/orders/1", Duration::from_secs(8)));
+
+    for site in &mut world.sites[..2] {
+        site.node.signal(Signal::Term).expect("the node runs");
+        site.node
+            .wait_exit(Duration::from_secs(6))
+            .expect("the node ends in time");
+        site.restart_node().expect("the node starts");
+        thread::sleep(Duration::from_millis(500));
+    }
+    let lost = load.join().expect("the callers end");
+
+    let ended_badly: Vec<_> = lost.iter().filter(|end| !end.contains("NotSent")).collect();
+    assert!(ended_badly.is_empty(), "{ended_badly:#?}");
+    let broken = world.finish();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// Guards against a configuration that is taken over in part, or that takes what was in force with
 /// it, when one of its routes is of an unknown kind.
 #[test]
