Refuse packed frames that claim more than they can hold

Change: a size beyond 256 times the packed bytes is refused first. Measured: a_frame_that_claims_to_swell_is_refused fails without the change ("malformed" after the memory was taken). Damaged and split frames are generated as well; they showed no fault.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -38,6 +38,9 @@
 const MIN_PACKED_BYTES: usize = 512;
 /// Texts that a link remembers in each direction.
 const MAX_TEXTS: usize = 200;
+/// Bytes that a packed byte can stand for at most. A frame that claims to hold more is refused
+/// before memory is taken for it.
+const MAX_PACKING: usize = 256;
 /// Longest text that is remembered.
 const MAX_TEXT_BYTES: usize = 48;
 
@@ -452,7 +455,7 @@
 fn unpack(bytes: &[u8]) -> Result<Vec<u8>> {
     let (size, packed) =
         lz4_flex::block::uncompressed_size(bytes).map_err(|_| FrameError::Malformed)?;
-    if size > MAX_FRAME_BYTES {
+    if size > MAX_FRAME_BYTES.min(packed.len().saturating_mul(MAX_PACKING)) {
         return Err(FrameError::TooLarge);
     }
     lz4_flex::decompress(packed, size).map_err(|_| FrameError::Malformed)
--- a/crates/sidecar/tests/frames.rs
+++ b/crates/sidecar/tests/frames.rs
@@ -80,7 +80,39 @@
     }
 }
 
+/// Guards against a few bytes of a peer that make a node take 70 MB, which small VMs do not have.
+#[test]
+fn a_frame_that_claims_to_swell_is_refused() {
+    let mut bytes = (0b1100_u32 | 1 << 31).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&70_000_000_u32.to_le_bytes());
+    bytes.extend_from_slice(&[0x1f; 8]);
+
+    assert_eq!(frame::decode(&bytes), Err(FrameError::TooLarge));
+}
+
 quickcheck! {
+    /// Guards against a damaged frame that ends the process, or that takes bytes of the next one.
+    fn damaged_frames_are_bounded(place: usize, value: u8, routes: u8) -> bool {
+        let routes = (0..routes).map(|n| common::route(&format!("r{n}"), "/x/", &[("desk", 1)]));
+        let config = common::config(7, routes.collect());
+        let delta: ConfigDelta = config.delta_from(&common::config(1, Vec::new()));
+        let mut bytes = encoded(&Frame::ConfigDelta(Box::new(delta)));
+        let place = place % bytes.len();
+        bytes[place] = value;
+        match frame::decode(&bytes) {
+            Ok(Some((_, used))) => used <= bytes.len(),
+            Ok(None) | Err(_) => true,
+        }
+    }
+
+    /// Guards against a frame that is read otherwise when it arrives in pieces.
+    fn split_frames_equal_whole_ones(cut: usize, call: u64) -> bool {
+        let bytes = encoded(&Frame::Cancel { call });
+        let cut = cut % bytes.len();
+        frame::decode(&bytes[..cut]) == Ok(None)
+            && frame::decode(&bytes) == Ok(Some((Frame::Cancel { call }, bytes.len())))
+    }
+
     /// Guards against bytes of a peer that end the process.
     fn arbitrary_bytes_never_panic(bytes: Vec<u8>) -> bool {
         let _ = frame::decode(&bytes);
