Judge a version with few answers by them when the verdict must fall

Cause: a version counted as bad from four failed answers on, also at the last moment. Change: below 25 answers, two failures are enough at the last moment if their share lies beyond chance, with 3 in 100 taken as usual at least. Ruled out: the same for versions with enough answers, since two chance failures of 24 would take a good one back.

--- a/crates/sidecar/src/judge.rs
+++ b/crates/sidecar/src/judge.rs
@@ -17,6 +17,12 @@
 const MIN_FAILURES: u64 = 4;
 /// Share of failures beyond the other versions' that makes a version bad.
 const FAILURE_MARGIN: f64 = 0.08;
+/// Failed answers that make a version bad when the verdict falls on fewer answers than an early
+/// acceptance needs. Three failures of five answers were accepted once (soak seed 678564), after
+/// the only target of the version had restarted.
+const MIN_FAILURES_OF_FEW: u64 = 2;
+/// Share of failures that is usual at least, as few answers of the other versions may show none.
+const LEAST_USUAL: f64 = 0.03;
 /// When a version counts as slow before all evidence is there. Few runs may happen to be those of
 /// a slow target, of which an eighth are late where few are in the whole.
 const SLOW_EARLY: SlowLimit = SlowLimit {
@@ -260,12 +266,32 @@
             let reason = "no answer of the new version was seen".to_owned();
             return Verdict::Reject { reason };
         }
-        match self.fault(SLOW_AT_END) {
+        match self.fault(SLOW_AT_END).or_else(|| self.fault_of_few()) {
             Some(reason) => Verdict::Reject { reason },
             None => Verdict::Accept,
         }
     }
 
+    /// What shows that a version with few answers is bad, when no more of them can be awaited.
+    fn fault_of_few(&self) -> Option<String> {
+        let all = self.answers();
+        let usual = self.usual_share(|evidence| all_routes(evidence).failures_of_answers());
+        let is_bad = all.answers < ACCEPT_ANSWERS
+            && all.failures >= MIN_FAILURES_OF_FEW
+            && is_beyond_chance(
+                all.failures_of_answers(),
+                usual.max(LEAST_USUAL),
+                FAILURE_MARGIN,
+                CHANCE_DEVIATIONS,
+            );
+        is_bad.then(|| {
+            format!(
+                "{} of only {} answers failed, {usual:.3} with the other versions",
+                all.failures, all.answers
+            )
+        })
+    }
+
     /// `answers` counts the answers of the new version.
     #[must_use]
     pub fn answers(&self) -> Tally {
--- a/crates/sidecar/tests/judge.rs
+++ b/crates/sidecar/tests/judge.rs
@@ -137,6 +137,25 @@
     assert_eq!(judge.verdict(at(14_000)), Verdict::Accept);
 }
 
+/// Guards against a bad version that finishes because few answers of it were seen: its only target
+/// had restarted, and three of five answers had failed (soak seed 678564). One failure may be chance.
+#[test]
+fn a_version_with_few_answers_is_judged_by_them_at_the_end() {
+    let judged = |answers, failures| {
+        let judge = judge(vec![
+            evidence("old", false, &[("a", tally(100, 2, 90))]),
+            evidence("new", true, &[("a", tally(answers, failures, 100))]),
+        ]);
+        assert_eq!(judge.verdict(at(10_000)), Verdict::Open);
+        judge.verdict(at(14_000))
+    };
+
+    assert!(matches!(judged(5, 3), Verdict::Reject { .. }));
+    assert!(matches!(judged(8, 2), Verdict::Reject { .. }));
+    assert_eq!(judged(5, 1), Verdict::Accept);
+    assert_eq!(judged(20, 2), Verdict::Accept);
+}
+
 /// Guards against a version whose failures at busy targets vanish among the answers of idle ones.
 #[test]
 fn a_version_that_fails_at_busy_targets_is_rejected() {
