Ask attempts whether a request may be sent on, and share set-ups of mesh tests

The rule on further attempts and its time limit stood twice, in attempts.rs and in silence.rs; five tests of the mesh set up the same callers. Behaviour, bounds and assertions are as they were.

--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -72,10 +72,16 @@
     Unknown,
 }
 
+/// `may_arrive` tells whether a request that was sent to some targets may be sent to another one.
+#[must_use]
+pub fn may_arrive(arrivals: u16, max_attempts: u16, time_left: Duration) -> bool {
+    arrivals < max_attempts && time_left > MIN_TIME_LEFT
+}
+
 /// `next_step` decides what follows an attempt.
 #[must_use]
 pub fn next_step(outcome: Outcome, facts: Facts) -> NextStep {
-    let may_arrive = facts.arrivals < facts.max_attempts && facts.time_left > MIN_TIME_LEFT;
+    let may_arrive = may_arrive(facts.arrivals, facts.max_attempts, facts.time_left);
     let is_idempotent = facts.repeat == Repeat::Idempotent;
     let not_run = if facts.may_have_run {
         GiveUp::Unknown
--- a/crates/sidecar/src/node/silence.rs
+++ b/crates/sidecar/src/node/silence.rs
@@ -4,19 +4,15 @@
 //! repeated are sent elsewhere; the others wait on, since giving them up would lose answers that a
 //! node gives when it goes on. The link is replaced at once and kept for these answers alone.
 
-use std::time::Duration;
-
 use serde_json::json;
 
+use crate::attempts;
 use crate::edge::frame::Failure;
 use crate::model::Repeat;
 use crate::node::Node;
 use crate::node::calls::AttemptEnd;
 use crate::node::ms;
 
-/// Time left below which a request is not sent elsewhere: an answer could not come in time.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
-
 impl Node {
     /// No sign of life came on a link in time.
     pub(super) fn link_silent(&mut self, id: u64) {
@@ -65,9 +61,11 @@
     fn may_repeat_elsewhere(&self, call: u64) -> bool {
         let now = self.now;
         self.calls.get(call).is_none_or(|call| {
+            // The attempt on the silent link counts as one that has arrived.
+            let arrivals = call.arrivals.saturating_add(1);
+            let time_left = call.deadline.saturating_sub(now);
             call.route.repeat == Repeat::Idempotent
-                && call.arrivals + 1 < call.route.max_attempts
-                && call.deadline.saturating_sub(now) > MIN_TIME_LEFT
+                && attempts::may_arrive(arrivals, call.route.max_attempts, time_left)
         })
     }
 
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -53,8 +53,7 @@
             self.close_listener(Port::Callers);
             self.listener_closed_at = Some(self.now);
         }
-        let is_quiet = self.is_listener_closed_for(AFTER_LISTENER);
-        if is_quiet {
+        if self.is_listener_closed_for(AFTER_LISTENER) {
             self.close_idle_callers();
         }
     }
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -113,6 +113,48 @@
         .collect()
 }
 
+/// Orders of four callers to one target with a single slot, so that its connection is in use again
+/// right after each answer; returns those that were lost.
+fn lost_at_a_target(test: &str, habit: ConnectionHabit) -> Vec<String> {
+    let mut options = world(test, 1);
+    options.slots = 1;
+    options.run_time = Duration::from_millis(20);
+    options.habit = habit;
+    let world = start(&options);
+    let node = world.sites[0].callers;
+    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2))
+}
+
+/// `Answered` is the id of a request, and how it ended.
+type Answered = (String, Ended);
+
+/// Sends one request in the background for each number.
+fn send_all(
+    node: SocketAddr,
+    numbers: std::ops::Range<usize>,
+    path: &'static str,
+    is_at_most_once: bool,
+    deadline: Duration,
+) -> Vec<thread::JoinHandle<Answered>> {
+    numbers
+        .map(|number| {
+            thread::spawn(move || {
+                let sent = request(number, path, is_at_most_once, deadline);
+                let ended = send(node, &sent);
+                (sent.id, ended)
+            })
+        })
+        .collect()
+}
+
+fn ends_of(callers: Vec<thread::JoinHandle<Answered>>) -> Vec<Answered> {
+    callers
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller ends"))
+        .collect()
+}
+
 /// Takes a target away so that its node knows.
 fn remove_target(world: &mut World, site: usize) {
     let target = world.sites[site].target.take().expect("the target runs");
@@ -149,15 +191,7 @@
 /// the answer before it.
 #[test]
 fn a_connection_that_has_ended_gets_no_request() {
-    let mut options = world("ended_connection", 1);
-    options.slots = 1;
-    options.run_time = Duration::from_millis(20);
-    options.habit = ConnectionHabit::End;
-    let world = start(&options);
-    let node = world.sites[0].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
-
-    let lost = lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2));
+    let lost = lost_at_a_target("ended_connection", ConnectionHabit::End);
 
     assert!(lost.is_empty(), "{lost:#?}");
 }
@@ -166,15 +200,9 @@
 /// caller would get an answer that is not its own.
 #[test]
 fn a_late_second_copy_is_given_to_nobody() {
-    let mut options = world("second_copy", 1);
-    options.slots = 1;
-    options.run_time = Duration::from_millis(20);
-    options.habit = ConnectionHabit::SecondCopy(Duration::from_millis(8));
-    let world = start(&options);
-    let node = world.sites[0].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    let copies = ConnectionHabit::SecondCopy(Duration::from_millis(8));
 
-    let lost = lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2));
+    let lost = lost_at_a_target("second_copy", copies);
 
     assert!(lost.is_empty(), "{lost:#?}");
 }
@@ -215,19 +243,8 @@
         .node
         .signal(Signal::Stop)
         .expect("the node runs");
-    let threads: Vec<_> = (0..6)
-        .map(|number| {
-            thread::spawn(move || {
-                let sent = request(number, "/stock/2", false, Duration::from_millis(250));
-                let ended = send(node, &sent);
-                (sent.id, ended)
-            })
-        })
-        .collect();
-    let sent: Vec<(String, Ended)> = threads
-        .into_iter()
-        .map(|thread| thread.join().expect("the caller ends"))
-        .collect();
+    let callers = send_all(node, 0..6, "/stock/2", false, Duration::from_millis(250));
+    let sent = ends_of(callers);
     thread::sleep(Duration::from_millis(900));
 
     world.sites[0]
@@ -254,24 +271,14 @@
         .node
         .signal(Signal::Stop)
         .expect("the node runs");
-    let threads: Vec<_> = (0..6)
-        .map(|number| {
-            thread::spawn(move || {
-                let sent = request(number, "/orders/2", true, Duration::from_millis(1900));
-                (sent.id.clone(), send(node, &sent))
-            })
-        })
-        .collect();
+    let callers = send_all(node, 0..6, "/orders/2", true, Duration::from_millis(1900));
     thread::sleep(Duration::from_millis(1100));
 
     world.sites[0]
         .node
         .signal(Signal::Continue)
         .expect("the node runs");
-    let ended: Vec<(String, Ended)> = threads
-        .into_iter()
-        .map(|thread| thread.join().expect("the caller ends"))
-        .collect();
+    let ended = ends_of(callers);
 
     let given_up: Vec<_> = ended
         .iter()
@@ -378,23 +385,20 @@
         lost_requests(&others, "/stock/1", Duration::from_millis(300));
     }
     let runs_before = ledger.bad_version_runs();
-    let waiting: Vec<_> = (0..40)
-        .map(|number| {
-            thread::spawn(move || {
-                let sent = request(number, "/stock/3", false, Duration::from_millis(1900));
-                send(paused, &sent);
-            })
-        })
-        .collect();
+    let waiting = send_all(
+        paused,
+        0..40,
+        "/stock/3",
+        false,
+        Duration::from_millis(1900),
+    );
     thread::sleep(Duration::from_millis(100));
 
     world.sites[1]
         .node
         .signal(Signal::Continue)
         .expect("the node runs");
-    for caller in waiting {
-        caller.join().expect("a caller does not panic");
-    }
+    ends_of(waiting);
 
     let runs = ledger.bad_version_runs() - runs_before;
     assert_eq!(runs, 0, "runs of the stopped version");
