Release the descriptors of ended connections in stand-ins and proxies

What is shown: the process of the mesh tests held up to 957 descriptors, since servers and proxies kept copies of all connections that had ended. With a limit of 1,024 one of 3 runs failed, with 700 five of 5 (4 to 10 of 14 tests each, in accepts and connects that failed without a word).

Change: connections are owned by the threads that serve them; the lists for a reset hold weak references. A mesh that does not serve in time fails with the ends of its requests, the state of its nodes and the last lines of their logs, so that the next failure can be traced.

Ruled out: two harnesses that choose the same port (ports are below the range of outgoing connections and handed out once), a slot that is never freed (read, not shown).

--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -113,8 +113,22 @@
         all[all.len().saturating_sub(lines)..].join("\n")
     }
 
+    /// `state` tells whether the process runs and what it has written last, for failure messages.
+    #[must_use]
+    pub fn state(&self, lines: usize) -> String {
+        let state = self
+            .exited()
+            .map_or_else(|| "runs".to_owned(), |status| format!("ended, {status}"));
+        let output = self.output();
+        let all: Vec<&str> = output.lines().collect();
+        let last = all[all.len().saturating_sub(lines)..].join("\n");
+        let errors = self.log_tail(lines);
+        format!("{} {state}\n{last}\n{errors}", self.name)
+    }
+
     /// `exited` returns the exit status once the process has ended.
-    pub fn exited(&mut self) -> Option<ExitStatus> {
+    #[must_use]
+    pub fn exited(&self) -> Option<ExitStatus> {
         lock(&self.child).try_wait().ok().flatten()
     }
 
--- a/xtask/src/soak/proxy.rs
+++ b/xtask/src/soak/proxy.rs
@@ -9,16 +9,18 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use hemlockfall_standins::server::accept;
+
 use crate::errors::Error;
 use crate::errors::Result;
 
 const CHUNK_BYTES: usize = 16 * 1024;
-const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
 /// Time to wait for bytes before the mode is looked at again.
 const READ_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -49,7 +51,8 @@
 struct Shared {
     to: SocketAddr,
     mode: Mutex<Mode>,
-    open: Mutex<Vec<TcpStream>>,
+    /// Both sides of the connections; the threads that copy own them.
+    open: Mutex<Vec<Weak<TcpStream>>>,
     is_ended: AtomicBool,
 }
 
@@ -71,9 +74,8 @@
         let accepting = Arc::clone(&shared);
         thread::spawn(move || {
             while !accepting.is_ended.load(Ordering::SeqCst) {
-                match listener.accept() {
-                    Ok((stream, _)) => accepting.connect(stream),
-                    Err(_) => thread::sleep(ACCEPT_PAUSE),
+                if let Some(stream) = accept(&listener) {
+                    accepting.connect(stream);
                 }
             }
         });
@@ -102,7 +104,7 @@
             .open
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        for stream in open.drain(..) {
+        for stream in open.drain(..).filter_map(|stream| stream.upgrade()) {
             // A connection that has ended needs no reset.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -123,33 +125,38 @@
 
     fn connect(self: &Arc<Self>, near: TcpStream) {
         // A refused connection is passed on as one that ends at once.
-        let Ok(far) = TcpStream::connect(self.to) else {
-            return;
+        let far = match TcpStream::connect(self.to) {
+            Ok(far) => far,
+            Err(error) => {
+                if error.kind() != std::io::ErrorKind::ConnectionRefused {
+                    eprintln!("proxy cannot connect to {}: {error}", self.to);
+                }
+                return;
+            }
         };
         if near.set_nonblocking(false).is_err() {
             return;
         }
+        let (near, far) = (Arc::new(near), Arc::new(far));
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|stream| stream.strong_count() > 0);
         for stream in [&near, &far] {
             let _ = stream.set_nodelay(true);
             let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
-            if let Ok(copy) = stream.try_clone() {
-                let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-                open.push(copy);
-            }
-        }
-        if let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) {
-            self.copy(near, far_copy, Mode::CutForward);
-            self.copy(far, near_copy, Mode::CutBack);
+            open.push(Arc::downgrade(stream));
         }
+        drop(open);
+        self.copy(Arc::clone(&near), Arc::clone(&far), Mode::CutForward);
+        self.copy(far, near, Mode::CutBack);
     }
 
     /// Copies one direction in the background; `cut` is the mode that drops it.
-    fn copy(self: &Arc<Self>, mut from: TcpStream, mut to: TcpStream, cut: Mode) {
+    fn copy(self: &Arc<Self>, from: Arc<TcpStream>, to: Arc<TcpStream>, cut: Mode) {
         let shared = Arc::clone(self);
         thread::spawn(move || {
             let mut chunk = vec![0; CHUNK_BYTES];
             loop {
-                let count = match from.read(&mut chunk) {
+                let count = match (&*from).read(&mut chunk) {
                     Ok(0) => break,
                     Ok(count) => count,
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
@@ -162,7 +169,7 @@
                 if let Mode::Delay(delay) = mode {
                     thread::sleep(delay);
                 }
-                if to.write_all(&chunk[..count]).is_err() {
+                if (&*to).write_all(&chunk[..count]).is_err() {
                     break;
                 }
             }
--- a/xtask/tests/mesh.rs
+++ b/xtask/tests/mesh.rs
@@ -23,6 +23,8 @@
 /// Time in which a fresh or changed mesh must serve.
 const SERVES_WITHIN: Duration = Duration::from_secs(12);
 const POLL: Duration = Duration::from_millis(50);
+/// Ends of requests and lines of each node's log in a failure message.
+const LOG_LINES: usize = 30;
 
 fn world(test: &str, nodes: usize) -> WorldOptions {
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
@@ -69,19 +71,44 @@
     }
 }
 
-/// Waits until a path is served through a node; tells whether it is.
-fn is_served_within(node: SocketAddr, path: &str, bound: Duration) -> bool {
+/// Waits until a path is served through a node; returns how the requests have ended otherwise.
+fn served_within(node: SocketAddr, path: &str, bound: Duration) -> Result<(), Vec<Ended>> {
     let started = Instant::now();
-    let mut number = 0;
+    let mut ends = Vec::new();
     while started.elapsed() < bound {
-        number += 1;
-        let sent = request(number, path, false, Duration::from_secs(1));
-        if matches!(send(node, &sent), Ended::Served) {
-            return true;
+        let sent = request(ends.len() + 1, path, false, Duration::from_secs(1));
+        match send(node, &sent) {
+            Ended::Served => return Ok(()),
+            ended => ends.push(ended),
         }
         thread::sleep(POLL);
     }
-    false
+    Err(ends)
+}
+
+fn is_served_within(node: SocketAddr, path: &str, bound: Duration) -> bool {
+    served_within(node, path, bound).is_ok()
+}
+
+/// Waits until a path is served through a node of a fresh or changed mesh. A failure may not show
+/// again, so it is reported with what the caller and the nodes have seen.
+fn await_served(world: &World, node: SocketAddr, path: &str) {
+    let Err(ends) = served_within(node, path, SERVES_WITHIN) else {
+        return;
+    };
+    let nodes: Vec<String> = world
+        .sites
+        .iter()
+        .map(|site| site.node.state(LOG_LINES))
+        .collect();
+    let last = &ends[ends.len().saturating_sub(LOG_LINES)..];
+    panic!(
+        "{path} is not served within {SERVES_WITHIN:?} at {node}; {} requests ended, the last so: \
+         {last:?}; the store had {} calls\n{}",
+        ends.len(),
+        world.store.calls(),
+        nodes.join("\n")
+    );
 }
 
 /// Sends requests that may run once one after the other from several threads, and returns the
@@ -122,7 +149,7 @@
     options.habit = habit;
     let world = start(&options);
     let node = world.sites[0].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    await_served(&world, node, "/stock/1");
     lost_requests(&[node; 4], "/orders/1", Duration::from_secs(2))
 }
 
@@ -169,7 +196,7 @@
     options.run_time = Duration::from_millis(300);
     let mut world = start(&options);
     let first = world.sites[0].callers;
-    assert!(is_served_within(first, "/stock/1", SERVES_WITHIN));
+    await_served(&world, first, "/stock/1");
     remove_target(&mut world, 0);
     world.sites[2]
         .node
@@ -180,7 +207,7 @@
     world.sites[2]
         .replace_node("n2-new")
         .expect("the node starts");
-    assert!(is_served_within(first, "/stock/1", SERVES_WITHIN));
+    await_served(&world, first, "/stock/1");
     let others = [0, 1, 3].map(|index| world.sites[index].callers);
     let lost = lost_requests(&others.repeat(2), "/orders/1", Duration::from_secs(5));
 
@@ -213,7 +240,7 @@
 fn nodes_that_start_together_find_each_other() {
     let mut world = start(&world("started_together", 3));
     let first = world.sites[0].callers;
-    assert!(is_served_within(first, "/feed/1", SERVES_WITHIN));
+    await_served(&world, first, "/feed/1");
     for site in &world.sites {
         site.store_proxy.set_mode(Mode::Silence);
     }
@@ -238,7 +265,7 @@
 fn calls_that_waited_at_a_frozen_node_do_not_run() {
     let mut world = start(&world("frozen_node", 2));
     let node = world.sites[1].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    await_served(&world, node, "/stock/1");
     world.sites[0]
         .node
         .signal(Signal::Stop)
@@ -266,7 +293,7 @@
 fn runs_at_a_node_that_is_silent_for_a_while_are_not_given_up() {
     let mut world = start(&world("silent_node", 2));
     let node = world.sites[1].callers;
-    assert!(is_served_within(node, "/orders/1", SERVES_WITHIN));
+    await_served(&world, node, "/orders/1");
     world.sites[0]
         .node
         .signal(Signal::Stop)
@@ -295,7 +322,7 @@
 fn a_target_that_opens_while_links_are_made_is_known() {
     let mut world = start(&world("opens_early", 2));
     let other = world.sites[1].callers;
-    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    await_served(&world, other, "/stock/1");
     world.sites[1]
         .link_proxy
         .set_mode(Mode::Delay(Duration::from_millis(250)));
@@ -338,7 +365,7 @@
 fn a_left_target_stays_away_after_a_restart() {
     let mut world = start(&world("left_target", 2));
     let other = world.sites[1].callers;
-    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    await_served(&world, other, "/stock/1");
 
     let runs = runs_after_leave_and_restart(&mut world);
 
@@ -350,7 +377,7 @@
 fn a_left_target_stays_away_after_a_restart_without_the_store() {
     let mut world = start(&world("left_target_no_store", 2));
     let other = world.sites[1].callers;
-    assert!(is_served_within(other, "/stock/1", SERVES_WITHIN));
+    await_served(&world, other, "/stock/1");
     world.store.set_fault(StoreFault::Busy);
 
     let runs = runs_after_leave_and_restart(&mut world);
@@ -364,7 +391,7 @@
 fn a_node_that_stood_still_sends_nothing_to_a_version_stopped_meanwhile() {
     let mut world = start(&world("paused_permission", 6));
     let paused = world.sites[1].callers;
-    assert!(is_served_within(paused, "/stock/1", SERVES_WITHIN));
+    await_served(&world, paused, "/stock/1");
     let finish_in = Duration::from_secs(15);
     let order = wire::rollout("desk", "v2-bad", finish_in);
     world.ledger.trial_ordered("v2-bad");
@@ -411,7 +438,7 @@
     let mut world = start(&world("planned_restarts", 4));
     let all: Vec<SocketAddr> = world.sites.iter().map(|site| site.callers).collect();
     for node in &all {
-        assert!(is_served_within(*node, "/orders/1", SERVES_WITHIN));
+        await_served(&world, *node, "/orders/1");
     }
     let callers = all.repeat(2);
     let load = thread::spawn(move || lost_requests(&callers, "/orders/1", Duration::from_secs(8)));
@@ -438,7 +465,7 @@
 fn an_unreadable_configuration_leaves_the_one_before_in_force() {
     let mut world = start(&world("unknown_kind", 2));
     let node = world.sites[0].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    await_served(&world, node, "/stock/1");
     let mut unknown = wire::route("odd", HOST, "/odd/", "desk", true);
     unknown["type"] = "sometimes".into();
     let version = world.config.0 + 1;
@@ -465,7 +492,7 @@
 fn requests_before_the_first_configuration_are_served() {
     let mut world = start(&world("early_requests", 2));
     let node = world.sites[1].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    await_served(&world, node, "/stock/1");
     world.sites[1].restart_node().expect("the node starts");
 
     let mut ended = Ended::NotSent;
@@ -502,7 +529,7 @@
     let options = world("planned-stop", 3);
     let mut world = start(&options);
     let node = world.sites[0].callers;
-    assert!(is_served_within(node, "/stock/1", SERVES_WITHIN));
+    await_served(&world, node, "/stock/1");
     let callers: Vec<_> = (0..16)
         .map(|_| thread::spawn(move || cut_off_until_refused(node)))
         .collect();
