Answer what the kernel has accepted when a node stops as planned

Cause: the caller edge of `hemlockfall node` closed its listener at once and all idle connections with it. Connections that the kernel had made, and requests on idle ones that were under way, were cut off without an answer.

Change: new connections are refused by a socket filter, waiting ones are accepted before the listener is closed, and idle connections are read and closed 250 ms later, before the stop looks for requests in progress. The filter moves from the sidecar to the crate that both edges share. Failed accepts of callers and links are repeated here as well.

Measured: a_stop_answers_connections_that_were_not_accepted_yet, 20 connections and a kept one, fails with the edge as it was and passes now.

--- a/crates/hemlockfall/src/edge/caller_server.rs
+++ b/crates/hemlockfall/src/edge/caller_server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_http::listening;
 use stakker::CX;
 use stakker::Fwd;
 use stakker::after;
@@ -32,6 +33,11 @@
 
 const SOCKET_PRIORITY: u32 = 2;
 const TICK: Duration = Duration::from_millis(250);
+/// Time after which accepting is tried again when it failed.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+/// Time between the close of the listener and the close of idle connections in a planned stop, so that
+/// a request which is under way is read. It ends before the stop looks for requests in progress.
+const IDLE_AFTER_STOP: Duration = Duration::from_millis(250);
 
 /// `CallerOptions` bound what callers may send.
 #[derive(Clone, Copy, Debug)]
@@ -109,12 +115,19 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
+        self.accept_waiting(cx);
+    }
+
+    /// Accepts all connections that the kernel has made. No event tells again of those that are left
+    /// when accepting fails, mostly for lack of descriptors, so it is repeated.
+    fn accept_waiting(&mut self, cx: CX![]) {
         while let Some(listener) = &self.listener {
             match listener.accept() {
                 Ok((stream, _)) => self.accepted(cx, stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
                     spdlog::warn!("accepting a caller failed", kv: { error = error.to_string() });
+                    after!(ACCEPT_RETRY, [cx], accept_waiting());
                     return;
                 }
             }
@@ -122,12 +135,35 @@
     }
 
     /// `stop_accepting` closes the listener and ends each connection after its next answer.
-    pub fn stop_accepting(&mut self, _: CX![]) {
+    /// Connections that the kernel has made already are accepted first, and a request on an idle
+    /// connection may be under way, so idle ones are closed a little later.
+    pub fn stop_accepting(&mut self, cx: CX![]) {
+        if let Some(listener) = &self.listener
+            && let Err(error) = listening::refuse_new_connections(&**listener)
+        {
+            spdlog::warn!("new connections cannot be refused", kv: { error = error.to_string() });
+        }
+        self.accept_waiting(cx);
         self.listener = None;
-        self.open.retain(|connection| !connection.is_idle());
         for connection in &mut self.open {
             connection.end_after_answer();
         }
+        after!(IDLE_AFTER_STOP, [cx], close_idle());
+    }
+
+    /// Closes the connections on which nothing has arrived.
+    fn close_idle(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let idle: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|connection| connection.is_idle())
+            .map(|connection| connection.id)
+            .collect();
+        for id in idle {
+            self.advance(id, now);
+        }
+        self.open.retain(|connection| !connection.is_idle());
     }
 
     fn accepted(&mut self, cx: CX![], stream: TcpStream) {
--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -155,12 +155,18 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
+        self.accept_waiting(cx);
+    }
+
+    /// No event tells again of connections that are left when accepting fails, so it is repeated.
+    fn accept_waiting(&mut self, cx: CX![]) {
         loop {
             match self.listener.accept() {
                 Ok((stream, _)) => self.accepted(cx, stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
                     spdlog::warn!("accepting a link failed", kv: { error = error.to_string() });
+                    after!(TICK, [cx], accept_waiting());
                     return;
                 }
             }
--- a/crates/hemlockfall/tests/edge/callers.rs
+++ b/crates/hemlockfall/tests/edge/callers.rs
@@ -2,12 +2,14 @@
 
 use std::io::Write;
 use std::net::Shutdown;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::support::BOUND;
 use crate::support::caller_edge;
+use crate::support::connect;
 use crate::support::exchange;
 use crate::support::read_to_end;
 use crate::support::read_until;
@@ -412,3 +414,30 @@
     assert_eq!(refused, "");
     assert!(served.contains("<GET /b"), "{served}");
 }
+
+/// Load: callers connect and send while the edge stops. Guards against a planned stop that cuts off
+/// connections which the kernel has made and nobody has accepted, and idle ones with a request under way.
+#[test]
+fn a_stop_answers_connections_that_were_not_accepted_yet() {
+    let edge = caller_edge(|_| {});
+    let address = edge.address;
+    let mut kept = edge.connect();
+    kept.write_all(b"GET /kept HTTP/1.1\r\nhost: s\r\n\r\n")
+        .expect("the edge reads");
+    read_until(&mut kept, "<GET /kept [host=s] >");
+
+    let mut waiting =
+        edge.stop_after(move || -> Vec<TcpStream> { (0..20).map(|_| connect(address)).collect() });
+    for stream in waiting.iter_mut().chain([&mut kept]) {
+        stream
+            .write_all(b"GET /late HTTP/1.1\r\nhost: s\r\n\r\n")
+            .expect("the connection is open");
+    }
+
+    for stream in waiting.iter_mut().chain([&mut kept]) {
+        let output = read_to_end(stream);
+        assert!(output.contains("<GET /late [host=s] >"), "{output}");
+        assert!(output.contains("connection: close"), "{output}");
+    }
+    assert!(TcpStream::connect(address).is_err(), "the listener is open");
+}
--- a/crates/hemlockfall/tests/edge/support.rs
+++ b/crates/hemlockfall/tests/edge/support.rs
@@ -58,6 +58,7 @@
 
 thread_local! {
     static CLIENTS: RefCell<Vec<ActorOwn<TargetClient>>> = const { RefCell::new(Vec::new()) };
+    static EDGES: RefCell<Vec<ActorOwn<Echo>>> = const { RefCell::new(Vec::new()) };
 }
 
 /// Runs work on the thread of the loop and returns its result.
@@ -100,6 +101,10 @@
         Some(Self { server, seen })
     }
 
+    fn stop_accepting(&mut self, _: CX![]) {
+        call!([self.server], stop_accepting());
+    }
+
     fn event(&mut self, _: CX![], event: CallerEvent) {
         let (id, request) = match event {
             CallerEvent::Request { id, request } => (id, request),
@@ -144,6 +149,7 @@
 pub struct CallerEdge {
     pub address: SocketAddr,
     pub seen: Receiver<String>,
+    index: usize,
 }
 
 pub fn caller_edge(change: impl FnOnce(&mut CallerOptions)) -> CallerEdge {
@@ -153,15 +159,21 @@
     options.limits.max_body_bytes = 1000;
     change(&mut options);
     let (sender, seen) = mpsc::channel();
-    on_loop(move |stakker| {
+    let index = on_loop(move |stakker| {
         let echo = actor_new!(stakker, Echo, ret_nop!());
         let events = fwd_to!([echo], event() as (CallerEvent));
         let server = actor!(stakker, CallerServer::init(options, events), ret_nop!());
         call!([echo], Echo::init(server, sender));
-        // The actor lives as long as the process.
-        std::mem::forget(echo);
+        EDGES.with_borrow_mut(|edges| {
+            edges.push(echo);
+            edges.len() - 1
+        })
     });
-    CallerEdge { address, seen }
+    CallerEdge {
+        address,
+        seen,
+        index,
+    }
 }
 
 impl CallerEdge {
@@ -169,6 +181,19 @@
         connect(self.address)
     }
 
+    /// Stops accepting right after some work, before the edge has seen what the work did.
+    pub fn stop_after<T: Send + 'static>(&self, work: impl FnOnce() -> T + Send + 'static) -> T {
+        let index = self.index;
+        on_loop(move |stakker| {
+            let done = work();
+            EDGES.with_borrow(|edges| {
+                let echo = edges[index].clone();
+                call!([echo, stakker], stop_accepting());
+            });
+            done
+        })
+    }
+
     /// Waits for the next event.
     pub fn next(&self) -> String {
         self.seen.recv_timeout(BOUND).expect("an event")
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod http1;
+pub mod listening;
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -12,9 +12,8 @@
 use hemlockfall_http::http1::HttpLimits;
 use hemlockfall_http::http1::request::RequestReader;
 use hemlockfall_http::http1::response;
+use hemlockfall_http::listening;
 use serde_json::json;
-use socket2::SockFilter;
-use socket2::SockRef;
 use stakker::Fwd;
 use stakker_mio::MioPoll;
 use stakker_mio::MioSource;
@@ -82,26 +81,6 @@
     Ok(TcpListener::from_std(socket.into()))
 }
 
-/// A socket filter that drops the first segment of each new connection, so that none is made between
-/// the last acceptance and the close of a listener. The caller sends it again a second later and is
-/// refused then.
-fn drop_new_connections() -> [SockFilter; 5] {
-    const LOAD_BYTE: u16 = 0x30;
-    const AND: u16 = 0x54;
-    const JUMP_IF_EQUAL: u16 = 0x15;
-    const RETURN: u16 = 0x06;
-    const TCP_FLAGS_OFFSET: u32 = 13;
-    const SYN: u32 = 0x02;
-    const ACK: u32 = 0x10;
-    [
-        SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
-        SockFilter::new(AND, 0, 0, SYN | ACK),
-        SockFilter::new(JUMP_IF_EQUAL, 0, 1, SYN),
-        SockFilter::new(RETURN, 0, 0, 0),
-        SockFilter::new(RETURN, 0, 0, u32::MAX),
-    ]
-}
-
 pub(super) fn register(
     poll: &MioPoll,
     listener: TcpListener,
@@ -396,10 +375,8 @@
     /// their requests would be cut off with the listener.
     pub(super) fn close_listener(&mut self, port: Port) {
         if let Some((_, listener)) = self.listeners.iter().find(|(open, _)| *open == port)
-            && let Err(error) = SockRef::from(&**listener).attach_filter(&drop_new_connections())
+            && let Err(error) = listening::refuse_new_connections(&**listener)
         {
-            // Without the filter, connections that are made between the last acceptance and the
-            // close are cut off: some microseconds.
             self.state_line("filter_refused", json!({ "reason": error.to_string() }));
         }
         self.accept(port);
