Wait for orders that run behind a silent link

Cause: `hemlockfall node` closed a link after 600 ms without a byte, and an order on it that had been started was answered as unknown, although the node at the other end only stood still and answered when it went on.

Change: a silent link gets no more messages and stands until its calls are settled. An order is fenced on a fresh link as before; when the fence tells that it was started, its answer is waited for until the caller's deadline, or until the silent link ends. A fence without an answer gives the order up after four fence time-outs in place of one.

The model of at-most-once runs loses links and makes them silent at random, and passes.

--- a/crates/hemlockfall/src/edge/links.rs
+++ b/crates/hemlockfall/src/edge/links.rs
@@ -64,8 +64,6 @@
     Unreachable,
     /// The peer closed the connection or it broke.
     Closed,
-    /// No byte came although calls were outstanding and a ping was sent.
-    Silent,
     /// The peer sent something that cannot be decoded.
     Malformed,
 }
@@ -95,6 +93,17 @@
         /// Tags of messages that may have reached the peer and are not settled.
         unsettled: Vec<Tag>,
     },
+    /// No byte came on a link although calls were outstanding and a ping was sent. It gets no
+    /// more messages and is kept until its calls are settled, since a peer that stood still answers
+    /// when it goes on.
+    Silent {
+        /// Peer address, when known.
+        peer: Option<SocketAddr>,
+        /// Tags of messages of which no byte was sent.
+        unsent: Vec<Tag>,
+        /// Tags of messages that may have reached the peer and are not settled.
+        unsettled: Vec<Tag>,
+    },
     /// A message was refused before it was queued.
     Refused {
         /// Peer address.
@@ -271,7 +280,7 @@
     fn usable(&self, peer: SocketAddr) -> Option<LinkId> {
         self.open
             .iter()
-            .find(|link| link.outgoing && link.peer == Some(peer))
+            .find(|link| link.outgoing && !link.is_set_aside && link.peer == Some(peer))
             .map(|link| link.id)
     }
 
@@ -418,10 +427,32 @@
         );
     }
 
+    fn set_aside(&mut self, id: LinkId) {
+        let Some(link) = self.link_mut(id) else {
+            return;
+        };
+        let (unsent, unsettled) = link.set_aside();
+        let peer = link.peer;
+        let peer_text = peer.map_or_else(String::new, |peer| peer.to_string());
+        spdlog::info!("link is silent and set aside", kv: {
+            link = id, peer = peer_text.as_str(),
+            unsent = unsent.len(), unsettled = unsettled.len(),
+        });
+        fwd!(
+            [self.events],
+            LinkEvent::Silent {
+                peer,
+                unsent,
+                unsettled
+            }
+        );
+    }
+
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now = cx.now();
         let mut lost = Vec::new();
+        let mut silent = Vec::new();
         let mut pinged = Vec::new();
         for link in &mut self.open {
             if let Some(reason) = link.overdue(now, &self.options) {
@@ -430,13 +461,16 @@
             }
             match link.silence_action(now) {
                 Some(SilenceAction::Ping) => pinged.push(link.id),
-                Some(SilenceAction::GiveUp) => lost.push((link.id, LossReason::Silent)),
+                Some(SilenceAction::GiveUp) => silent.push(link.id),
                 None => {}
             }
         }
         for (id, reason) in lost {
             self.lose(cx, id, reason);
         }
+        for id in silent {
+            self.set_aside(id);
+        }
         for id in pinged {
             self.pump(cx, id);
         }
--- a/crates/hemlockfall/src/edge/links/link.rs
+++ b/crates/hemlockfall/src/edge/links/link.rs
@@ -73,6 +73,8 @@
     pub(super) outgoing: bool,
     pub(super) peer: Option<SocketAddr>,
     pub(super) state: LinkState,
+    /// Set once the link was silent: it gets no more messages, and answers may still come.
+    pub(super) is_set_aside: bool,
     buffer: TcpStreamBuf,
     assembler: Assembler,
     queue: VecDeque<Queued>,
@@ -108,6 +110,7 @@
             } else {
                 LinkState::Greeting
             },
+            is_set_aside: false,
             buffer,
             assembler: Assembler::default(),
             queue: VecDeque::new(),
@@ -311,6 +314,10 @@
             let late = now.duration_since(self.opened) >= options.connect_timeout;
             return late.then_some(LossReason::Unreachable);
         }
+        if self.is_set_aside {
+            let is_settled = self.outstanding.is_empty();
+            return is_settled.then_some(LossReason::Closed);
+        }
         let idle = self.outstanding.is_empty()
             && self.queue.is_empty()
             && now.duration_since(self.last_used.max(self.last_received)) >= options.idle_timeout;
@@ -319,6 +326,9 @@
 
     /// Returns what the silence of the link asks for; a ping is written here.
     pub(super) fn silence_action(&mut self, now: Instant) -> Option<SilenceAction> {
+        if self.is_set_aside {
+            return None;
+        }
         let action = self.silence.tick(now);
         if action == Some(SilenceAction::Ping) {
             self.write_service(&Service::Ping);
@@ -326,6 +336,20 @@
         action
     }
 
+    /// Ends the use of a silent link; returns the same as [`Link::tags`]. Messages that were not sent
+    /// at all are dropped.
+    pub(super) fn set_aside(&mut self) -> (Vec<Tag>, Vec<Tag>) {
+        let tags = self.tags();
+        self.is_set_aside = true;
+        self.queue.retain(|message| message.sent_bytes > 0);
+        self.queued_bytes = self
+            .queue
+            .iter()
+            .map(|message| message.content.len() - message.sent_bytes)
+            .sum();
+        tags
+    }
+
     /// Returns the tags that were never sent, and those that may have been.
     pub(super) fn tags(&self) -> (Vec<Tag>, Vec<Tag>) {
         let unsent = self
--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -17,6 +17,7 @@
 use hemlockfall_moves::proxy::Proxy;
 use hemlockfall_request::admission::Admission;
 use hemlockfall_request::balance::Place;
+use hemlockfall_request::call::LinkFailure;
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::idempotency::KeyStore;
 use hemlockfall_request::options::Options;
@@ -234,7 +235,7 @@
         }
     }
 
-    /// `link_event` takes in the loss of a link or of messages.
+    /// `link_event` takes in the loss or silence of a link, or the loss of messages.
     pub fn link_event(&mut self, cx: CX![], event: LinkEvent) {
         match event {
             LinkEvent::Message { .. } => {}
@@ -246,7 +247,17 @@
                     self.attempt_not_sent(cx, tag);
                 }
                 for tag in unsettled {
-                    self.attempt_link_lost(cx, tag);
+                    self.attempt_link_failed(cx, tag, LinkFailure::Lost);
+                }
+            }
+            LinkEvent::Silent {
+                unsent, unsettled, ..
+            } => {
+                for tag in unsent {
+                    self.attempt_not_sent(cx, tag);
+                }
+                for tag in unsettled {
+                    self.attempt_link_failed(cx, tag, LinkFailure::Silent);
                 }
             }
         }
--- a/crates/hemlockfall/src/node/calls/entry.rs
+++ b/crates/hemlockfall/src/node/calls/entry.rs
@@ -11,6 +11,7 @@
 use hemlockfall_request::call::Call;
 use hemlockfall_request::call::CallAction;
 use hemlockfall_request::call::CallRequest;
+use hemlockfall_request::call::LinkFailure;
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::fingerprint;
 use hemlockfall_request::outcome::AttemptResult;
@@ -442,7 +443,7 @@
         self.end_attempt(cx, entry.caller, current.attempt_id, result);
     }
 
-    pub(super) fn attempt_link_lost(&mut self, cx: CX![], tag: Tag) {
+    pub(super) fn attempt_link_failed(&mut self, cx: CX![], tag: Tag, failure: LinkFailure) {
         let now = now_of(cx);
         let Some(entry) = self.entry.by_tag(tag) else {
             return;
@@ -452,7 +453,7 @@
             return;
         };
         let call = &mut self.entry.calls[index].call;
-        let actions = call.link_lost(&current.node, &mut self.router, now);
+        let actions = call.link_failed(&current.node, failure, &mut self.router, now);
         self.perform_call(cx, caller, actions);
     }
 
--- a/crates/hemlockfall/src/node/dispatch.rs
+++ b/crates/hemlockfall/src/node/dispatch.rs
@@ -79,7 +79,9 @@
                 peer,
                 content,
             } => self.link_message(cx.now(), link, peer, &content),
-            event @ (LinkEvent::Lost { .. } | LinkEvent::Refused { .. }) => {
+            event @ (LinkEvent::Lost { .. }
+            | LinkEvent::Silent { .. }
+            | LinkEvent::Refused { .. }) => {
                 self.note_malformed_link(cx.now(), &event);
                 call!([self.receivers.calls], link_event(event));
             }
--- a/crates/hemlockfall/tests/link_greeting.rs
+++ b/crates/hemlockfall/tests/link_greeting.rs
@@ -7,10 +7,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall::edge::links::LinkEvent;
 use hemlockfall::edge::links::LossReason;
 use links::POLL;
 use links::fixture;
 
+fn is_unreachable(event: &LinkEvent) -> bool {
+    matches!(
+        event,
+        LinkEvent::Lost {
+            reason: LossReason::Unreachable,
+            ..
+        }
+    )
+}
+
 /// Guards against a frozen peer that counts as reached because its kernel accepts connections:
 /// what waited for its greeting was surely not sent, and the next attempt is held back.
 #[test]
@@ -22,14 +33,14 @@
     fixture.send(peer, 1);
     fixture.send(peer, 2);
     let deadline = Instant::now() + Duration::from_secs(3);
-    while fixture.lost(&LossReason::Unreachable).is_none() && Instant::now() < deadline {
+    while fixture.tags(is_unreachable).is_none() && Instant::now() < deadline {
         fixture.run_for(POLL);
     }
     fixture.send(peer, 3);
     listener.set_nonblocking(true).expect("to switch");
     let connections = std::iter::from_fn(|| listener.accept().ok()).count();
 
-    let lost = fixture.lost(&LossReason::Unreachable);
+    let lost = fixture.tags(is_unreachable);
     assert_eq!(lost, Some((vec![1, 2], Vec::new())));
     assert_eq!(fixture.refused(), 1);
     assert_eq!(connections, 1);
--- a/crates/hemlockfall/tests/link_silence.rs
+++ b/crates/hemlockfall/tests/link_silence.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hemlockfall::edge::links::LossReason;
+use hemlockfall::edge::links::LinkEvent;
 use links::fixture;
 use stakker::call;
 
@@ -28,6 +28,10 @@
     address
 }
 
+fn is_silent(event: &LinkEvent) -> bool {
+    matches!(event, LinkEvent::Silent { .. })
+}
+
 /// Guards against calls that wait for their whole deadline on a link that hangs: it is given up
 /// after twice the silence, although every call is given up and followed by another one sooner.
 #[test]
@@ -37,17 +41,14 @@
     let started = Instant::now();
     let mut tag = 0;
 
-    while fixture.lost(&LossReason::Silent).is_none() && started.elapsed() < Duration::from_secs(3)
-    {
+    while fixture.tags(is_silent).is_none() && started.elapsed() < Duration::from_secs(3) {
         tag += 1;
         fixture.send(peer, tag);
         fixture.run_for(Duration::from_millis(100));
         call!([fixture.links], settle(tag));
     }
 
-    let (unsent, unsettled) = fixture
-        .lost(&LossReason::Silent)
-        .expect("the link is given up");
+    let (unsent, unsettled) = fixture.tags(is_silent).expect("the link is given up");
     assert_eq!(unsent, Vec::<u64>::new());
     assert_eq!(unsettled.len(), 1);
     assert_eq!(fixture.refused(), 0);
--- a/crates/hemlockfall/tests/links/mod.rs
+++ b/crates/hemlockfall/tests/links/mod.rs
@@ -11,7 +11,6 @@
 use hemlockfall::edge::links::LinkEvent;
 use hemlockfall::edge::links::LinkOptions;
 use hemlockfall::edge::links::Links;
-use hemlockfall::edge::links::LossReason;
 use hemlockfall_request::options::Options;
 use hemlockfall_request::suspicion::Silence;
 use stakker::ActorOwn;
@@ -73,15 +72,15 @@
         self.run_for(POLL);
     }
 
-    /// Unsent and unsettled tags of the first loss for a reason.
-    pub fn lost(&self, wanted: &LossReason) -> Option<(Vec<u64>, Vec<u64>)> {
+    /// Unsent and unsettled tags of the first event that is meant.
+    pub fn tags(&self, is_meant: impl Fn(&LinkEvent) -> bool) -> Option<(Vec<u64>, Vec<u64>)> {
         self.events.borrow().iter().find_map(|event| match event {
             LinkEvent::Lost {
-                reason,
-                unsent,
-                unsettled,
-                ..
-            } if reason == wanted => Some((unsent.clone(), unsettled.clone())),
+                unsent, unsettled, ..
+            }
+            | LinkEvent::Silent {
+                unsent, unsettled, ..
+            } if is_meant(event) => Some((unsent.clone(), unsettled.clone())),
             _ => None,
         })
     }
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -36,6 +36,19 @@
 pub use types::CallRequest;
 pub use types::Decision;
 
+/// Waits for a fence after which an attempt behind a silent link is given up: a node that stood still
+/// for some seconds answers when it goes on.
+const SILENT_FENCES: u32 = 4;
+
+/// `LinkFailure` is what happened to a link with calls on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFailure {
+    /// It ended; no answer can come on it.
+    Lost,
+    /// Nothing came on it for too long. It still stands, and answers may come.
+    Silent,
+}
+
 #[derive(Clone, Debug)]
 struct InFlight {
     target: Target,
@@ -46,8 +59,15 @@
 #[derive(Clone, Debug)]
 enum State {
     Waiting(InFlight),
-    Fencing { lost: InFlight, until: Instant },
-    Backoff { until: Instant },
+    Fencing {
+        lost: InFlight,
+        until: Instant,
+        /// Whether the answer may still come on the link that was silent.
+        may_answer: bool,
+    },
+    Backoff {
+        until: Instant,
+    },
     Done,
 }
 
@@ -133,31 +153,53 @@
         self.resolve(attempt_id, result, router, now)
     }
 
-    /// `link_lost` takes in the loss of the link to a node. An attempt that may not be repeated
-    /// is fenced before anything else happens to it.
-    pub fn link_lost(&mut self, node: &str, router: &mut Router, now: Now) -> Vec<CallAction> {
-        let State::Waiting(in_flight) = &self.state else {
-            return Vec::new();
+    /// `link_failed` takes in the loss or the silence of the link to a node. An attempt that may not
+    /// be repeated is fenced before anything else happens to it.
+    pub fn link_failed(
+        &mut self,
+        node: &str,
+        failure: LinkFailure,
+        router: &mut Router,
+        now: Now,
+    ) -> Vec<CallAction> {
+        let lost = match &self.state {
+            State::Waiting(in_flight) => in_flight.clone(),
+            // The link that was silent has ended, and its answers with it.
+            State::Fencing {
+                lost,
+                may_answer: true,
+                ..
+            } if failure == LinkFailure::Lost => lost.clone(),
+            State::Fencing { .. } | State::Backoff { .. } | State::Done => return Vec::new(),
         };
-        if in_flight.target.node != node {
+        if lost.target.node != node {
             return Vec::new();
         }
-        let lost = in_flight.clone();
-        let reason = Reason::LinkLost;
-        let result = AttemptResult::Unknown { reason };
-        let latency = now.at.saturating_duration_since(lost.sent_at);
-        router.attempt_finished(&lost.target, result, latency, now);
-        if self.is_repeatable {
-            return self.resolve(lost.attempt_id, result, router, now);
+        if let State::Waiting(_) = &self.state {
+            let reason = Reason::LinkLost;
+            let result = AttemptResult::Unknown { reason };
+            let latency = now.at.saturating_duration_since(lost.sent_at);
+            router.attempt_finished(&lost.target, result, latency, now);
+            if self.is_repeatable {
+                return self.resolve(lost.attempt_id, result, router, now);
+            }
         }
-        let until = self
-            .deadline
-            .min(now.at + millis(router.options().fence_timeout_ms));
+        let may_answer = failure == LinkFailure::Silent;
+        let fence_timeout = millis(router.options().fence_timeout_ms);
+        let wait = if may_answer {
+            fence_timeout * SILENT_FENCES
+        } else {
+            fence_timeout
+        };
         let action = CallAction::Fence {
             to: lost.target.clone(),
             attempt_id: lost.attempt_id,
         };
-        self.state = State::Fencing { lost, until };
+        self.state = State::Fencing {
+            lost,
+            until: self.deadline.min(now.at + wait),
+            may_answer,
+        };
         vec![action]
     }
 
@@ -169,11 +211,21 @@
         router: &mut Router,
         now: Now,
     ) -> Vec<CallAction> {
-        let is_awaited = matches!(
-            &self.state,
-            State::Fencing { lost, .. } if lost.attempt_id == attempt_id
-        );
-        if !is_awaited {
+        let deadline = self.deadline;
+        let State::Fencing {
+            lost,
+            until,
+            may_answer,
+        } = &mut self.state
+        else {
+            return Vec::new();
+        };
+        if lost.attempt_id != attempt_id {
+            return Vec::new();
+        }
+        if answer == FenceAnswer::Started && *may_answer {
+            // The node goes on, so the answer of the run follows on the link that was silent.
+            *until = deadline;
             return Vec::new();
         }
         let result = match answer {
--- a/crates/request/src/suspicion.rs
+++ b/crates/request/src/suspicion.rs
@@ -1,7 +1,8 @@
 //! Suspicion of a silent link: a ping first, then the link is given up.
 //!
-//! The calls of a link that is given up move to a fresh connection, which the node opens when it
-//! fences or repeats them; only that connection's failure counts against the peer.
+//! New calls go on a fresh connection, which the node opens when it fences or repeats those of a link
+//! that is given up; only that connection's failure counts against the peer. The link itself stands
+//! until its calls are settled, as their answers may still come.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -14,7 +15,7 @@
 pub enum SilenceAction {
     /// Send a ping on the link.
     Ping,
-    /// Give the link up; its calls are lost.
+    /// Use the link no more; answers to its calls may still come.
     GiveUp,
 }
 
--- a/crates/request/tests/common/network.rs
+++ b/crates/request/tests/common/network.rs
@@ -16,6 +16,7 @@
 use hemlockfall_request::call::Call;
 use hemlockfall_request::call::CallAction;
 use hemlockfall_request::call::CallRequest;
+use hemlockfall_request::call::LinkFailure;
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::clock::millis;
 use hemlockfall_request::idempotency::ClaimRequest;
@@ -527,9 +528,15 @@
     }
 
     fn lose_link(&mut self, node: &str) {
+        let failure = if self.percent(50) {
+            LinkFailure::Silent
+        } else {
+            LinkFailure::Lost
+        };
         for index in 0..self.calls.len() {
             let (entry, call) = &mut self.calls[index];
-            let actions = call.link_lost(node, &mut self.routers[*entry], self.now);
+            let router = &mut self.routers[*entry];
+            let actions = call.link_failed(node, failure, router, self.now);
             self.perform(index, actions);
         }
     }
--- a/crates/request/tests/retries.rs
+++ b/crates/request/tests/retries.rs
@@ -4,12 +4,14 @@
 
 use std::time::Duration;
 
+use hemlockfall_request::admission::FenceAnswer;
 use hemlockfall_request::budget::RetryBudget;
 use hemlockfall_request::call::Answer;
 use hemlockfall_request::call::Attempt;
 use hemlockfall_request::call::Call;
 use hemlockfall_request::call::CallAction;
 use hemlockfall_request::call::CallRequest;
+use hemlockfall_request::call::LinkFailure;
 use hemlockfall_request::clock::Now;
 use hemlockfall_request::outcome::AttemptResult;
 use hemlockfall_request::outcome::Outcome;
@@ -262,6 +264,44 @@
     assert!(call.is_done());
 }
 
+/// Guards against an order that is given up although it runs at a node that stood still for a moment
+/// and then answers. Once the link has ended, no answer can come.
+#[test]
+fn an_order_that_runs_behind_a_silent_link_is_waited_for() {
+    let now = common::start();
+    let after = |time_ms: u64| now.plus(Duration::from_millis(time_ms));
+    for ends in [false, true] {
+        let mut router = common::router_with("e0", SEED, 4, now);
+        let (mut call, attempt) = start(&mut router, "/orders", false, now);
+        let (id, node) = (attempt.attempt_id, attempt.to.node.clone());
+
+        let silent = call.link_failed(&node, LinkFailure::Silent, &mut router, after(600));
+        let fenced = call.fence_answered(id, FenceAnswer::Started, &mut router, after(1_100));
+        let waiting = call.tick(&mut router, after(1_900));
+
+        assert!(matches!(silent[..], [CallAction::Fence { .. }]));
+        assert_eq!(answered(&fenced), None);
+        assert_eq!(answered(&waiting), None);
+        if ends {
+            call.link_failed(&node, LinkFailure::Lost, &mut router, after(1_910));
+            let end = call.fence_answered(id, FenceAnswer::Started, &mut router, after(1_920));
+            assert!(matches!(
+                answered(&end),
+                Some(Answer::Generated {
+                    outcome: Outcome::Unknown,
+                    ..
+                })
+            ));
+        } else {
+            let is_failure = false;
+            let result = AttemptResult::Answered { is_failure };
+            let end = call.attempt_ended(id, result, &mut router, after(1_950));
+            assert!(matches!(answered(&end), Some(Answer::PassOn { .. })));
+        }
+        assert!(call.is_done());
+    }
+}
+
 /// Guards against deadlines that grow on the way: the shorter of caller's and route's time,
 /// less the hop.
 #[test]
