Compare settings with their bounds without rounding

Cause: numbers were rounded to thousandths before they were compared, so -0.0004 passed for a time that may not be negative, and the program ended with a panic where it made a duration of it; a settings file is read again while the node runs.

Change: bounds are compared as they are; -0.0004 and 3600.0001 are refused with the setting's name.

Measured: damaged_settings_are_refused_or_bounded fails before (panic in Duration) and passes now, 3,000 texts. Texts that are no settings are refused, 3,000.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -209,7 +209,8 @@
         SettingKind::Decimal {
             min_milli,
             max_milli,
-        } => decimal_milli(value).is_some_and(|number| (min_milli..=max_milli).contains(&number)),
+        } => decimal(value)
+            .is_some_and(|number| milli(min_milli) <= number && number <= milli(max_milli)),
         SettingKind::Boolean => value.is_bool(),
         SettingKind::Text => value.as_str().is_some_and(|text| !text.trim().is_empty()),
         SettingKind::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
@@ -220,17 +221,21 @@
     }
 }
 
-fn decimal_milli(value: &Value) -> Option<i64> {
-    if let Some(number) = value.as_integer() {
-        return number.checked_mul(1000);
-    }
-    let number = value.as_float()? * 1000.0;
-    let in_range = number.is_finite() && number.abs() < 1e15;
+/// The bounds are compared without rounding: a value just below zero would otherwise pass, and end the
+/// program where it is made a time.
+fn decimal(value: &Value) -> Option<f64> {
     #[expect(
-        clippy::cast_possible_truncation,
-        reason = "the range is checked above"
+        clippy::cast_precision_loss,
+        reason = "numbers that large are beyond all bounds"
     )]
-    in_range.then_some(number.round() as i64)
+    let whole = |number: i64| number as f64;
+    value.as_float().or_else(|| value.as_integer().map(whole))
+}
+
+fn milli(number_milli: i64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "bounds are small numbers")]
+    let number = number_milli as f64 / 1000.0;
+    number
 }
 
 fn is_address(value: &Value) -> bool {
--- /dev/null
+++ b/crates/sidecar/tests/settings.rs
@@ -0,0 +1,133 @@
+//! Settings of the sidecar from texts that somebody has damaged.
+
+use std::time::Duration;
+
+use hemlockfall_sidecar::settings::SidecarSettings;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const SEED: u64 = 20_261_204;
+const TESTS: u64 = 3_000;
+/// Largest time that a setting may give.
+const LONGEST: Duration = Duration::from_hours(1);
+
+const LINES: [&str; 21] = [
+    "[sidecar]",
+    "name = \"n1\"",
+    "service = \"desk\"",
+    "data_centre = \"a\"",
+    "region = \"west\"",
+    "caller_address = \"127.0.0.1:7100\"",
+    "peer_address = \"127.0.0.1:7102\"",
+    "ready_address = \"127.0.0.1:7103\"",
+    "control_address = \"127.0.0.1:7104\"",
+    "metrics_address = \"127.0.0.1:7105\"",
+    "target_address = \"127.0.0.1:7106\"",
+    "store_address = \"127.0.0.1:7000\"",
+    "seeds = [\"127.0.0.1:7110\"]",
+    "heartbeat_s = 0.5",
+    "grace_s = 6",
+    "retry_ratio = 0.2",
+    "retry_window_s = 10",
+    "retry_allowance = 64",
+    "trial_allowance = 50",
+    "is_first_start = true",
+    "link_mbps = 100",
+];
+
+/// Values that a number, an address or a flag may be replaced by.
+const VALUES: [&str; 19] = [
+    "nan",
+    "inf",
+    "-inf",
+    "-1",
+    "-0.0",
+    "0",
+    "1e308",
+    "1e-308",
+    "3600.0001",
+    "-0.0004",
+    "9223372036854775807",
+    "\"\"",
+    "\"127.0.0.1\"",
+    "\"[::1]:0\"",
+    "[]",
+    "{}",
+    "true",
+    "1.5",
+    "\"\\u0000\"",
+];
+
+/// Uses everything that the program derives from its settings.
+fn derived_values_are_bounded(settings: &SidecarSettings) -> bool {
+    let budget = settings.budget();
+    settings.heartbeat() <= LONGEST
+        && settings.grace() <= LONGEST
+        && budget.window <= LONGEST
+        && budget.ratio_permille <= 10_000
+        && settings.link_bytes_per_s() <= 125_000_000_000
+        && !settings.advertised().ip().is_multicast()
+}
+
+/// Replaces values, drops and doubles lines, and cuts the text, as the choices say.
+fn damaged(choices: &[(u8, u8)], cut: usize) -> String {
+    let mut lines: Vec<String> = LINES.iter().map(|line| (*line).to_owned()).collect();
+    for (line, change) in choices {
+        let line = usize::from(*line) % lines.len();
+        let change = usize::from(*change);
+        match change % 21 {
+            19 => {
+                lines.remove(line);
+            }
+            20 => lines.push(lines[line].clone()),
+            value => {
+                let key = lines[line].split(" = ").next().unwrap_or_default();
+                lines[line] = format!("{key} = {}", VALUES[value]);
+            }
+        }
+    }
+    let text = lines.join("\n");
+    let end = text.len() - cut % (text.len() / 4).max(1) * usize::from(cut.is_multiple_of(3));
+    text[..text.floor_char_boundary(end)].to_owned()
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes arguments by value"
+)]
+fn is_refused_or_bounded(choices: Vec<(u8, u8)>, cut: usize) -> bool {
+    let choices = &choices[..choices.len().min(3)];
+    match SidecarSettings::parse("vm.toml", &damaged(choices, cut)) {
+        Ok(settings) => derived_values_are_bounded(&settings),
+        Err(error) => error.to_string().contains("vm.toml"),
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes arguments by value"
+)]
+fn is_refused(text: String) -> bool {
+    SidecarSettings::parse("vm.toml", &text).is_err()
+        && SidecarSettings::parse("vm.toml", &format!("[sidecar]\n{text}")).is_err()
+}
+
+/// Guards against a node that ends, or that takes over a time without bounds, when its settings file is
+/// damaged while it runs: the file is read again at any moment. Errors name the file.
+#[test]
+fn damaged_settings_are_refused_or_bounded() {
+    assert!(SidecarSettings::parse("vm.toml", &damaged(&[], 1)).is_ok());
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(TESTS)
+        .quickcheck(is_refused_or_bounded as fn(Vec<(u8, u8)>, usize) -> bool);
+}
+
+/// Guards against a panic on bytes that are no settings at all.
+#[test]
+fn texts_that_are_no_settings_are_refused() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, SEED))
+        .tests(TESTS)
+        .quickcheck(is_refused as fn(String) -> bool);
+}
