--- a/crates/hemlockfall/src/node/calls.rs
+++ b/crates/hemlockfall/src/node/calls.rs
@@ -33,6 +33,7 @@
 use crate::edge::links::LinkEvent;
 use crate::edge::links::LinkId;
 use crate::edge::links::Links;
+use crate::edge::links::Tag;
 use crate::edge::message::Announcement;
 use crate::edge::message::CallerEvent;
 use crate::edge::message::LocalEvent;
@@ -242,24 +243,25 @@
             LinkEvent::Refused { tag, .. } => self.attempt_not_sent(cx, tag),
             LinkEvent::Lost {
                 unsent, unsettled, ..
-            } => {
-                for tag in unsent {
-                    self.attempt_not_sent(cx, tag);
-                }
-                for tag in unsettled {
-                    self.attempt_link_failed(cx, tag, LinkFailure::Lost);
-                }
-            }
+            } => self.link_failed(cx, unsent, unsettled, LinkFailure::Lost),
             LinkEvent::Silent {
                 unsent, unsettled, ..
-            } => {
-                for tag in unsent {
-                    self.attempt_not_sent(cx, tag);
-                }
-                for tag in unsettled {
-                    self.attempt_link_failed(cx, tag, LinkFailure::Silent);
-                }
-            }
+            } => self.link_failed(cx, unsent, unsettled, LinkFailure::Silent),
+        }
+    }
+
+    fn link_failed(
+        &mut self,
+        cx: CX![],
+        unsent: Vec<Tag>,
+        unsettled: Vec<Tag>,
+        failure: LinkFailure,
+    ) {
+        for tag in unsent {
+            self.attempt_not_sent(cx, tag);
+        }
+        for tag in unsettled {
+            self.attempt_link_failed(cx, tag, failure);
         }
     }
 
--- a/crates/hemlockfall/tests/edge/callers.rs
+++ b/crates/hemlockfall/tests/edge/callers.rs
@@ -426,13 +426,15 @@
         .expect("the edge reads");
     read_until(&mut kept, "<GET /kept [host=s] >");
 
-    let mut waiting =
-        edge.stop_after(move || -> Vec<TcpStream> { (0..20).map(|_| connect(address)).collect() });
-    for stream in waiting.iter_mut().chain([&mut kept]) {
-        stream
-            .write_all(b"GET /late HTTP/1.1\r\nhost: s\r\n\r\n")
-            .expect("the connection is open");
-    }
+    let (mut waiting, mut kept) = edge.stop_after(move || {
+        let mut waiting: Vec<TcpStream> = (0..20).map(|_| connect(address)).collect();
+        for stream in waiting.iter_mut().chain([&mut kept]) {
+            stream
+                .write_all(b"GET /late HTTP/1.1\r\nhost: s\r\n\r\n")
+                .expect("the connection is open");
+        }
+        (waiting, kept)
+    });
 
     for stream in waiting.iter_mut().chain([&mut kept]) {
         let output = read_to_end(stream);
