Start processes of the harness only while no port is tried

Cause: between its fork and its program, a process that is being started has a copy of every listener of the harness. A port that was found free by a listener, or whose stand-in was closed just now, is in use until then.

--- a/xtask/src/harness/ports.rs
+++ b/xtask/src/harness/ports.rs
@@ -19,6 +19,16 @@
 const LAST_PORT: u16 = 30_000;
 const TRIES: usize = 1_000;
 
+/// Held while a port is tried and while a process is started. Between its fork and its program a started
+/// process has a copy of every listener, and a port whose listener was just closed is in use until then.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// `without_listeners` starts a process while no port is tried.
+pub fn without_listeners<T>(start: impl FnOnce() -> T) -> T {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    start()
+}
+
 /// Ports handed out by this process. They are not bound yet, so they would be found free again.
 static TAKEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
 
@@ -45,7 +55,10 @@
             continue;
         }
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        let is_free = without_listeners(|| {
+            TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
+        });
+        if is_free {
             taken.push(port);
             return Ok(address);
         }
--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -18,6 +18,7 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::harness::ports;
 use crate::harness::wait;
 
 const PARENT_POLL: Duration = Duration::from_millis(500);
@@ -218,10 +219,9 @@
     if child.try_wait().ok().flatten().is_some() {
         return Ok(());
     }
-    let status = Command::new("kill")
-        .arg(signal.argument())
-        .arg(child.id().to_string())
-        .status()
+    let mut command = Command::new("kill");
+    command.arg(signal.argument()).arg(child.id().to_string());
+    let status = ports::without_listeners(|| command.status())
         .map_err(|error| Error::process(name, error))?;
     if status.success() {
         return Ok(());
@@ -233,13 +233,14 @@
 }
 
 fn spawn(name: &str, program: &Path, arguments: &[OsString], directory: &Path) -> Result<Child> {
-    Command::new(program)
+    let mut command = Command::new(program);
+    command
         .args(arguments)
         .env(PARENT_VARIABLE, std::process::id().to_string())
         .stdin(Stdio::null())
         .stdout(log_file(directory, name, "out")?)
-        .stderr(log_file(directory, name, "err")?)
-        .spawn()
+        .stderr(log_file(directory, name, "err")?);
+    ports::without_listeners(|| command.spawn())
         .map_err(|error| Error::process(name, format!("{}: {error}", program.display())))
 }
 
--- a/xtask/src/soak/proxy.rs
+++ b/xtask/src/soak/proxy.rs
@@ -4,7 +4,6 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,6 +15,7 @@
 use std::time::Duration;
 
 use hemlockfall_standins::server::accept;
+use hemlockfall_standins::server::bind;
 
 use crate::errors::Error;
 use crate::errors::Result;
@@ -62,7 +62,7 @@
     /// # Errors
     /// [`Error::Resource`] when the address cannot be bound.
     pub fn start(address: SocketAddr, to: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind(address)
+        let listener = bind(address)
             .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
             .map_err(|error| Error::resource(address.to_string(), error))?;
         let shared = Arc::new(Shared {
