Close the callers' listener a moment after new connections are refused

Its handshake had begun before the filter was attached and ended after the last acceptance, in the few microseconds before the close (read from the code; the window was not traced).

--- a/crates/hemlockfall/src/edge/caller_server.rs
+++ b/crates/hemlockfall/src/edge/caller_server.rs
@@ -35,6 +35,8 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time after which accepting is tried again when it failed.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+/// Time between the refusal of new connections and the close of the listener.
+const CLOSE_AFTER_REFUSAL: Duration = Duration::from_millis(50);
 /// Time between the close of the listener and the close of idle connections in a planned stop, so that
 /// a request which is under way is read. It ends before the stop looks for requests in progress.
 const IDLE_AFTER_STOP: Duration = Duration::from_millis(250);
@@ -73,6 +75,8 @@
     options: CallerOptions,
     /// `None` once the node stops.
     listener: Option<MioSource<TcpListener>>,
+    /// Whether each connection ends with its next answer.
+    is_stopping: bool,
     /// Sorted by id.
     open: Vec<Connection>,
     next_connection: u64,
@@ -91,6 +95,7 @@
                 Some(Self {
                     options,
                     listener: Some(listener),
+                    is_stopping: false,
                     open,
                     next_connection,
                     next_caller,
@@ -143,11 +148,17 @@
         {
             spdlog::warn!("new connections cannot be refused", kv: { error = error.to_string() });
         }
-        self.accept_waiting(cx);
-        self.listener = None;
+        self.is_stopping = true;
         for connection in &mut self.open {
             connection.end_after_answer();
         }
+        after!(CLOSE_AFTER_REFUSAL, [cx], close_listener());
+    }
+
+    /// A connection that was being made when new ones were refused stands by now.
+    fn close_listener(&mut self, cx: CX![]) {
+        self.accept_waiting(cx);
+        self.listener = None;
         after!(IDLE_AFTER_STOP, [cx], close_idle());
     }
 
@@ -180,8 +191,11 @@
         match poll.add(stream, interest, SOCKET_PRIORITY, ready) {
             Ok(source) => {
                 self.next_connection += 1;
-                self.open
-                    .push(Connection::new(id, source, self.options.limits, cx.now()));
+                let mut connection = Connection::new(id, source, self.options.limits, cx.now());
+                if self.is_stopping {
+                    connection.end_after_answer();
+                }
+                self.open.push(connection);
             }
             Err(error) => {
                 spdlog::warn!("caller cannot be served", kv: { error = error.to_string() });
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -371,14 +371,18 @@
         }
     }
 
-    /// Stops accepting connections. Those that the kernel has made already are taken first, since
-    /// their requests would be cut off with the listener.
-    pub(super) fn close_listener(&mut self, port: Port) {
+    /// Keeps the kernel from making new connections, before the listener is closed.
+    pub(super) fn refuse_connections(&mut self, port: Port) {
         if let Some((_, listener)) = self.listeners.iter().find(|(open, _)| *open == port)
             && let Err(error) = listening::refuse_new_connections(&**listener)
         {
             self.state_line("filter_refused", json!({ "reason": error.to_string() }));
         }
+    }
+
+    /// Stops accepting connections. Those that the kernel has made already are taken first, since
+    /// their requests would be cut off with the listener.
+    pub(super) fn close_listener(&mut self, port: Port) {
         self.accept(port);
         self.listeners.retain(|(open, _)| *open != port);
     }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -193,6 +193,8 @@
     record_sequence: u64,
     store: StoreSync,
     stopping_since: Option<Time>,
+    /// When the kernel was kept from making connections of callers in a planned stop.
+    connections_refused_at: Option<Time>,
     /// When the callers' listener was closed in a planned stop.
     listener_closed_at: Option<Time>,
 }
@@ -245,6 +247,7 @@
             record_sequence: 1,
             store: StoreSync::new(now),
             stopping_since: None,
+            connections_refused_at: None,
             listener_closed_at: None,
             settings_text: std::fs::read_to_string(&parts.settings_file).unwrap_or_default(),
             settings_file: parts.settings_file,
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -49,7 +49,13 @@
         if self.now.saturating_sub(since) < NOTICE {
             return;
         }
+        if self.connections_refused_at.is_none() {
+            self.refuse_connections(Port::Callers);
+            self.connections_refused_at = Some(self.now);
+            return;
+        }
         if self.listener_closed_at.is_none() {
+            // A connection that was being made when new ones were refused stands by now.
             self.close_listener(Port::Callers);
             self.listener_closed_at = Some(self.now);
         }
