--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -1,7 +1,8 @@
 //! A planned stop: no new work is asked for, and what has been accepted is answered.
 //!
-//! Callers see that the node is not ready and stay away. Then the listener is closed, while the
-//! process still answers what the kernel had accepted for it, and a little later the process ends.
+//! Callers see that the node is not ready and stay away. Then new connections are refused, and a round later
+//! the listener is closed, while the process still answers what the kernel had accepted for it. A little
+//! later the process ends.
 
 use std::time::Duration;
 
