Retry attempts that reached no target without the retry budget

A node that is paused holds some orders; the fence reports them as not started, each retry took a token, and the bucket of a quiet service holds few. An order that had been refused by one keeper of its key and fenced at the other found no target left, as all were tried.

Change: a retry after NotSent, Fenced or EarlierLife takes no token, since the attempt put no load on a target. A keyed request whose keepers have all been tried may be sent to them again.

Ruled out: a failure of the machine; the refusals are in the answers of the node.

--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -83,6 +83,15 @@
     New,
 }
 
+/// What a retry takes from the retry budget of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RetryCost {
+    /// Nothing, as the attempt put no load on a target.
+    None,
+    /// One token.
+    Token,
+}
+
 /// One request in progress at its entry node.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -378,7 +387,10 @@
             return;
         }
         let target = match &self.key {
-            Some(key) => router.runner(key, &self.version, &self.tried, now),
+            // A node that has not run an earlier attempt may run this one.
+            Some(key) => router
+                .runner(key, &self.version, &self.tried, now)
+                .or_else(|| router.runner(key, &self.version, &[], now)),
             None => router.pick(&self.service, &self.version, &self.tried, now),
         };
         self.attempts += 1;
@@ -455,14 +467,15 @@
                 if self.key_check == KeyCheck::Unchecked && is_decided_after_claim(reason) {
                     self.key_check = KeyCheck::New;
                 }
-                if !(may_succeed_elsewhere(reason) && self.retry(router, now)) {
+                let cost = retry_cost(reason);
+                if !(may_succeed_elsewhere(reason) && self.retry(cost, router, now)) {
                     self.answer(reason, retry_after_ms, &mut actions);
                 }
             }
             AttemptResult::Unknown { reason } => {
                 self.first_unknown_reason.get_or_insert(reason);
                 let may_retry = self.is_idempotent && may_succeed_elsewhere(reason);
-                if !(may_retry && self.retry(router, now)) {
+                if !(may_retry && self.retry(RetryCost::Token, router, now)) {
                     self.answer(reason, None, &mut actions);
                 }
             }
@@ -470,17 +483,23 @@
         actions
     }
 
-    fn retry(&mut self, router: &mut Router, now: Now) -> bool {
+    fn retry(&mut self, cost: RetryCost, router: &mut Router, now: Now) -> bool {
         let retries = self.attempts.saturating_sub(1);
         if self.is_retry || retries >= router.options().max_retries {
             return false;
         }
         let until = now.at + router.backoff(retries);
-        if until >= self.deadline || !router.withdraw_retry_budget(&self.service, now) {
+        if until >= self.deadline {
             return false;
         }
-        self.state = State::Backoff { until };
-        true
+        let is_allowed = match cost {
+            RetryCost::None => true,
+            RetryCost::Token => router.withdraw_retry_budget(&self.service, now),
+        };
+        if is_allowed {
+            self.state = State::Backoff { until };
+        }
+        is_allowed
     }
 
     fn time_out(&mut self, router: &mut Router, now: Now, actions: &mut Vec<CallAction>) {
@@ -570,6 +589,15 @@
     )
 }
 
+/// Returns what the retry of an attempt costs that has not run. The budget bounds the load that
+/// retries add to targets; a paused node loses many attempts at once that no target has received.
+fn retry_cost(reason: Reason) -> RetryCost {
+    match reason {
+        Reason::NotSent | Reason::Fenced | Reason::EarlierLife => RetryCost::None,
+        _ => RetryCost::Token,
+    }
+}
+
 /// Returns whether another target may succeed. A request whose target was lost is not retried: if
 /// the request crashed it, each retry could crash one more target before the fingerprint is
 /// refused.
--- a/crates/request/tests/retries.rs
+++ b/crates/request/tests/retries.rs
@@ -306,6 +306,47 @@
     }
 }
 
+/// Guards against orders that are refused because the node of their target was paused: the attempts
+/// that it lost put no load on a target, so more of them than the retry budget holds are retried.
+#[test]
+fn attempts_that_reached_no_target_are_retried_without_budget() {
+    const LOST_AT_ONCE: usize = 30;
+    for (reason, is_retried) in [
+        (Reason::Fenced, true),
+        (Reason::NotSent, true),
+        (Reason::EarlierLife, true),
+        (Reason::TargetShed, false),
+    ] {
+        let now = common::start();
+        let mut router = common::router_with("e0", SEED, 4, now);
+        let mut refused = 0;
+        for _ in 0..LOST_AT_ONCE {
+            let (mut call, attempt) = start(&mut router, "/orders", false, now);
+            let lost = AttemptResult::refused(reason, None);
+            let ended = call.attempt_ended(attempt.attempt_id, lost, &mut router, now);
+            refused += usize::from(answered(&ended).is_some());
+        }
+
+        assert_eq!(refused == 0, is_retried, "{reason:?}: {refused} refused");
+    }
+}
+
+/// Guards against an order that is refused although a target is free: its attempts reached no target,
+/// and every node has been tried once.
+#[test]
+fn a_node_is_tried_again_when_no_other_is_left() {
+    let now = common::start();
+    let mut router = common::router_with("e0", SEED, 1, now);
+    let (mut call, attempt) = start(&mut router, "/orders", false, now);
+    let lost = AttemptResult::refused(Reason::Fenced, None);
+
+    call.attempt_ended(attempt.attempt_id, lost, &mut router, now);
+    let later = now.plus(Duration::from_millis(10));
+    let next = sent(&call.tick(&mut router, later));
+
+    assert_eq!(next.map(|next| next.to.node), Some(attempt.to.node));
+}
+
 /// Guards against deadlines that grow from hop to hop: the time left is the shorter of the caller's
 /// and the route's timeout, less the allowance for the hop.
 #[test]
