Keep the slot of an overdue run until the target answers the run

A resumed target may read the cancellation of a run before the run itself, which came on another connection, and answers that it does not know it. The node then gave the slot to the next request, while the run took it as well. The stand-in of the target also freed a slot only after its answer was sent, and answered a cancellation before the run had ended.

Change: the connection of a run that timed out stays open, and its late answer frees the slot; without one the slot is freed 1 s after the answer to the cancellation. The stand-in frees the slot of a run before it sends the answer. The test prints the logs of the processes when it fails.

--- a/crates/hemlockfall/src/edge/message.rs
+++ b/crates/hemlockfall/src/edge/message.rs
@@ -43,6 +43,9 @@
     pub time_left: Duration,
     /// Largest answer body, in bytes.
     pub max_body_bytes: usize,
+    /// Whether the connection stays open after `time_left`, so that a second result tells when the
+    /// target has ended the run.
+    pub awaits_late_answer: bool,
 }
 
 /// Result of a run.
--- a/crates/hemlockfall/src/edge/target_client.rs
+++ b/crates/hemlockfall/src/edge/target_client.rs
@@ -74,7 +74,8 @@
         self.max_connections = max_connections;
     }
 
-    /// Sends a request; the result is reported as a [`TargetEvent`].
+    /// Sends a request; the result is reported as a [`TargetEvent`]. If the run times out and awaits
+    /// a late answer, a second event reports its end, unless the run is aborted.
     #[expect(
         clippy::needless_pass_by_value,
         reason = "stakker passes arguments by value"
@@ -175,11 +176,15 @@
         else {
             return;
         };
-        let connection = self.open.remove(index);
+        let connection = &self.open[index];
         let result = connection.result_at_timeout();
+        let is_kept = connection.awaits_late_answer() && matches!(result, TargetResult::TimedOut);
         // Whatever stalled this connection may also affect those opened before it; the next
         // requests open new ones.
         let (address, opened) = (connection.address, connection.opened);
+        if !is_kept {
+            self.open.remove(index);
+        }
         self.open
             .retain(|open| !(open.is_idle_for(address) && open.opened <= opened));
         fwd!([self.events], TargetEvent { id: run_id, result });
--- a/crates/hemlockfall/src/edge/target_client/connection.rs
+++ b/crates/hemlockfall/src/edge/target_client/connection.rs
@@ -39,6 +39,7 @@
     run_id: u64,
     reader: ResponseReader,
     request_bytes: usize,
+    awaits_late_answer: bool,
 }
 
 /// One connection to the local target.
@@ -98,6 +99,7 @@
             run_id: run.id,
             reader,
             request_bytes,
+            awaits_late_answer: run.awaits_late_answer,
         });
         self.last_used = now;
     }
@@ -207,6 +209,13 @@
         }
     }
 
+    /// Returns whether the connection stays open after the time of its run has passed.
+    pub(super) fn awaits_late_answer(&self) -> bool {
+        self.running
+            .as_ref()
+            .is_some_and(|running| running.awaits_late_answer)
+    }
+
     /// Returns the result of a run whose time has passed.
     pub(super) fn result_at_timeout(&self) -> TargetResult {
         let request_bytes = self
--- a/crates/hemlockfall/src/node/calls/target.rs
+++ b/crates/hemlockfall/src/node/calls/target.rs
@@ -1,7 +1,9 @@
 //! Runs at the local target, their cancellation, and the loss of the target.
 //!
 //! A run that ends without a complete answer keeps its slot until the target has answered a
-//! cancellation, because the target may still be working on the request.
+//! cancellation, because the target may still be working on the request. A run that timed out also
+//! keeps its connection: a paused target reads the cancellation, on another connection, before or
+//! after the request, and only the answer to the request shows that its slot is free.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 use hemlockfall_request::outcome::Reason;
 use hemlockfall_request::seen::AttemptId;
 use stakker::CX;
+use stakker::after;
 use stakker::call;
 
 use crate::edge::http;
@@ -27,6 +30,9 @@
 
 /// Timeout of a cancellation request to the target.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time from the answer to a cancellation until the slot of an overdue run is freed although the
+/// target has not answered the run itself.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of the answer to a cancellation request.
 const MAX_CANCEL_ANSWER_BYTES: usize = 64 * 1024;
 const CANCEL_PATH: &str = "/hemlockfall/cancel/";
@@ -45,6 +51,8 @@
 enum Purpose {
     /// Run of the attempt.
     Attempt,
+    /// Run of an attempt that has timed out; the slot is freed when it is answered.
+    Overdue,
     /// Cancellation; the slot of the attempt is freed when it ends.
     CancelAndFree,
     /// Second such cancellation, after the connection of the first one broke.
@@ -74,6 +82,7 @@
         let run = self.new_run(attempt_id, Purpose::Attempt, address, request, time_left);
         let run = Box::new(TargetRun {
             max_body_bytes,
+            awaits_late_answer: true,
             ..run
         });
         call!([self.target_client], run(run));
@@ -101,6 +110,7 @@
             request,
             time_left,
             max_body_bytes: MAX_CANCEL_ANSWER_BYTES,
+            awaits_late_answer: false,
         }
     }
 
@@ -133,9 +143,24 @@
         else {
             return;
         };
+        let is_overdue = matches!(event.result, TargetResult::TimedOut)
+            && self.local.runs[index].purpose == Purpose::Attempt;
+        if is_overdue {
+            let run = &mut self.local.runs[index];
+            run.purpose = Purpose::Overdue;
+            let attempt_id = run.attempt_id;
+            self.handle_run_result(cx, attempt_id, event.result);
+            return;
+        }
         let run = self.local.runs.remove(index);
         match run.purpose {
             Purpose::Attempt => self.handle_run_result(cx, run.attempt_id, event.result),
+            Purpose::Overdue => {
+                // The answer to the cancellation frees the slot if the connection has failed.
+                if matches!(event.result, TargetResult::Answer(_)) {
+                    self.free_slot(cx, run.attempt_id);
+                }
+            }
             Purpose::Cancel => {}
             Purpose::CancelAndFree => {
                 // A pooled connection breaks in the same way whether a live target closed it or
@@ -168,8 +193,28 @@
                 }
             }
             TargetResult::NotSent { .. } => self.handle_target_loss(cx),
+            TargetResult::Answer(_) if self.overdue_run(attempt_id).is_some() => {
+                after!(LATE_ANSWER_TIMEOUT, [cx], abandon_overdue_run(attempt_id));
+                return;
+            }
             TargetResult::Answer(_) | TargetResult::Broken { .. } | TargetResult::Busy => {}
         }
+        self.abandon_overdue_run(cx, attempt_id);
+    }
+
+    fn overdue_run(&self, attempt_id: AttemptId) -> Option<usize> {
+        self.local
+            .runs
+            .iter()
+            .position(|run| run.attempt_id == attempt_id && run.purpose == Purpose::Overdue)
+    }
+
+    /// Frees the slot of a run whose cancellation has ended, and closes its connection.
+    fn abandon_overdue_run(&mut self, cx: CX![], attempt_id: AttemptId) {
+        if let Some(index) = self.overdue_run(attempt_id) {
+            let run = self.local.runs.remove(index);
+            call!([self.target_client], abort(run.id));
+        }
         self.free_slot(cx, attempt_id);
     }
 
--- a/crates/hemlockfall/tests/edge/support.rs
+++ b/crates/hemlockfall/tests/edge/support.rs
@@ -292,6 +292,7 @@
             request: Box::new(request),
             time_left,
             max_body_bytes: 1000,
+            awaits_late_answer: true,
         });
         CLIENTS.with_borrow(|clients| {
             let client = clients[client].clone();
--- a/crates/hemlockfall/tests/edge/targets.rs
+++ b/crates/hemlockfall/tests/edge/targets.rs
@@ -198,6 +198,26 @@
     }
 }
 
+/// Guards against a slot that is taken for free while a target that was paused still holds the
+/// request: the end of an overdue run is reported when the target answers it.
+#[test]
+fn the_late_answer_to_an_overdue_run_is_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (client, results) = target_client(LIMITS);
+
+    run_on_target(client, 1, address, "GET", Duration::from_millis(100));
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let first = results.recv_timeout(TIMEOUT).expect("a result");
+    read_head(&mut stream).expect("the request");
+    stream.write_all(OK.as_bytes()).expect("to answer");
+    let second = results.recv_timeout(TIMEOUT).expect("a second result");
+
+    assert_eq!((first.id, text(first.result)), (1, "timed out".to_owned()));
+    assert_eq!(second.id, 1);
+    assert_eq!(text(second.result), "200 [content-length] ok");
+}
+
 /// Guards against a target that is considered lost because all connections it accepts are in use.
 #[test]
 fn a_request_without_a_free_connection_is_busy() {
--- a/xtask/src/target/mod.rs
+++ b/xtask/src/target/mod.rs
@@ -218,6 +218,7 @@
         RunEnd::Cancelled => 499,
         RunEnd::DeadlinePassed => 504,
     };
+    state.free(slot);
     http::answer(
         request,
         status,
--- a/xtask/src/target/state.rs
+++ b/xtask/src/target/state.rs
@@ -104,6 +104,8 @@
     slot: u64,
     attempt: Option<String>,
     cancelled: bool,
+    /// Whether the run has ended and only its answer is still to be sent.
+    has_ended: bool,
 }
 
 #[derive(Debug)]
@@ -181,7 +183,8 @@
     /// before it starts, so that no run is missing when the target is killed.
     pub fn admit(&self, run: &Run) -> Admission {
         let mut inner = self.lock();
-        if inner.summary.draining || inner.running.len() >= usize::from(self.options.slots) {
+        let used = inner.running.iter().filter(|run| !run.has_ended).count();
+        if inner.summary.draining || used >= usize::from(self.options.slots) {
             inner.summary.shed += 1;
             return Admission::Shed;
         }
@@ -196,6 +199,7 @@
             slot,
             attempt: run.attempt.clone(),
             cancelled: false,
+            has_ended: false,
         });
         let plan = self.plan(&mut inner, &run.path);
         Admission::Started { slot, plan }
@@ -229,7 +233,16 @@
         }
     }
 
-    /// Frees a slot after the answer was sent.
+    /// Frees the slot of a run before its answer is sent, since the node may send the next request
+    /// as soon as it has read the answer.
+    pub fn free(&self, slot: u64) {
+        let mut inner = self.lock();
+        for running in &mut inner.running {
+            running.has_ended |= running.slot == slot;
+        }
+    }
+
+    /// Removes a run after its answer was sent.
     pub fn finish(&self, slot: u64) {
         let mut inner = self.lock();
         inner.running.retain(|running| running.slot != slot);
--- a/xtask/tests/slots.rs
+++ b/xtask/tests/slots.rs
@@ -74,7 +74,12 @@
             other => Err(format!("{other:?}")),
         }
     })
-    .expect("the target serves again");
+    .unwrap_or_else(|error| {
+        panic!(
+            "the target serves again: {error}\n{}",
+            cluster.log_tails(30)
+        )
+    });
 
     assert!(statuses.len() > usize::from(SLOTS), "{statuses:?}");
     assert!(statuses.iter().all(|status| *status != Some(200)));
