Use the target of a stopping node for the first two seconds of its stop

Each reported at once that it takes no calls of other nodes, although its process lives for about 3 s more while callers notice; the slots beside it were idle, and downloads were refused with "no candidate" (638 of 1,500 in 8 s).

Change: other nodes use the target until 2 s after the begin of the stop, at most 35 percent of the grace time. The schedule of a stop is a module without sockets, shutdown.rs, with tests of this load.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod router;
 pub mod settings;
+pub mod shutdown;
 pub mod sizes;
 pub mod store_watch;
 pub mod table;
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -194,8 +194,8 @@
             .chars()
             .take(MAX_REQUEST_ID_CHARS)
             .collect();
-        // In a graceful shutdown the process may end before the run does.
-        let can_serve = !self.is_stopping()
+        // The process may end before a run that starts late in a graceful shutdown.
+        let can_serve = self.accepts_peer_calls()
             && self.target.own.current().is_some_and(|target| {
                 target.service == service && version.is_none_or(|version| version == target.version)
             });
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -71,6 +71,7 @@
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
 use crate::settings::SidecarSettings;
+use crate::shutdown::Shutdown;
 use crate::sizes::AnswerSizes;
 use crate::table::Table;
 use crate::traffic::Traffic;
@@ -192,7 +193,7 @@
     traffic: Traffic,
     record_sequence: u64,
     store: StoreSync,
-    stopping_since: Option<Time>,
+    shutdown: Option<Shutdown>,
     /// When the kernel began to refuse new connections of callers in a graceful shutdown.
     connections_refused_at: Option<Time>,
     /// When the callers' listener was closed in a graceful shutdown.
@@ -246,7 +247,7 @@
             traffic: Traffic::default(),
             record_sequence: 1,
             store: StoreSync::new(now),
-            stopping_since: None,
+            shutdown: None,
             connections_refused_at: None,
             listener_closed_at: None,
             settings_text: std::fs::read_to_string(&params.settings_file).unwrap_or_default(),
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -196,7 +196,7 @@
             incarnation: self.incarnation,
             sequence: self.record_sequence,
             is_stopping: self.is_stopping(),
-            target: self.target.own.record(self.is_target_open()),
+            target: self.target.own.record(self.accepts_peer_calls()),
             deregistered: self.target.own.deregistered().to_vec(),
         }
     }
@@ -278,7 +278,6 @@
                 continue;
             };
             let is_usable = peer.is_linked
-                && !peer.record.is_stopping
                 && target.is_ready
                 && target.service == call.service
                 && is_allowed(rule, &target.version)
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -10,44 +10,45 @@
 
 use crate::node::Node;
 use crate::node::Port;
+use crate::shutdown::Shutdown;
 
-/// Time in which callers notice that the node is not ready and go elsewhere.
-const NOT_READY_NOTICE: Duration = Duration::from_millis(2600);
 /// Time between the close of the callers' listener and the end of an idle process. The first
 /// request on the connection that was accepted last may still be under way.
 const IDLE_EXIT_DELAY: Duration = Duration::from_millis(250);
-/// Share of the grace time after which no request is started, in percent. The end of the process
-/// could cut off a request that starts later.
-const LAST_START_PERCENT: u32 = 60;
-/// Share of the grace time after which the node ends in any case, in percent.
-const FORCED_EXIT_PERCENT: u32 = 92;
 
 impl Node {
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping_since.is_some()
+        self.shutdown.is_some()
     }
 
     /// Returns whether the process will end too soon to start a request.
     pub(super) fn is_closing(&self) -> bool {
-        self.stopping_since.is_some_and(|since| {
-            self.now.saturating_sub(since) >= self.settings.grace() * LAST_START_PERCENT / 100
-        })
+        self.shutdown
+            .is_some_and(|shutdown| shutdown.is_closing(self.now))
+    }
+
+    /// Returns whether other nodes may send requests to the target.
+    pub(super) fn accepts_peer_calls(&self) -> bool {
+        let is_allowed = self
+            .shutdown
+            .is_none_or(|shutdown| shutdown.accepts_peer_calls(self.now));
+        is_allowed && self.is_target_open()
     }
 
     pub(super) fn begin_stop(&mut self) {
         if self.is_stopping() {
             return;
         }
-        self.stopping_since = Some(self.now);
+        self.shutdown = Some(Shutdown::new(self.now, self.settings.grace()));
         self.log_event("stop_begun", json!({ "calls": self.calls.len() }));
         self.record_changed();
     }
 
     pub(super) fn check_stop(&mut self) {
-        let Some(since) = self.stopping_since else {
+        let Some(shutdown) = self.shutdown else {
             return;
         };
-        if self.now.saturating_sub(since) < NOT_READY_NOTICE {
+        if !shutdown.refuses_connections(self.now) {
             return;
         }
         if self.connections_refused_at.is_none() {
@@ -72,16 +73,15 @@
 
     /// Returns whether the process may end.
     pub(super) fn is_stopped(&self) -> bool {
-        let Some(since) = self.stopping_since else {
+        let Some(shutdown) = self.shutdown else {
             return false;
         };
-        let elapsed = self.now.saturating_sub(since);
         let is_idle = self.calls.is_empty()
             && self.deferred.is_empty()
             && self.target.work_items.is_empty()
             && !self.has_answers()
             && !self.has_begun_requests();
-        let is_exit_forced = elapsed >= self.settings.grace() * FORCED_EXIT_PERCENT / 100;
-        (is_idle && self.is_listener_closed_for(IDLE_EXIT_DELAY)) || is_exit_forced
+        (is_idle && self.is_listener_closed_for(IDLE_EXIT_DELAY))
+            || shutdown.is_exit_forced(self.now)
     }
 }
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -145,7 +145,7 @@
     pub(super) fn check_target(&mut self) {
         let is_cold = self.target.own.is_cold(self.now);
         self.target.admission.set_cold(is_cold);
-        let is_open = self.is_target_open();
+        let is_open = self.accepts_peer_calls();
         if std::mem::replace(&mut self.target.was_open, is_open) != is_open {
             self.record_changed();
         }
