Keep an unclear rollout open until its final verdict is due

The limit of the final verdict, which rejects on four late runs, was applied as soon as an acceptance was possible. A slow machine among the new targets is enough to pass it.

The early limit, and the final verdict itself, are as before. Test: few late runs stay open, more runs decide.

--- a/crates/sidecar/src/judge.rs
+++ b/crates/sidecar/src/judge.rs
@@ -32,7 +32,8 @@
     margin: 0.15,
     deviations: CHANCE_DEVIATIONS,
 };
-/// Limit on late runs in the final verdict.
+/// Limit on late runs for an acceptance and in the final verdict. A version above this limit only
+/// stays open until the final verdict is due.
 const FINAL_SLOW_LIMIT: SlowLimit = SlowLimit {
     min_late: 4,
     margin: 0.08,
@@ -276,11 +277,13 @@
             let reason = "no answer of the new version was seen".to_owned();
             return Verdict::Reject { reason };
         }
-        match self
+        let fault = self
             .fault(FINAL_SLOW_LIMIT)
-            .or_else(|| self.fault_with_few_answers())
-        {
-            Some(reason) => Verdict::Reject { reason },
+            .or_else(|| self.fault_with_few_answers());
+        match fault {
+            Some(reason) if must_decide => Verdict::Reject { reason },
+            // More answers tell a fault of the version from the runs of a slow target.
+            Some(_) => Verdict::Open,
             None => Verdict::Accept,
         }
     }
--- a/crates/sidecar/tests/judge.rs
+++ b/crates/sidecar/tests/judge.rs
@@ -194,6 +194,40 @@
     assert!(is_rejected(&judge));
 }
 
+/// Load: the first new target that gets requests is a slow one. Guards against rejecting a good
+/// version whose few late runs are within what chance allows; the verdict stays open until it is
+/// due, and later answers outweigh them.
+#[test]
+fn a_version_with_few_late_runs_stays_open_until_the_final_verdict() {
+    let runs = |in_time, late| {
+        let mut tally = tally(in_time, 0, 90);
+        for _ in 0..late {
+            tally.add_overdue(TimedRun {
+                took: Duration::from_millis(400),
+                target_latency: TARGET_LATENCY,
+            });
+        }
+        tally
+    };
+    let new = |in_time| {
+        with_busy(
+            evidence("new", true, &[("a", runs(in_time, 4))]),
+            runs(20, 0),
+        )
+    };
+    let old = evidence("old", false, &[("a", runs(300, 3))]);
+    let mut judge = judge(vec![old, new(26)]);
+
+    let early = judge.verdict(at(10_000));
+    let at_the_end = judge.verdict(at(13_200));
+    judge.record(new(60));
+    let with_more_runs = judge.verdict(at(11_000));
+
+    assert_eq!(early, Verdict::Open);
+    assert!(matches!(at_the_end, Verdict::Reject { .. }));
+    assert_eq!(with_more_runs, Verdict::Accept);
+}
+
 /// Guards against accepting a bad version because a few targets of the old version fail as well.
 #[test]
 fn a_failing_target_of_the_old_version_does_not_prevent_rejection() {
