Bound what bytes without end cost in memory and time

Cause, tried before the change: six answers at once that consist of interim responses took 432 MB of a node, six frames of 79 MiB 246 MB, six request lines without end 219 MB; with eight endless answers the other callers were served no more within 60 s. One read of a connection took all that arrived, so a peer that writes as fast as the node reads never let it stop; interim responses had no limit in sum, nor had chunk lines; a body could take 64 MiB on each connection.

Change: a read takes at most 128 KiB and goes on a millisecond later. Interim responses count towards the limit of the head, and chunks may have 64 KiB more of framing than of data. Empty buffers of large messages are released.

Not covered: answers that a caller does not read stay buffered up to 64 MiB for each connection, and the store's stand-in sends nothing without end.

--- a/crates/hemlockfall/tests/edge/callers.rs
+++ b/crates/hemlockfall/tests/edge/callers.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockfall_standins::endless::EndlessBytes;
+
 use crate::support::TIMEOUT;
 use crate::support::caller_edge;
 use crate::support::connect;
@@ -446,3 +448,21 @@
     }
     assert!(TcpStream::connect(address).is_err(), "the listener is open");
 }
+
+/// Guards against requests without end that are read until the memory or the time of the process is
+/// used up: the caller must be cut off.
+#[test]
+fn endless_requests_are_cut_off() {
+    let edge = caller_edge(|_| {});
+    for pattern in EndlessBytes::REQUESTS {
+        let mut stream = connect(edge.address);
+        let begun = Instant::now();
+
+        let mut sent = stream.write_all(&pattern.request_start("/orders", "host: s\r\n"));
+        while sent.is_ok() && begun.elapsed() < TIMEOUT {
+            sent = stream.write_all(&pattern.block());
+        }
+
+        assert!(sent.is_err(), "{pattern:?}");
+    }
+}
--- a/crates/hemlockfall/tests/edge/targets.rs
+++ b/crates/hemlockfall/tests/edge/targets.rs
@@ -12,6 +12,7 @@
 
 use hemlockfall::edge::http1::HttpLimits;
 use hemlockfall::edge::message::TargetResult;
+use hemlockfall_standins::endless::EndlessBytes;
 
 use crate::support::MAX_CONNECTIONS;
 use crate::support::TIMEOUT;
@@ -119,6 +120,31 @@
     }
 }
 
+/// Guards against answers without end that are read until the memory or the time of the process is
+/// used up.
+#[test]
+fn endless_answers_are_cut_off() {
+    for pattern in EndlessBytes::ALL {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (client, results) = target_client(LIMITS);
+        let target = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            read_head(&mut stream).expect("the request");
+            let mut sent = stream.write_all(&pattern.answer_start(""));
+            while sent.is_ok() {
+                sent = stream.write_all(&pattern.block());
+            }
+        });
+
+        run_on_target(client, 1, address, "GET", TIMEOUT);
+        let event = results.recv_timeout(TIMEOUT).expect("a result");
+
+        assert_eq!(text(event.result), "broken", "{pattern:?}");
+        target.join().expect("the connection was closed");
+    }
+}
+
 /// Guards against requests without the `via` field that a gateway must add.
 #[test]
 fn requests_name_the_gateway() {
--- a/crates/http/src/http1/body.rs
+++ b/crates/http/src/http1/body.rs
@@ -6,6 +6,9 @@
 
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 const MAX_TRAILER_BYTES: usize = 8192;
+/// Size of the chunk lines that a body may have beyond the size of its data. Chunks that are mostly
+/// framing cost much time and carry little.
+const FRAMING_ALLOWANCE_BYTES: usize = 64 * 1024;
 const CRLF: &[u8] = b"\r\n";
 
 /// Framing of a body, which determines where the body ends.
@@ -84,6 +87,8 @@
     stage: Stage,
     limit_bytes: usize,
     body: Vec<u8>,
+    /// Size of the chunk lines read so far.
+    framing_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -114,6 +119,7 @@
             stage,
             limit_bytes,
             body: Vec::new(),
+            framing_bytes: 0,
         })
     }
 
@@ -123,6 +129,12 @@
         matches!(self.stage, Stage::Done)
     }
 
+    /// Returns the size of the buffer for the body.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.body.capacity()
+    }
+
     /// Completes a close-delimited body after its connection has ended. Returns false when a body
     /// of another framing is incomplete.
     pub fn finish_at_end(&mut self) -> bool {
@@ -214,6 +226,10 @@
             Ok(httparse::Status::Partial) => Ok(0),
             Ok(httparse::Status::Complete((used, size))) => {
                 check_chunk_line(&input[..used])?;
+                self.framing_bytes += used;
+                if self.framing_bytes > self.body.len() + FRAMING_ALLOWANCE_BYTES {
+                    return Err(HttpError::Malformed("the chunks are mostly framing"));
+                }
                 let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
                 if size > self.limit_bytes {
                     return Err(HttpError::BodyTooLarge);
--- a/crates/http/src/http1/request.rs
+++ b/crates/http/src/http1/request.rs
@@ -81,6 +81,14 @@
         self.current.is_none()
     }
 
+    /// Returns the size of the buffer for the body.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.current
+            .as_ref()
+            .map_or(0, |partial| partial.body.held_bytes())
+    }
+
     /// Consumes input up to the end of at most one request.
     ///
     /// # Errors
--- a/crates/http/src/http1/response.rs
+++ b/crates/http/src/http1/response.rs
@@ -27,6 +27,8 @@
     is_head: bool,
     /// Whether a response without framing headers is read until its connection ends.
     allow_unframed: bool,
+    /// Size of the interim responses read so far.
+    interim_bytes: usize,
     current: Option<PartialResponse>,
 }
 
@@ -59,6 +61,7 @@
             limits,
             is_head: method == "HEAD",
             allow_unframed: false,
+            interim_bytes: 0,
             current: None,
         }
     }
@@ -77,6 +80,14 @@
         self.current.is_some()
     }
 
+    /// Returns the size of the buffer for the body.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.current
+            .as_ref()
+            .map_or(0, |partial| partial.body.held_bytes())
+    }
+
     /// Returns the response that ends with its connection. Must only be called after an orderly
     /// close: after a reset the body may be incomplete.
     #[must_use]
@@ -99,6 +110,12 @@
             };
             used_bytes += head_bytes;
             // Interim responses are skipped; the final response follows.
+            if partial.is_none() {
+                self.interim_bytes += head_bytes;
+            }
+            if self.interim_bytes > self.limits.max_head_bytes {
+                return Err(HttpError::HeadTooLarge);
+            }
             self.current = partial;
         }
         let Some(mut partial) = self.current.take() else {
--- a/crates/sidecar/src/edge/stream.rs
+++ b/crates/sidecar/src/edge/stream.rs
@@ -21,6 +21,9 @@
 const POLL_PRIORITY: u32 = 1;
 /// Size of one read in bytes.
 const READ_BYTES: usize = 16 * 1024;
+/// Largest input that is read at once. A peer that sends without a pause would otherwise keep the
+/// process reading.
+const MAX_INPUT_BYTES: usize = 128 * 1024;
 /// Time after which a connection with unacknowledged bytes is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Largest unsent output; with more, the connection counts as stalled.
@@ -31,18 +34,41 @@
 pub enum Reading {
     /// More may arrive.
     Open,
+    /// More has arrived. It is to be read a moment later, after [`Stream::resume`], so that a peer
+    /// that sends without a pause leaves time for the others.
+    More,
     /// The peer has closed its sending side.
     Ended,
     /// The connection was reset or failed.
     Failed,
 }
 
+/// Releases the memory of an input buffer that is empty after a large message.
+pub fn release_empty(input: &mut Vec<u8>) {
+    if input.is_empty() && input.capacity() > READ_BYTES {
+        *input = Vec::new();
+    }
+}
+
+impl Reading {
+    /// Returns whether no more input can arrive.
+    #[must_use]
+    pub fn has_ended(self) -> bool {
+        match self {
+            Self::Open | Self::More => false,
+            Self::Ended | Self::Failed => true,
+        }
+    }
+}
+
 /// TCP connection.
 pub struct Stream {
     source: MioSource<TcpStream>,
     output: Vec<u8>,
     written: usize,
     is_connected: bool,
+    /// Whether reading waits for [`Stream::resume`], as much input was read at once.
+    is_paused: bool,
 }
 
 impl Stream {
@@ -77,6 +103,7 @@
             output: Vec::new(),
             written: 0,
             is_connected,
+            is_paused: false,
         })
     }
 
@@ -110,13 +137,14 @@
         self.flush()
     }
 
-    /// Reads the available input and appends it to a buffer.
+    /// Reads the available input, at most `MAX_INPUT_BYTES`, and appends it to a buffer.
     pub fn read(&mut self, input: &mut Vec<u8>) -> Reading {
-        if !self.is_connected {
+        if !self.is_connected || self.is_paused {
             return Reading::Open;
         }
         let mut chunk = [0; READ_BYTES];
-        loop {
+        let full_at = input.len() + MAX_INPUT_BYTES;
+        while input.len() < full_at {
             match self.source.read(&mut chunk) {
                 Ok(0) => return Reading::Ended,
                 Ok(count) => input.extend_from_slice(&chunk[..count]),
@@ -125,6 +153,13 @@
                 Err(_) => return Reading::Failed,
             }
         }
+        self.is_paused = true;
+        Reading::More
+    }
+
+    /// Allows reading again after [`Reading::More`].
+    pub fn resume(&mut self) {
+        self.is_paused = false;
     }
 
     /// Buffers output and writes as much of it as the connection accepts.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod balance;
 pub mod budget;
+pub mod buffers;
 pub mod caller_retries;
 pub mod clock;
 pub mod edge;
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -23,6 +23,7 @@
 use stakker_mio::mio::net::TcpStream;
 
 use crate::clock::Time;
+use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
 use crate::node::Node;
@@ -46,6 +47,11 @@
 const INITIAL_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Code of a request whose body found no memory.
+const CODE_NO_MEMORY: &str = "HF-3709";
+/// `Retry-After` of such a request.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Connection of a caller, of the target or of a check.
 pub(crate) struct Caller {
     port: Port,
@@ -90,6 +96,11 @@
 }
 
 impl Caller {
+    /// Returns the size of the buffers for input.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.input.capacity() + self.reader.held_bytes()
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty()
             && self.reader.is_idle()
@@ -181,6 +192,13 @@
         self.read_caller(id);
     }
 
+    pub(super) fn resume_caller(&mut self, id: u64) {
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.stream.resume();
+            self.read_caller(id);
+        }
+    }
+
     fn read_caller(&mut self, id: u64) {
         let Some(caller) = self.callers.get_mut(id) else {
             return;
@@ -192,6 +210,10 @@
         };
         match reading {
             Reading::Open => self.read_requests(id),
+            Reading::More => {
+                self.read_later(Socket::Caller(id));
+                self.read_requests(id);
+            }
             Reading::Ended | Reading::Failed => self.close_caller(id),
         }
     }
@@ -226,6 +248,7 @@
                 }
             };
             caller.input.drain(..step.used_bytes);
+            stream::release_empty(&mut caller.input);
             if step.send_continue && caller.pending.is_empty() {
                 // A failure to send shows in the next event of the connection.
                 let _ = caller.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -271,6 +294,26 @@
     }
 
     fn bad_request(&mut self, id: u64, error: HttpError) {
+        self.log_event(
+            "request_unreadable",
+            json!({ "status": error.status(), "reason": error.to_string() }),
+        );
+        let answer = own_answer(error.status(), &error.code().to_string(), None);
+        self.answer_last(id, answer);
+    }
+
+    /// Refuses a request that is being read and would exceed the budget of memory.
+    pub(super) fn refuse_input(&mut self, id: u64) {
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.input = Vec::new();
+            caller.reader = RequestReader::new(INITIAL_LIMITS);
+        }
+        let answer = own_answer(503, CODE_NO_MEMORY, Some(MEMORY_RETRY_AFTER));
+        self.answer_last(id, answer);
+    }
+
+    /// Answers the request that is being read; no further one is read from the connection.
+    fn answer_last(&mut self, id: u64, answer: HttpAnswer) {
         let token = self.allocate_token();
         let Some(caller) = self.callers.get_mut(id) else {
             return;
@@ -283,11 +326,6 @@
             is_idempotent: true,
             answer: None,
         });
-        self.log_event(
-            "request_unreadable",
-            json!({ "status": error.status(), "reason": error.to_string() }),
-        );
-        let answer = own_answer(error.status(), &error.code().to_string(), None);
         self.answer_caller(id, token, answer);
     }
 
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hemlockfall_http::http::Header;
+use hemlockfall_http::http1::HttpError;
 use hemlockfall_http::http1::HttpLimits;
 use hemlockfall_http::http1::response;
 use hemlockfall_http::http1::response::ReadResponse;
@@ -16,8 +17,10 @@
 use crate::clock::Time;
 use crate::edge::frame::Failure;
 use crate::edge::frame::Refusal;
+use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::log::LogCategory;
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::calls::AttemptEnd;
@@ -32,11 +35,8 @@
 const MAX_NON_IDEMPOTENT_IDLE_TIME: Duration = Duration::from_millis(250);
 /// Margin by which a connection is closed before the idle timeout that the target announced.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
-/// Limits on the size of the target's answers.
-const ANSWER_LIMITS: HttpLimits = HttpLimits {
-    max_head_bytes: 64 * 1024,
-    max_body_bytes: 64 * 1024 * 1024,
-};
+/// Largest head of an answer of the target.
+const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 /// Answers to other requests that are skipped on a connection before the expected one.
 const MAX_STRAY_ANSWERS: u8 = 4;
 
@@ -55,7 +55,27 @@
     stray_answers: u8,
 }
 
+impl TargetConnection {
+    /// Returns the size of the buffers for input.
+    pub(super) fn held_bytes(&self) -> usize {
+        let reader_bytes = self.reader.as_ref().map_or(0, ResponseReader::held_bytes);
+        self.input.capacity() + reader_bytes
+    }
+
+    /// Returns the request in progress on the connection.
+    pub(super) fn work(&self) -> Option<WorkId> {
+        self.work
+    }
+}
+
 impl Node {
+    fn answer_limits(&self) -> HttpLimits {
+        HttpLimits {
+            max_head_bytes: MAX_ANSWER_HEAD_BYTES,
+            max_body_bytes: self.buffer_limits().answer_bytes,
+        }
+    }
+
     /// Sends a request on an idle connection or on a new one.
     pub(super) fn send_to_target(&mut self, id: WorkId) -> io::Result<u64> {
         let Some(target) = self.target.own.current() else {
@@ -91,12 +111,13 @@
             Some(connection) => connection,
             None => self.open_connection(address)?,
         };
+        let limits = self.answer_limits();
         let Some(open) = self.connections.get_mut(connection) else {
             return Err(io::ErrorKind::NotConnected.into());
         };
         open.work = Some(id);
         open.stray_answers = 0;
-        open.reader = Some(ResponseReader::new(&method, ANSWER_LIMITS).allow_unframed());
+        open.reader = Some(ResponseReader::new(&method, limits).allow_unframed());
         if let Err(error) = open.stream.send(&output) {
             // The target may have received part of the request. The end of the connection, which
             // follows as an event, ends the run.
@@ -161,19 +182,31 @@
                 return;
             }
         }
+        self.read_target(id);
+    }
+
+    pub(super) fn resume_target(&mut self, id: u64) {
+        if let Some(open) = self.connections.get_mut(id) {
+            open.stream.resume();
+            self.read_target(id);
+        }
+    }
+
+    fn read_target(&mut self, id: u64) {
         let Some(open) = self.connections.get_mut(id) else {
             return;
         };
         let reading = open.stream.read(&mut open.input);
         // Set before the answer is handled, since the answer frees a slot and the next request must
         // not be sent on this connection.
-        open.has_ended = reading != Reading::Open;
+        open.has_ended = reading.has_ended();
         self.read_answers(id);
         let Some(open) = self.connections.get_mut(id) else {
             return;
         };
         match reading {
             Reading::Open => {}
+            Reading::More => self.read_later(Socket::Target(id)),
             Reading::Ended => {
                 let last = open.reader.as_mut().and_then(ResponseReader::finish_at_end);
                 match last {
@@ -203,13 +236,16 @@
             match reader.push(&open.input) {
                 Ok((used, None)) => {
                     open.input.drain(..used);
+                    stream::release_empty(&mut open.input);
                     return;
                 }
                 Ok((used, Some(read))) => {
                     open.input.drain(..used);
+                    stream::release_empty(&mut open.input);
                     self.answer_read(id, read);
                 }
-                Err(_) => {
+                Err(error) => {
+                    self.log_bad_answer(id, error);
                     self.end_connection(id, Failure::BadAnswer);
                     return;
                 }
@@ -217,9 +253,32 @@
         }
     }
 
+    fn log_bad_answer(&mut self, id: u64, error: HttpError) {
+        let code = error.code().to_string();
+        metrics::counter!("hemlockfall_sidecar_bad_answers_total", "code" => code.clone())
+            .increment(1);
+        if !self.log.admits(LogCategory::Failure, self.now) {
+            return;
+        }
+        let open = self.connections.get(id);
+        let held_bytes = open.map_or(0, TargetConnection::held_bytes);
+        let work = open.and_then(TargetConnection::work);
+        let work = work.and_then(|work| self.target.work_items.get(work));
+        let limits = self.answer_limits();
+        self.log.write(
+            "answer_unreadable",
+            json!({
+                "id": work.map(|work| &work.request_id), "code": code,
+                "reason": error.to_string(), "held_bytes": held_bytes,
+                "max_head_bytes": limits.max_head_bytes, "max_body_bytes": limits.max_body_bytes,
+            }),
+        );
+    }
+
     fn answer_read(&mut self, id: u64, read: ReadResponse) {
         let now = self.now;
         let request_id_name = self.header_names.request_id;
+        let limits = self.answer_limits();
         let Some(open) = self.connections.get_mut(id) else {
             return;
         };
@@ -239,7 +298,7 @@
         if is_stray && read.keep_alive && open.stray_answers < MAX_STRAY_ANSWERS {
             open.stray_answers += 1;
             let method = expected.map(|(_, method)| method).unwrap_or_default();
-            open.reader = Some(ResponseReader::new(&method, ANSWER_LIMITS).allow_unframed());
+            open.reader = Some(ResponseReader::new(&method, limits).allow_unframed());
             return;
         }
         let has_unsent = open.stream.has_output();
@@ -265,7 +324,7 @@
         self.end_connection(id, Failure::ConnectionLost);
     }
 
-    fn end_connection(&mut self, id: u64, failure: Failure) {
+    pub(super) fn end_connection(&mut self, id: u64, failure: Failure) {
         let Some(open) = self.connections.remove(id) else {
             return;
         };
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -16,6 +16,7 @@
 use crate::edge::frame::FrameError;
 use crate::edge::frame::TextReader;
 use crate::edge::frame::TextWriter;
+use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
 use crate::edge::transit;
@@ -80,6 +81,12 @@
 }
 
 impl Link {
+    /// Returns the size of the buffers for input.
+    pub(super) fn held_bytes(&self) -> usize {
+        let answers = self.incoming.iter().map(IncomingAnswer::held_bytes);
+        self.input.capacity() + answers.sum::<usize>()
+    }
+
     /// Returns whether the answer to a ping is overdue.
     pub(super) fn is_stalled(&self, now: Time, distance: Distance) -> bool {
         self.ping_sent
@@ -169,6 +176,17 @@
             self.link_lost(id, &error.to_string());
             return;
         }
+        self.read_link(id);
+    }
+
+    pub(super) fn resume_link(&mut self, id: u64) {
+        if let Some(link) = self.links.get_mut(id) {
+            link.stream.resume();
+            self.read_link(id);
+        }
+    }
+
+    fn read_link(&mut self, id: u64) {
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
@@ -178,9 +196,10 @@
             link.last_received_at = self.now;
             link.ping_sent = None;
         }
-        self.read_frames(id, reading != Reading::Open);
+        self.read_frames(id, reading.has_ended());
         match reading {
             Reading::Open => {}
+            Reading::More => self.read_later(Socket::Link(id)),
             Reading::Ended => self.link_lost(id, "closed"),
             Reading::Failed => self.link_lost(id, "reset"),
         }
@@ -213,6 +232,7 @@
             }
         }
         link.input.drain(..used);
+        stream::release_empty(&mut link.input);
         for frame in frames {
             let is_cancelled =
                 matches!(&frame, Frame::Call(call) if cancelled.contains(&call.call));
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod links;
 mod loads;
 mod members;
+mod memory;
 mod mesh;
 mod peers;
 mod rollouts;
@@ -80,6 +81,8 @@
 pub use run::run;
 
 /// Interval of the periodic checks that need no exact time.
+/// Time until more input of a socket is read whose input was not read whole.
+const READ_PAUSE: Duration = Duration::from_millis(1);
 const TICK: Duration = Duration::from_millis(100);
 /// Time since the last tick beyond which the process was paused or the VM suspended.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(900);
@@ -94,7 +97,7 @@
 const SETTINGS_TICKS: u64 = 10;
 
 /// Purpose of a listener.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Port {
     Callers,
     Peers,
@@ -104,7 +107,7 @@
 }
 
 /// Owner of a socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Socket {
     Listener(Port),
     Caller(u64),
@@ -114,6 +117,20 @@
     Signals,
 }
 
+impl Socket {
+    /// Returns the kind of the peer for logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Listener(_) => "listener",
+            Self::Caller(_) => "caller",
+            Self::Target(_) => "target",
+            Self::Link(_) => "node",
+            Self::Store(_) => "store",
+            Self::Signals => "signals",
+        }
+    }
+}
+
 /// Action that is due at an exact time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
@@ -126,6 +143,8 @@
     Store,
     /// The VM's uplink has room for the next chunk of a large answer.
     Uplink,
+    /// A socket has more input than was read at once.
+    Read(Socket),
 }
 
 /// Parameters of a node.
@@ -309,6 +328,22 @@
         self.run_due_timers(cx);
     }
 
+    /// Reads the rest of a socket's input after other sockets have had their turn.
+    fn read_later(&mut self, socket: Socket) {
+        self.set_timer(self.now + READ_PAUSE, Timer::Read(socket));
+    }
+
+    fn read_socket(&mut self, socket: Socket) {
+        match socket {
+            Socket::Caller(id) => self.resume_caller(id),
+            Socket::Target(id) => self.resume_target(id),
+            Socket::Link(id) => self.resume_link(id),
+            Socket::Store(channel) => self.resume_store(channel),
+            Socket::Listener(_) | Socket::Signals => {}
+        }
+        self.check_buffers();
+    }
+
     /// Sets the time of the event, and holds rollouts after a process pause: the first events may
     /// be requests, handled before the updates that arrived meanwhile have been read.
     fn read_clock(&mut self) {
@@ -358,6 +393,7 @@
             Timer::Work(id) => self.work_timed_out(id),
             Timer::Store => self.drive_store(),
             Timer::Uplink => self.drive_uplink(),
+            Timer::Read(socket) => self.read_socket(socket),
         }
     }
 
@@ -377,6 +413,7 @@
         self.check_links();
         self.check_members();
         self.check_connections();
+        self.check_buffers();
         self.check_target();
         self.report_load();
         self.check_deregistrations();
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -19,6 +19,7 @@
 use crate::clock::Time;
 use crate::edge::frame::Frame;
 use crate::edge::frame::WatcherHeartbeatFrame;
+use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
 use crate::model::ObjectRevision;
@@ -68,7 +69,7 @@
 };
 
 /// Connections to the store; each carries one call at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Channel {
     Calls,
     Config,
@@ -125,7 +126,23 @@
     pub(super) last_success: Option<Time>,
 }
 
+impl StoreSync {
+    /// Returns the size of the buffers for input of each connection.
+    pub(super) fn held_bytes(&self) -> [(Socket, usize); 3] {
+        [
+            (Socket::Store(Channel::Calls), self.calls.held_bytes()),
+            (Socket::Store(Channel::Config), self.config.held_bytes()),
+            (Socket::Store(Channel::Rollouts), self.rollouts.held_bytes()),
+        ]
+    }
+}
+
 impl StoreConnection {
+    fn held_bytes(&self) -> usize {
+        let reader_bytes = self.reader.as_ref().map_or(0, ResponseReader::held_bytes);
+        self.input.capacity() + reader_bytes
+    }
+
     fn new(now: Time) -> Self {
         Self {
             stream: None,
@@ -448,24 +465,40 @@
             self.store_call_failed(channel, &error.to_string());
             return;
         }
+        self.read_store(channel);
+    }
+
+    pub(super) fn resume_store(&mut self, channel: Channel) {
+        if let Some(stream) = &mut self.store.connection(channel).stream {
+            stream.resume();
+            self.read_store(channel);
+        }
+    }
+
+    fn read_store(&mut self, channel: Channel) {
         let connection = self.store.connection(channel);
         let Some(stream) = &mut connection.stream else {
             return;
         };
         let reading = stream.read(&mut connection.input);
+        if reading == Reading::More {
+            self.read_later(Socket::Store(channel));
+        }
+        let connection = self.store.connection(channel);
         let read = match connection
             .reader
             .as_mut()
             .map(|reader| reader.push(&connection.input))
         {
             None => {
-                if reading != Reading::Open || !connection.input.is_empty() {
+                if reading.has_ended() || !connection.input.is_empty() {
                     connection.close();
                 }
                 return;
             }
             Some(Ok((used, read))) => {
                 connection.input.drain(..used);
+                stream::release_empty(&mut connection.input);
                 read
             }
             Some(Err(error)) => {
@@ -475,7 +508,7 @@
         };
         match read {
             Some(read) => self.store_answered(channel, &read, reading),
-            None if reading != Reading::Open => {
+            None if reading.has_ended() => {
                 self.store_call_failed(channel, "the connection ended");
             }
             None => {}
@@ -486,7 +519,7 @@
         let now = self.now;
         let connection = self.store.connection(channel);
         connection.reader = None;
-        if !read.keep_alive || reading != Reading::Open || !connection.input.is_empty() {
+        if !read.keep_alive || reading.has_ended() || !connection.input.is_empty() {
             connection.close();
         }
         let Some(call) = connection.current.take() else {
@@ -514,7 +547,7 @@
         self.drive_store();
     }
 
-    fn store_call_failed(&mut self, channel: Channel, reason: &str) {
+    pub(super) fn store_call_failed(&mut self, channel: Channel, reason: &str) {
         let jitter = self.random.random_range(0.6..1.4);
         let now = self.now;
         let connection = self.store.connection(channel);
--- a/crates/sidecar/src/node/transfers.rs
+++ b/crates/sidecar/src/node/transfers.rs
@@ -31,6 +31,13 @@
     missing_bytes: usize,
 }
 
+impl IncomingAnswer {
+    /// Returns the size of the buffer for the body.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.answer.body.capacity()
+    }
+}
+
 impl Node {
     /// Begins to send the body of an answer in chunks, after its [`Frame::Answer`].
     pub(super) fn begin_transfer(&mut self, link: u64, call: u64, body: Vec<u8>, due: Time) {
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -126,6 +126,12 @@
                 "0",
                 "rate of the VM's link in Mbit/s, by which large answers are sent; 0 when unknown",
             ),
+            optional(
+                "memory_mb",
+                SettingKind::Integer { min: 0, max: 1_000_000 },
+                "0",
+                "memory of the process in MB, which bounds what it buffers; 0 when unknown",
+            ),
             optional(
                 "log_lines_per_s",
                 SettingKind::Integer { min: 0, max: 100_000 },
@@ -142,10 +148,13 @@
             code(3706, "the target failed or its answer was lost; the request may have run"),
             code(3707, "the node cannot start; the message says why"),
             code(3708, "the node stops; come back to another one"),
+            code(3709, "too much input is being read for the memory of the node; wait a second"),
         ],
         metrics: &[
             counter("hemlockfall_sidecar_requests_total", "requests by outcome"),
             counter("hemlockfall_sidecar_attempts_total", "attempts by result"),
+            counter("hemlockfall_sidecar_bad_answers_total", "answers of the target that are no valid or too large messages, by code"),
+            counter("hemlockfall_sidecar_inputs_cut_total", "connections closed because messages being read used too much memory, by peer"),
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
             counter("hemlockfall_sidecar_store_calls_total", "calls to the platform's store by result"),
             counter("hemlockfall_sidecar_objects_refused_total", "objects of the store that cannot be read; what was known before stays in force"),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -64,6 +64,8 @@
     pub is_first_start: bool,
     /// Rate of the VM's uplink in Mbit/s; 0 when unknown.
     link_mbps: f64,
+    /// Memory of the process, in MB; 0 when unknown.
+    pub memory_mb: u32,
     /// Largest number of lines about requests that are logged per second.
     pub log_lines_per_s: u32,
 }
--- a/xtask/src/harness/process.rs
+++ b/xtask/src/harness/process.rs
@@ -127,6 +127,16 @@
         format!("{} {state}\n{last}\n{errors}", self.name)
     }
 
+    /// Returns the largest resident memory of the process so far, in KiB; `None` once it has ended.
+    #[must_use]
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().strip_suffix(" kB")?.parse().ok()
+    }
+
     /// Returns the exit status once the process has ended.
     #[must_use]
     pub fn exited(&self) -> Option<ExitStatus> {
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -5,13 +5,19 @@
 use std::time::Instant;
 
 use hemlockfall_standins::caller as wire;
+use hemlockfall_standins::caller::CallerRequest;
+use hemlockfall_standins::caller::Connection;
+use hemlockfall_standins::caller::Outcome;
+use hemlockfall_standins::endless::EndlessBytes;
 use hemlockfall_standins::store::StoreFault;
 use rand::RngExt;
 
 use crate::errors::Result;
 use crate::harness::process::Signal;
+use crate::soak::caller::HOST;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
+use crate::soak::testbed::MEMORY_MB;
 use crate::soak::testbed::SERVICES;
 use crate::soak::testbed::Testbed;
 use crate::soak::testbed::Vm;
@@ -28,6 +34,12 @@
 /// Time that a node has for a graceful shutdown.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 const POLL: Duration = Duration::from_millis(20);
+/// Time between requests that are answered without end, and their deadline. They do not depend on
+/// the seed, so that a seed stands for the same faults as before.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(900);
+const ENDLESS_DEADLINE: Duration = Duration::from_secs(1);
+/// Largest share of the VM's memory that a node may use, in percent.
+const MEMORY_PERCENT: u64 = 50;
 
 /// Kind of fault.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +92,44 @@
     SendLateHeartbeat(usize),
 }
 
+/// Has a target answer without end: sends a request for it through one of the nodes. Its outcome
+/// counts only if the answer is taken for a whole one.
+fn send_endless_request(testbed: &Testbed, number: usize) {
+    let node = testbed.vms[number % testbed.vms.len()].callers;
+    let pattern = EndlessBytes::ALL[number % EndlessBytes::ALL.len()];
+    let ledger = Arc::clone(&testbed.ledger);
+    std::thread::spawn(move || {
+        let Ok(mut connection) = Connection::open(node) else {
+            return;
+        };
+        let (outcome, _) = connection.send(&CallerRequest {
+            id: format!("endless-{number}"),
+            host: HOST.to_owned(),
+            path: pattern.path("/stock"),
+            body: Vec::new(),
+            deadline: ENDLESS_DEADLINE,
+        });
+        if matches!(outcome, Outcome::Served) {
+            ledger.report(format!(
+                "ENDLESS: {pattern:?} was delivered as a whole answer"
+            ));
+        }
+    });
+}
+
+fn check_memory(testbed: &Testbed) {
+    let bound_kib = MEMORY_MB * 1024 * MEMORY_PERCENT / 100;
+    for vm in &testbed.vms {
+        let peak_kib = vm.node.peak_memory_kib().unwrap_or_default();
+        if peak_kib > bound_kib {
+            let name = &vm.name;
+            testbed
+                .ledger
+                .report(format!("MEMORY: {name} has used {peak_kib} KiB"));
+        }
+    }
+}
+
 /// Injects faults for `time` and meanwhile checks the configuration of the nodes.
 ///
 /// # Errors
@@ -89,6 +139,7 @@
     let mut pending: Vec<(Instant, Action)> = Vec::new();
     let mut next_fault = Instant::now();
     let mut next_check = Instant::now() + CONFIG_CHECK_INTERVAL;
+    let mut endless_requests = 0;
     while started.elapsed() < time || !pending.is_empty() {
         let now = Instant::now();
         let due: Vec<Action> = pending
@@ -108,7 +159,12 @@
                 .random_range(FAULT_INTERVAL_MS.0..FAULT_INTERVAL_MS.1);
             next_fault = now + Duration::from_millis(interval_ms);
         }
+        if now >= started + ENDLESS_INTERVAL * (endless_requests + 1) && started.elapsed() < time {
+            send_endless_request(testbed, usize::try_from(endless_requests).unwrap_or(0));
+            endless_requests += 1;
+        }
         if now >= next_check {
+            check_memory(testbed);
             testbed.check_config();
             next_check = now + CONFIG_CHECK_INTERVAL;
         }
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -41,6 +41,8 @@
 
 /// Services of the mesh, assigned to the targets in turn.
 pub const SERVICES: [&str; 2] = ["desk", "feed"];
+/// Memory that the settings state for a VM, in MB; the smallest of the users' deployments.
+pub const MEMORY_MB: u64 = 160;
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time within which a newly started mesh must serve all requests.
 const START_TIMEOUT: Duration = Duration::from_secs(12);
@@ -361,6 +363,12 @@
 }
 
 impl Vm {
+    /// Returns the address on which the node accepts links of other nodes.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.addresses.peers
+    }
+
     fn start(
         options: VmOptions,
         programs: &Programs,
@@ -522,7 +530,8 @@
          region = \"west\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
          advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
          metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
-         heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n",
+         heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n\
+         memory_mb = {MEMORY_MB}\n",
         addresses.callers,
         addresses.peers,
         addresses.advertised,
