Send no request on a connection whose input is not read whole

Cause, by reading the change before: a large answer may fill the read exactly, so that the end of its connection is still unread, and the next request would be lost on it. Change: such a connection is not reused until the rest was read.

--- a/crates/sidecar/src/edge/stream.rs
+++ b/crates/sidecar/src/edge/stream.rs
@@ -157,6 +157,12 @@
         Reading::More
     }
 
+    /// Returns whether input waits to be read, among it perhaps the end of the connection.
+    #[must_use]
+    pub fn is_paused(&self) -> bool {
+        self.is_paused
+    }
+
     /// Allows reading again after [`Reading::More`].
     pub fn resume(&mut self) {
         self.is_paused = false;
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -143,6 +143,7 @@
                 open.work.is_none()
                     && open.address == address
                     && open.stream.is_connected()
+                    && !open.stream.is_paused()
                     && !open.has_ended
                     && idle < limit.min(open.idle_limit)
             })
