--- a/crates/store/tests/store/contract.rs
+++ b/crates/store/tests/store/contract.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use hemlockfall_store::Error;
+use hemlockfall_store::Options;
+use hemlockfall_store::backoff::Backoff;
 use hemlockfall_store::client::VALUE_LIMIT_BYTES;
 use hemlockfall_store::client::Watched;
 use hemlockfall_store::errors;
@@ -182,3 +184,27 @@
     };
     assert_eq!(options, expected);
 }
+
+/// Guards against a last attempt that has no time to be answered: its timeout would hide why the
+/// attempts before it failed, and would leave open whether a write took effect.
+#[test]
+fn every_attempt_has_time_for_an_answer() {
+    let options = Options {
+        request_timeout_ms: 300,
+        backoff_first_ms: 5,
+        backoff_max_ms: 50,
+        ..Options::default()
+    };
+    let start = Instant::now();
+    let deadline = start + Duration::from_millis(1_500);
+    for seed in 0..100 {
+        let mut backoff = Backoff::new(&options, seed, deadline);
+        let mut now = start;
+
+        while let Some(wait) = backoff.next_wait(now, None) {
+            now += wait;
+
+            assert!(deadline - now >= Duration::from_millis(90), "seed {seed}");
+        }
+    }
+}
