Read memory_mb as a decimal number

Change: the setting is a decimal number, like link_mbps; the test fills it in. Result: the test passes; whole numbers mean the same as before.

--- a/crates/sidecar/src/buffers.rs
+++ b/crates/sidecar/src/buffers.rs
@@ -27,17 +27,16 @@
 }
 
 impl BufferLimits {
-    /// Returns the limits for a process with some memory, in MB; 0 when it is unknown.
+    /// Returns the limits for a process with some memory; 0 when it is unknown.
     #[must_use]
-    pub fn for_memory(memory_mb: u32) -> Self {
-        let memory_bytes = usize::try_from(memory_mb).unwrap_or(0) * MEGABYTE;
+    pub fn for_memory(memory_bytes: usize) -> Self {
         let budget_bytes = match memory_bytes {
             0 => DEFAULT_BUDGET_BYTES,
-            bytes => bytes * BUDGET_PERCENT / 100,
+            bytes => bytes / 100 * BUDGET_PERCENT,
         };
         Self {
             budget_bytes,
-            answer_bytes: MAX_ANSWER_BYTES.min(budget_bytes * ANSWER_PERCENT / 100),
+            answer_bytes: MAX_ANSWER_BYTES.min(budget_bytes / 100 * ANSWER_PERCENT),
         }
     }
 }
--- a/crates/sidecar/src/node/memory.rs
+++ b/crates/sidecar/src/node/memory.rs
@@ -11,7 +11,7 @@
 
 impl Node {
     pub(super) fn buffer_limits(&self) -> BufferLimits {
-        BufferLimits::for_memory(self.settings.memory_mb)
+        BufferLimits::for_memory(self.settings.memory_bytes())
     }
 
     /// Closes the connections that hold the most if all together exceed the budget.
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -128,7 +128,7 @@
             ),
             optional(
                 "memory_mb",
-                SettingKind::Integer { min: 0, max: 1_000_000 },
+                SettingKind::Decimal { min_milli: 0, max_milli: 1_000_000_000 },
                 "0",
                 "memory of the process in MB, which bounds what it buffers; 0 when unknown",
             ),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -65,7 +65,7 @@
     /// Rate of the VM's uplink in Mbit/s; 0 when unknown.
     link_mbps: f64,
     /// Memory of the process, in MB; 0 when unknown.
-    pub memory_mb: u32,
+    memory_mb: f64,
     /// Largest number of lines about requests that are logged per second.
     pub log_lines_per_s: u32,
 }
@@ -120,6 +120,18 @@
         bytes_per_s
     }
 
+    /// Returns the memory of the process, in bytes; 0 when unknown.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the setting is checked to lie between 0 and 1,000,000"
+        )]
+        let bytes = (self.memory_mb * 1024.0 * 1024.0) as usize;
+        bytes
+    }
+
     /// Returns the limits on retries.
     #[must_use]
     pub fn budget(&self) -> BudgetLimits {
--- a/crates/sidecar/tests/buffers.rs
+++ b/crates/sidecar/tests/buffers.rs
@@ -26,7 +26,7 @@
 /// answer use all of it.
 #[test]
 fn limits_follow_the_memory_of_the_process() {
-    let small = BufferLimits::for_memory(160);
+    let small = BufferLimits::for_memory(160 * 1024 * 1024);
     let unknown = BufferLimits::for_memory(0);
 
     assert!(small.budget_bytes < 160 * 1024 * 1024 / 4);
