--- a/xtask/tests/mesh/endless.rs
+++ b/xtask/tests/endless/main.rs
@@ -1,4 +1,9 @@
-//! Targets, callers and nodes that send bytes without end.
+//! Targets, callers and nodes that send bytes without end. These tests keep several processors busy,
+//! so they do not run beside those of `mesh`.
+
+#[expect(dead_code, reason = "the tests of `mesh` use the other fixtures")]
+#[path = "../mesh/setup.rs"]
+mod setup;
 
 use std::io::Read;
 use std::io::Write;
