--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -15,6 +15,7 @@
 
 use crate::admission::FenceAnswer;
 use crate::budget;
+use crate::call::types::RetryCost;
 use crate::clock::Now;
 use crate::clock::millis;
 use crate::outcome::AttemptResult;
@@ -83,15 +84,6 @@
     New,
 }
 
-/// What a retry takes from the retry budget of the service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RetryCost {
-    /// Nothing, as the attempt put no load on a target.
-    None,
-    /// One token.
-    Token,
-}
-
 /// One request in progress at its entry node.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -467,7 +459,7 @@
                 if self.key_check == KeyCheck::Unchecked && is_decided_after_claim(reason) {
                     self.key_check = KeyCheck::New;
                 }
-                let cost = retry_cost(reason);
+                let cost = RetryCost::of(reason);
                 if !(may_succeed_elsewhere(reason) && self.retry(cost, router, now)) {
                     self.answer(reason, retry_after_ms, &mut actions);
                 }
@@ -589,15 +581,6 @@
     )
 }
 
-/// Returns what the retry of an attempt costs that has not run. The budget bounds the load that
-/// retries add to targets; a paused node loses many attempts at once that no target has received.
-fn retry_cost(reason: Reason) -> RetryCost {
-    match reason {
-        Reason::NotSent | Reason::Fenced | Reason::EarlierLife => RetryCost::None,
-        _ => RetryCost::Token,
-    }
-}
-
 /// Returns whether another target may succeed. A request whose target was lost is not retried: if
 /// the request crashed it, each retry could crash one more target before the fingerprint is
 /// refused.
--- a/crates/request/src/call/types.rs
+++ b/crates/request/src/call/types.rs
@@ -124,3 +124,23 @@
     /// Write the routing decision to the log.
     Log(Box<Decision>),
 }
+
+/// What a retry takes from the retry budget of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RetryCost {
+    /// Nothing, as the attempt put no load on a target.
+    None,
+    /// One token.
+    Token,
+}
+
+impl RetryCost {
+    /// Returns what the retry of an attempt costs that has not run. The budget bounds the load that
+    /// retries add to targets; a paused node loses many attempts at once that no target has received.
+    pub(super) fn of(reason: Reason) -> Self {
+        match reason {
+            Reason::NotSent | Reason::Fenced | Reason::EarlierLife => Self::None,
+            _ => Self::Token,
+        }
+    }
+}
