--- a/review/kit.rs
+++ b/review/kit.rs
@@ -18,7 +18,7 @@
 pub const CONTROL: u16 = 8146;
 pub const APP: u16 = 8147;
 /// Host of all routes of the scripts.
-pub const HOST: &str = "shop.example";
+pub const HOST: &str = "a.example";
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
