--- a/review/kit.rs
+++ b/review/kit.rs
@@ -433,6 +433,8 @@
     state: Mutex<StoreState>,
     changed: Condvar,
     pub record: Arc<Record>,
+    /// Set while the store answers nothing; calls of that time stay unanswered.
+    is_silent: AtomicBool,
     /// Calls of each waiting watch on the configuration: (start, port of the caller).
     pub watches: Mutex<Vec<(Instant, SocketAddr)>>,
 }
@@ -443,6 +445,7 @@
             state: Mutex::new(StoreState { revision: 10, ..StoreState::default() }),
             changed: Condvar::new(),
             record,
+            is_silent: AtomicBool::new(false),
             watches: Mutex::default(),
         });
         let served = Arc::clone(&store);
@@ -451,7 +454,15 @@
             let mut input = Vec::new();
             while let Ok(Some(call)) = read_message(&mut stream, &mut input) {
                 sleep_ms(4);
+                if served.is_silent() {
+                    served.stay_silent(&stream);
+                    return;
+                }
                 let (status, body) = served.answer(&call, &stream);
+                if served.is_silent() {
+                    served.stay_silent(&stream);
+                    return;
+                }
                 let headers = [("Content-Type", "application/json")];
                 let answer = response(status, &headers, body.write().as_bytes());
                 if stream.write_all(&answer).is_err() {
@@ -462,6 +473,21 @@
         store
     }
 
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.is_silent.load(Ordering::SeqCst)
+    }
+
+    /// Leaves a connection open without an answer until its peer closes it.
+    fn stay_silent(&self, stream: &TcpStream) {
+        if let Ok(mut copy) = stream.try_clone() {
+            while matches!(copy.read(&mut [0; 4096]), Ok(1..)) {}
+        }
+    }
+
     fn json(name: &str, object: &Object) -> Json {
         Json::parse(&format!(
             "{{\"metadata\":{{\"name\":{},\"revision\":{},\"created\":{},\"finalizers\":[],\
@@ -750,6 +776,32 @@
     }
 
     pub fn beat(&self, state: &str) -> bool {
+        let call = self.prepare_beat(state);
+        self.call(&call) / 100 == 2
+    }
+
+    /// Sends `DELETE /instances/ID` and returns the status of the answer.
+    pub fn deregister(&self) -> u16 {
+        let call = format!(
+            "DELETE /instances/{} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n",
+            self.options.id
+        );
+        self.call(&call)
+    }
+
+    fn call(&self, call: &str) -> u16 {
+        let control = address(&self.options.ip, CONTROL);
+        let Ok(mut stream) = TcpStream::connect_timeout(&control, ms(1000)) else {
+            return 0;
+        };
+        match send_on(&mut stream, call.as_bytes(), ms(1000)) {
+            Ended::Answer(answer) => answer.status(),
+            _ => 0,
+        }
+    }
+
+    /// Writes the next heartbeat without sending it.
+    pub fn prepare_beat(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let options = &self.options;
         let body = format!(
@@ -758,21 +810,12 @@
              \"born\":{}}}",
             options.service, options.ip, options.zone, options.version, options.slots, self.born
         );
-        let call = format!(
+        format!(
             "PUT /instances/{} HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n\
              Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
             options.id,
             body.len()
-        );
-        let Ok(mut stream) = TcpStream::connect_timeout(&address(&options.ip, CONTROL), ms(1000))
-        else {
-            return false;
-        };
-        let _ = stream.set_read_timeout(Some(ms(1000)));
-        if stream.write_all(call.as_bytes()).is_err() {
-            return false;
-        }
-        matches!(read_message(&mut stream, &mut Vec::new()), Ok(Some(answer)) if answer.status() / 100 == 2)
+        )
     }
 
     /// Ends the upstream as a crash does.
@@ -960,7 +1003,14 @@
     }
 
     /// Renders the template of the deploy file with the settings of a machine.
-    fn settings(&self, machine: usize, service: &str, zone: &str, store: SocketAddr) -> String {
+    fn settings(
+        &self,
+        machine: usize,
+        service: &str,
+        zone: &str,
+        store: SocketAddr,
+        bootstrap: bool,
+    ) -> String {
         let template = fs::read_to_string("platform/settings.toml.in")
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
         let ip = self.ip(machine);
@@ -987,7 +1037,7 @@
             ("limits.linkMbps", "1000.0".into(), false),
             ("limits.memoryMb", "260".into(), false),
             ("bounds.exposureSlack", "50".into(), false),
-            ("bootstrap", "true".into(), false),
+            ("bootstrap", bootstrap.to_string(), false),
         ];
         let mut text = template;
         for (name, value, is_text) in &values {
@@ -1008,8 +1058,20 @@
 
     /// Starts a node with the command of the deploy file.
     pub fn start_node(&self, machine: usize, service: &str, zone: &str, store: SocketAddr) -> Node {
+        self.start_node_as(machine, service, zone, store, true)
+    }
+
+    /// Starts a node; `bootstrap` is true only when the whole system starts for the first time.
+    pub fn start_node_as(
+        &self,
+        machine: usize,
+        service: &str,
+        zone: &str,
+        store: SocketAddr,
+        bootstrap: bool,
+    ) -> Node {
         let path = self.folder.join(format!("node-{machine}.toml"));
-        let settings = self.settings(machine, service, zone, store);
+        let settings = self.settings(machine, service, zone, store, bootstrap);
         let written = fs::write(&path, settings);
         let log = fs::File::options()
             .create(true)
