--- a/review/kit.rs
+++ b/review/kit.rs
@@ -986,8 +986,13 @@
     pub folder: PathBuf,
     pub record: Arc<Record>,
     pub has_trouble: bool,
+    started: Instant,
 }
 
+/// "Traffic starts 10 s after the machines do." All nodes have been in touch for longer than
+/// `stabilityWindowS` by then.
+const TRAFFIC_STARTS_AFTER: Duration = Duration::from_secs(10);
+
 impl Testbed {
     pub fn new(case: &Path) -> Self {
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -1000,6 +1005,7 @@
             folder,
             record: Record::create(&case.join("record.txt")),
             has_trouble,
+            started: Instant::now(),
         }
     }
 
@@ -1129,8 +1135,8 @@
             }
             sleep_ms(50);
         }
-        // Traffic starts 8 s after the machines do; links and records are complete long before.
-        sleep_ms(3000);
+        let traffic_start = self.started + TRAFFIC_STARTS_AFTER;
+        thread::sleep(traffic_start.saturating_duration_since(Instant::now()));
     }
 }
 
