Answer the requests in progress before a stopping node ends

Orders that waited in the queue of the target were cut off as well.

Cause: answers are written in the order of the requests of a connection, and nothing gave an unfinished request an answer before the process ended, at 92 % of the grace time. is_stopped looked at the time alone.

Evidence: lines `run` with status 200 before `stop_begun`, no answer on the connection, `node_stopped` with calls above 0.

Change: at 90 % of the grace time, inside its last sixth, the queue of the target is rejected as not run and each request in progress is answered (last answer of a target, 503 if not sent, 502 if it may have run); no attempt starts after that. The process ends once the answers are written, at 95 % at the latest. Why it works: what stands in front of a ready answer now always ends before the process does.

Ruled out: closing connections in order of readiness does not help, as HTTP/1.1 answers can't overtake each other.

--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -39,9 +39,8 @@
 
 const CODE_NO_CONFIG: &str = "HF-3701";
 const CODE_NO_ROUTE: &str = "HF-3702";
-const CODE_NO_TARGET: &str = "HF-3703";
+pub(super) const CODE_NO_TARGET: &str = "HF-3703";
 const CODE_SUSPECTED: &str = "HF-3704";
-const CODE_TIMED_OUT: &str = "HF-3705";
 const CODE_STOPPING: &str = "HF-3708";
 const CODE_UNKNOWN: &str = "HF-3706";
 /// `Retry-After` when no configuration or target is available to estimate a wait from.
@@ -57,7 +56,7 @@
 /// Request of a caller.
 pub(crate) struct Call {
     caller: u64,
-    token: u64,
+    pub(super) token: u64,
     pub(crate) request: Rc<HttpRequest>,
     pub(crate) request_id: RequestId,
     pub(crate) route: Rc<Route>,
@@ -65,7 +64,7 @@
     pub(crate) version: VersionRule,
     canary_use: CanaryUse,
     fingerprint: Fingerprint,
-    arrived: Time,
+    pub(super) arrived: Time,
     /// When the caller first sent this request; earlier than `arrived` if it is a caller's retry.
     first_requested_at: Time,
     /// When the caller stops waiting; `deadline` is earlier if the route's timeout is shorter.
@@ -76,12 +75,12 @@
     pub(crate) tried: Vec<u64>,
     pub(crate) target_attempts: u16,
     refusals: u8,
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Last answer of a target, delivered if the request is not retried.
-    last_answer: Option<HttpAnswer>,
+    pub(super) last_answer: Option<HttpAnswer>,
     pub(crate) location: AttemptLocation,
     retry_after: Duration,
-    trace: Vec<String>,
+    pub(super) trace: Vec<String>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -239,6 +238,10 @@
 
     /// Sends the request to the best node that has not been tried yet.
     fn attempt(&mut self, id: u64) {
+        if self.is_interrupting() {
+            self.no_candidate(id, Refusal::NoTarget, None);
+            return;
+        }
         let now = self.now;
         let Some(call) = self.calls.get(id) else {
             return;
@@ -445,7 +448,7 @@
         }
     }
 
-    fn finish(&mut self, id: u64, final_outcome: FinalOutcome) {
+    pub(super) fn finish(&mut self, id: u64, final_outcome: FinalOutcome) {
         let Some(call) = self.calls.get_mut(id) else {
             return;
         };
@@ -463,82 +466,7 @@
         self.finish_call(id, answer, outcome);
     }
 
-    /// Answers a request whose deadline, given by its caller or its route, has passed.
-    pub(super) fn call_timed_out(&mut self, id: u64) {
-        let Some(call) = self.calls.get(id) else {
-            return;
-        };
-        let location = call.location;
-        let has_not_run = !call.may_have_run
-            && match location {
-                AttemptLocation::None => true,
-                AttemptLocation::Own(work) => self.is_waiting(work),
-                AttemptLocation::Peer { .. } => false,
-            };
-        let name = self.location_name(location);
-        if let Some(call) = self.calls.get_mut(id) {
-            call.trace.push(format!("{name}: no answer in time"));
-        }
-        self.cancel_attempt(id, location);
-        let answer = if has_not_run {
-            own_answer(503, CODE_NO_TARGET, None)
-        } else {
-            own_answer(504, CODE_TIMED_OUT, None)
-        };
-        self.finish_call(id, answer, "timed_out");
-    }
-
-    /// Abandons a request whose caller has closed its connection.
-    pub(super) fn caller_disconnected(&mut self, token: u64) {
-        self.deregistrations.retain(|entry| entry.token != token);
-        self.discard_deferred(token);
-        let found = self
-            .calls
-            .iter()
-            .find(|(_, call)| call.token == token)
-            .map(|(id, call)| (id, call.location));
-        let Some((id, location)) = found else {
-            return;
-        };
-        self.cancel_attempt(id, location);
-        let Some(call) = self.calls.remove(id) else {
-            return;
-        };
-        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "caller_gone")
-            .increment(1);
-        if self.log.admits(LogCategory::Failure, self.now) {
-            let waited_ms = ms(self.now.saturating_sub(call.arrived));
-            self.log.write(
-                "request",
-                json!({
-                    "id": call.request_id, "route": call.route.name, "outcome": "caller_gone",
-                    "waited_ms": waited_ms, "attempts": call.trace,
-                }),
-            );
-        }
-    }
-
-    /// Returns the name of an attempt's node for the log.
-    fn location_name(&self, location: AttemptLocation) -> String {
-        match location {
-            AttemptLocation::None => "nowhere".to_owned(),
-            AttemptLocation::Own(_) => "own target".to_owned(),
-            AttemptLocation::Peer { peer, .. } => self.peers.get(peer).map_or_else(
-                || "unknown node".to_owned(),
-                |peer| peer.record.node.to_string(),
-            ),
-        }
-    }
-
-    fn cancel_attempt(&mut self, id: u64, location: AttemptLocation) {
-        match location {
-            AttemptLocation::None => {}
-            AttemptLocation::Own(work) => self.cancel_work(work),
-            AttemptLocation::Peer { peer, link } => self.cancel_at_peer(id, peer, link),
-        }
-    }
-
-    fn finish_call(&mut self, id: u64, mut answer: HttpAnswer, outcome: &'static str) {
+    pub(super) fn finish_call(&mut self, id: u64, mut answer: HttpAnswer, outcome: &'static str) {
         let Some(call) = self.calls.remove(id) else {
             return;
         };
--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -33,7 +33,9 @@
     pub(super) fn can_defer(&self, request: &HttpRequest, arrived: Time) -> bool {
         let caller_timeout = self.caller_timeout(request).unwrap_or(MAX_DEFERRAL);
         let deferral = (caller_timeout * DEFERRAL_PERCENT / 100).min(MAX_DEFERRAL);
-        self.now < arrived + deferral && self.deferred.len() < MAX_DEFERRED_REQUESTS
+        self.now < arrived + deferral
+            && self.deferred.len() < MAX_DEFERRED_REQUESTS
+            && !self.is_interrupting()
     }
 
     pub(super) fn defer_request(
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The running node: one actor that owns all sockets and timers and calls the decision modules.
 
+mod abandoned_calls;
 mod callers;
 mod calls;
 mod connections;
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! The readiness check fails, so that callers go elsewhere. Then new connections are refused, and a
 //! tick later the listener is closed; connections that the kernel had accepted are still served.
-//! Shortly after, the process ends.
+//! Shortly after, the process ends. Requests that are in progress when the grace time is nearly over
+//! are interrupted, so that the answers behind them on their connections can be written.
 
 use std::time::Duration;
 
@@ -44,10 +45,19 @@
         self.record_changed();
     }
 
+    /// Returns whether the process is about to end, so that no request may be kept waiting.
+    pub(super) fn is_interrupting(&self) -> bool {
+        self.shutdown
+            .is_some_and(|shutdown| shutdown.interrupts_calls(self.now))
+    }
+
     pub(super) fn check_stop(&mut self) {
         let Some(shutdown) = self.shutdown else {
             return;
         };
+        if self.is_interrupting() {
+            self.interrupt_calls();
+        }
         if !shutdown.refuses_connections(self.now) {
             return;
         }
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -3,7 +3,9 @@
 //! The node first reports that it is not ready, and callers go elsewhere within some seconds. During
 //! this time the target next to it still runs, so other nodes may use it; otherwise the slots of all
 //! targets whose nodes restart together would be idle. Then new connections are refused, and the
-//! process ends when all accepted requests are answered.
+//! process ends when all accepted requests are answered. Requests that are still in progress shortly
+//! before the grace time ends are interrupted, since the process would otherwise be killed with
+//! answers in hand that wait behind them on their connections.
 
 use std::time::Duration;
 
@@ -19,8 +21,11 @@
 /// Share of the grace time after which no request is started, in percent. The end of the process
 /// could cut off a request that starts later.
 const LAST_START_PERCENT: u32 = 60;
+/// Share of the grace time after which requests in progress are interrupted, in percent. The rest is
+/// left for writing the answers that are ready.
+const INTERRUPTION_PERCENT: u32 = 90;
 /// Share of the grace time after which the node ends in any case, in percent.
-const FORCED_EXIT_PERCENT: u32 = 92;
+const FORCED_EXIT_PERCENT: u32 = 95;
 
 /// Graceful shutdown in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,7 +59,13 @@
         self.elapsed(now) >= self.grace * LAST_START_PERCENT / 100
     }
 
-    /// Returns whether the process has to end although requests are in progress.
+    /// Returns whether requests in progress are to be answered without waiting for their targets.
+    #[must_use]
+    pub fn interrupts_calls(&self, now: Time) -> bool {
+        self.elapsed(now) >= self.grace * INTERRUPTION_PERCENT / 100
+    }
+
+    /// Returns whether the process has to end although answers are not written yet.
     #[must_use]
     pub fn is_exit_forced(&self, now: Time) -> bool {
         self.elapsed(now) >= self.grace * FORCED_EXIT_PERCENT / 100
--- a/crates/sidecar/tests/shutdown.rs
+++ b/crates/sidecar/tests/shutdown.rs
@@ -32,10 +32,22 @@
 
         let last_peer_call = first(&|now| !shutdown.accepts_peer_calls(now));
         let last_start = first(&|now| shutdown.is_closing(now));
+        let interruption = first(&|now| shutdown.interrupts_calls(now));
         let exit = first(&|now| shutdown.is_exit_forced(now));
 
         assert!(last_peer_call < last_start, "{grace_ms}");
-        assert!(last_start < exit, "{grace_ms}");
+        assert!(last_start < interruption, "{grace_ms}");
+        assert!(interruption < exit, "{grace_ms}");
         assert!(exit < Some(at(grace_ms)), "{grace_ms}");
     }
 }
+
+/// Guards against requests that are interrupted although their targets could still answer in time:
+/// only the last sixth of the grace time is left to the end of the process.
+#[test]
+fn requests_are_interrupted_in_the_last_sixth_of_the_grace_time_only() {
+    let shutdown = Shutdown::new(at(0), GRACE);
+
+    assert!(!shutdown.interrupts_calls(GRACE * 5 / 6));
+    assert!(shutdown.interrupts_calls(GRACE * 10 / 11));
+}
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod setup;
+mod stopping;
 
 use std::net::SocketAddr;
 use std::thread;
--- /dev/null
+++ b/xtask/tests/mesh/stopping.rs
@@ -0,0 +1,130 @@
+//! Graceful shutdown of a node while requests of very different run times are in progress.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockfall_standins::caller as wire;
+use hemlockfall_standins::caller::CallerRequest;
+use hemlockfall_standins::caller::Connection;
+use hemlockfall_standins::caller::Outcome;
+use xtask::harness::process::Signal;
+use xtask::soak::testbed::SERVICES;
+use xtask::soak::testbed::Testbed;
+
+use crate::setup::HOST;
+use crate::setup::await_served;
+use crate::setup::request;
+use crate::setup::start;
+use crate::setup::testbed_options;
+
+/// Time after SIGTERM at which the platform kills a node.
+const GRACE: Duration = Duration::from_secs(6);
+/// Deadline of a request that may outlast the node.
+const LONG: Duration = Duration::from_secs(12);
+
+/// Starts a mesh with a route whose timeout is longer than the time for a graceful shutdown.
+fn start_with_long_route(test: &str, slots: u32) -> Testbed {
+    let mut options = testbed_options(test, 1);
+    options.slots = slots;
+    let testbed = start(&options);
+    let mut routes = [
+        wire::route("batch", HOST, "/batch/", "desk", true),
+        wire::route("orders", HOST, "/orders/", "desk", false),
+    ];
+    for route in &mut routes {
+        route["timeoutS"] = LONG.as_secs().into();
+        route["targetLatencyS"] = LONG.as_secs().into();
+    }
+    let config = wire::config(testbed.config.0 + 1, &routes, &SERVICES);
+    testbed.store.put("config", "main", config);
+    await_served(&testbed, testbed.vms[0].callers, "/batch/1");
+    testbed
+}
+
+fn batch_request(number: usize, run_ms: u64) -> CallerRequest {
+    let path = format!("/batch/takes/{run_ms}");
+    request(number, &path, false, LONG)
+}
+
+/// Waits for the outcomes of requests that were sent ahead on a connection.
+fn receive_all(connection: &mut Connection, sent: &[CallerRequest]) -> Vec<Outcome> {
+    let sent_at = Instant::now();
+    sent.iter()
+        .map(|sent| connection.receive(sent, sent_at).0)
+        .collect()
+}
+
+/// Load: on each of six connections, two short requests wait behind one that outlasts the node.
+/// Guards against answers that are ready before the SIGTERM and are dropped when the node ends,
+/// since the request in front of them on their connection is unfinished.
+#[test]
+fn answers_behind_an_unfinished_request_are_delivered_before_the_node_ends() {
+    let mut testbed = start_with_long_route("held_answers", 18);
+    let node = testbed.vms[0].callers;
+    let sent = [(1, 9_000), (2, 200), (3, 200)].map(|(number, ms)| batch_request(number, ms));
+    let mut connections: Vec<Connection> = (0..6)
+        .map(|_| Connection::open(node).expect("the node accepts connections"))
+        .collect();
+    for connection in &mut connections {
+        for request in &sent {
+            connection.send_ahead(request).expect("the node reads");
+        }
+    }
+    thread::sleep(Duration::from_millis(600));
+
+    testbed.vms[0]
+        .node
+        .signal(Signal::Term)
+        .expect("the node runs");
+    let outcomes: Vec<Vec<Outcome>> = connections
+        .iter_mut()
+        .map(|connection| receive_all(connection, &sent))
+        .collect();
+
+    for outcomes in &outcomes {
+        let [Outcome::Failed(502), Outcome::Served, Outcome::Served] = outcomes.as_slice() else {
+            panic!("{outcomes:?}");
+        };
+    }
+    testbed.vms[0]
+        .node
+        .wait_exit(GRACE)
+        .expect("the node ends in time");
+}
+
+/// Load: two orders wait for the only slot of a target, which a request holds that outlasts the
+/// node. Guards against orders that are started when the requests in front of them are interrupted,
+/// and against orders that end without an answer although they have not run.
+#[test]
+fn requests_in_the_queue_of_a_node_that_ends_are_refused_as_not_run() {
+    let mut testbed = start_with_long_route("queued_orders", 1);
+    let node = testbed.vms[0].callers;
+    let long = batch_request(1, 9_000);
+    let orders = [2, 3].map(|number| request(number, "/orders/takes/100", true, LONG));
+    let mut front = Connection::open(node).expect("the node accepts connections");
+    front.send_ahead(&long).expect("the node reads");
+    thread::sleep(Duration::from_millis(200));
+    let mut waiting = orders.each_ref().map(|order| {
+        let mut connection = Connection::open(node).expect("the node accepts connections");
+        connection.send_ahead(order).expect("the node reads");
+        connection
+    });
+
+    testbed.vms[0]
+        .node
+        .signal(Signal::Term)
+        .expect("the node runs");
+    let started = Instant::now();
+    let outcomes: Vec<Outcome> = waiting
+        .iter_mut()
+        .zip(&orders)
+        .map(|(connection, order)| connection.receive(order, started).0)
+        .collect();
+
+    assert!(started.elapsed() > GRACE / 2, "the orders were not queued");
+    for (outcome, order) in outcomes.iter().zip(&orders) {
+        assert!(matches!(outcome, Outcome::NotRun), "{outcome:?}");
+        assert_eq!(testbed.ledger.runs_of(&order.id), 0, "{}", order.id);
+    }
+}
