Start a request late in a stop only if its deadline passes before the node ends

Cause: the schedule of the stop compared the time since SIGTERM only. Each request was started up to 60 % of the grace time (3.6 s), also one that could outlast the node; none was started after it, also if its deadline was near.

Why it works: a request is answered at its deadline at the latest, so none that is started late is unanswered at the interruption. Requests with near deadlines are now served longer than before.

Ruled out: rejecting everything from 3 s on, which would turn away short requests that end in time.

--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -121,10 +121,6 @@
             }
             return;
         };
-        if self.is_closing() {
-            self.refuse_request(caller, token, &request_id, 503, CODE_STOPPING);
-            return;
-        }
         let version = config.version;
         let host = request.header("host").unwrap_or_default().to_owned();
         let Some(route) = self.mesh.router.select(&host, request.path()) else {
@@ -133,6 +129,12 @@
             self.answer_caller(caller, token, answer);
             return;
         };
+        let caller_timeout = self.caller_timeout(&request).unwrap_or(route.timeout);
+        let deadline = arrived + caller_timeout.min(route.timeout);
+        if !self.may_start(deadline) {
+            self.refuse_request(caller, token, &request_id, 503, CODE_STOPPING);
+            return;
+        }
         if self.awaits_targets(&route) && self.can_defer(&request, arrived) {
             self.defer_request(caller, token, request, arrived);
             return;
@@ -149,7 +151,6 @@
             self.refuse_request(caller, token, &request_id, 503, CODE_SUSPECTED);
             return;
         }
-        let caller_timeout = self.caller_timeout(&request).unwrap_or(route.timeout);
         // All nodes share the allowance, also those that this node is not connected to.
         let (version, canary_use) = self.mesh.version_rule(
             &service,
@@ -163,7 +164,6 @@
         if share > 0.0 {
             self.budget.count_nested_call(&service, share, self.now);
         }
-        let deadline = arrived + caller_timeout.min(route.timeout);
         let caller_deadline = arrived + caller_timeout;
         let first_requested_at = self
             .caller_retries
--- a/crates/sidecar/src/node/stop.rs
+++ b/crates/sidecar/src/node/stop.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use crate::clock::Time;
 use crate::node::Node;
 use crate::node::Port;
 use crate::shutdown::Shutdown;
@@ -22,10 +23,11 @@
         self.shutdown.is_some()
     }
 
-    /// Returns whether the process will end too soon to start a request.
-    pub(super) fn is_closing(&self) -> bool {
+    /// Returns whether a request with a deadline may be started, as the process does not end too
+    /// soon for it.
+    pub(super) fn may_start(&self, deadline: Time) -> bool {
         self.shutdown
-            .is_some_and(|shutdown| shutdown.is_closing(self.now))
+            .is_none_or(|shutdown| shutdown.may_start(self.now, deadline))
     }
 
     /// Returns whether other nodes may send requests to the target.
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -18,9 +18,9 @@
 const TARGET_NOTICE: Duration = Duration::from_secs(2);
 /// Share of the grace time up to which other nodes may send requests to the target, in percent.
 const TARGET_NOTICE_PERCENT: u32 = 35;
-/// Share of the grace time after which no request is started, in percent. The end of the process
-/// could cut off a request that starts later.
-const LAST_START_PERCENT: u32 = 60;
+/// Share of the grace time after which a request is started only if its deadline passes before the
+/// interruption, in percent. The target could still be at work on any other one by then.
+const OPEN_START_PERCENT: u32 = 45;
 /// Share of the grace time after which requests in progress are interrupted, in percent. The rest is
 /// left for writing the answers that are ready.
 const INTERRUPTION_PERCENT: u32 = 90;
@@ -53,10 +53,11 @@
         self.elapsed(now) >= NOT_READY_NOTICE
     }
 
-    /// Returns whether the process will end too soon to start a request.
+    /// Returns whether a request with a deadline may be started.
     #[must_use]
-    pub fn is_closing(&self, now: Time) -> bool {
-        self.elapsed(now) >= self.grace * LAST_START_PERCENT / 100
+    pub fn may_start(&self, now: Time, deadline: Time) -> bool {
+        let interruption = self.begun + self.grace * INTERRUPTION_PERCENT / 100;
+        self.elapsed(now) < self.grace * OPEN_START_PERCENT / 100 || deadline <= interruption
     }
 
     /// Returns whether requests in progress are to be answered without waiting for their targets.
--- a/crates/sidecar/tests/shutdown.rs
+++ b/crates/sidecar/tests/shutdown.rs
@@ -6,6 +6,7 @@
 
 use common::at;
 use hemlockfall_sidecar::shutdown::Shutdown;
+use quickcheck::quickcheck;
 
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -31,7 +32,7 @@
         };
 
         let last_peer_call = first(&|now| !shutdown.accepts_peer_calls(now));
-        let last_start = first(&|now| shutdown.is_closing(now));
+        let last_start = first(&|now| !shutdown.may_start(now, Duration::MAX));
         let interruption = first(&|now| shutdown.interrupts_calls(now));
         let exit = first(&|now| shutdown.is_exit_forced(now));
 
@@ -42,6 +43,27 @@
     }
 }
 
+quickcheck! {
+    /// Guards against a request that is started in the second half of the grace time and whose
+    /// target is still at work when requests in progress are interrupted.
+    fn a_late_start_has_its_deadline_before_the_interruption(begun_ms: u16, late_ms: u16, time_left_ms: u16) -> bool {
+        let begun = at(begun_ms.into());
+        let shutdown = Shutdown::new(begun, GRACE);
+        let now = begun + GRACE / 2 + at(late_ms.into());
+        let deadline = now + at(time_left_ms.into());
+        !shutdown.may_start(now, deadline) || !shutdown.interrupts_calls(deadline.saturating_sub(at(1)))
+    }
+}
+
+/// Guards against requests that are refused during a stop although their deadline is near enough.
+#[test]
+fn a_request_with_a_near_deadline_is_started_late_in_a_shutdown() {
+    let shutdown = Shutdown::new(at(0), GRACE);
+
+    assert!(shutdown.may_start(at(4_000), at(5_000)));
+    assert!(!shutdown.may_start(at(4_000), at(7_000)));
+}
+
 /// Guards against requests that are interrupted although their targets could still answer in time:
 /// only the last sixth of the grace time is left to the end of the process.
 #[test]
--- a/xtask/tests/mesh/stopping.rs
+++ b/xtask/tests/mesh/stopping.rs
@@ -128,3 +128,34 @@
         assert_eq!(testbed.ledger.runs_of(&order.id), 0, "{}", order.id);
     }
 }
+
+/// Load: a caller that sends ahead goes on sending on its connection late in a shutdown. Guards against
+/// a request that is started then and cut off by the end of the node while its target is at work,
+/// and against the refusal of one that ends in time.
+#[test]
+fn a_stopping_node_starts_only_requests_that_end_before_it() {
+    let mut testbed = start_with_long_route("late_start", 8);
+    let node = testbed.vms[0].callers;
+    let first = batch_request(1, 4_300);
+    let long = batch_request(2, 3_000);
+    let mut short = batch_request(3, 200);
+    short.deadline = Duration::from_millis(1_500);
+    let mut connection = Connection::open(node).expect("the node accepts connections");
+    connection.send_ahead(&first).expect("the node reads");
+    thread::sleep(Duration::from_millis(100));
+
+    testbed.vms[0]
+        .node
+        .signal(Signal::Term)
+        .expect("the node runs");
+    thread::sleep(Duration::from_millis(3_300));
+    connection.send_ahead(&long).expect("the node reads");
+    connection.send_ahead(&short).expect("the node reads");
+    let sent = [first, long, short];
+    let outcomes = receive_all(&mut connection, &sent);
+
+    let [Outcome::Served, Outcome::NotRun, Outcome::Served] = outcomes.as_slice() else {
+        panic!("{outcomes:?}");
+    };
+    assert_eq!(testbed.ledger.runs_of(&sent[1].id), 0);
+}
