--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -61,9 +61,9 @@
                     }
                 }
             }
-            (StoreCall::Watch { .. }, StoreReply::Changed { events, revision }) => {
+            (StoreCall::Watch { kind, .. }, StoreReply::Changed { events, revision }) => {
                 for event in events {
-                    self.handle_store_event(event);
+                    self.handle_store_event(kind, event);
                 }
                 self.store.connection(channel).revision = Some(revision);
             }
@@ -115,10 +115,11 @@
         }
     }
 
-    fn handle_store_event(&mut self, event: StoreEvent) {
+    fn handle_store_event(&mut self, kind: StoreKind, event: StoreEvent) {
         match event.object {
             Some(object) => self.handle_store_object(object),
-            None => self.mesh.remove_rollout(&event.name),
+            None if kind == StoreKind::Rollouts => self.mesh.remove_rollout(&event.name),
+            None => {}
         }
     }
 
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -265,6 +265,37 @@
     assert!(is_served_within(node, &shown, CONFIG_APPLY_TIMEOUT));
 }
 
+/// Guards against nodes that end, or stop following the store, because another writer left objects
+/// there that can't be decoded: nested deeply, with a number or a port out of range.
+#[test]
+fn odd_objects_in_the_store_do_not_hide_the_others() {
+    let mut testbed = start(&testbed_options("odd_objects", 2));
+    let node = testbed.vms[1].callers;
+    await_served(&testbed, node, "/stock/1");
+    let nested = format!("{}{}", "[".repeat(5_000), "]".repeat(5_000));
+    let address = r#"{"node":"odd-2","peer_address":"127.0.0.1:99999"}"#;
+    for kind in ["config", "rollouts", "hemlockfall-nodes"] {
+        for (index, spec) in [nested.as_str(), "1e400", address].iter().enumerate() {
+            let name = format!("odd-{index}");
+            let text = format!(r#"{{"metadata":{{"name":"{name}","revision":1}},"spec":{spec}}}"#);
+            testbed.store.put_text(kind, &name, &text);
+        }
+    }
+
+    testbed.write_config();
+    let shown = format!("/probe-{}/x", testbed.config.0);
+
+    for vm in 0..2 {
+        let node = testbed.vms[vm].callers;
+        assert!(is_served_within(node, &shown, CONFIG_APPLY_TIMEOUT), "{vm}");
+        assert!(testbed.vms[vm].node.exited().is_none(), "{vm} has ended");
+    }
+    for vm in &mut testbed.vms {
+        vm.restart_node().expect("the node starts");
+    }
+    await_served(&testbed, node, &shown);
+}
+
 /// Guards against a restarted node that refuses requests until it has its first configuration,
 /// while callers retry only once.
 #[test]
