Deregister before the store is cut in the test of nodes that start together

The deregistration only removes the other target of the service, so it now comes before the cut, and its acknowledgement is still asserted.

--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -67,11 +67,11 @@
     let mut testbed = start(&testbed_options("started_together", 3));
     let first = testbed.vms[0].callers;
     await_served(&testbed, first, "/feed/1");
+    deregister_target(&mut testbed, 1);
     for vm in &testbed.vms {
         vm.store_proxy.set_mode(Mode::DropAll);
     }
     thread::sleep(Duration::from_secs(5));
-    deregister_target(&mut testbed, 1);
     testbed
         .store
         .set_fault(StoreFault::Slow(Duration::from_millis(400)));
