Take no answer without a request id on a used connection to a target

What operators of similar systems saw: an upstream wrote an earlier refusal once more on a kept connection; clients were told "not run, try again" for requests that had run, or the request ran at a second upstream. Here: with a copy that has no request id, the callers of running orders got 503.

Cause: an answer without an id was taken for that of the request in progress, also on a connection that had carried another answer, of which it may be a late copy. Copies with the id of the earlier request were skipped before.

Change: on a connection that has carried an answer, one without an id ends the attempt as possibly run and closes the connection; the line answer_unattributed names it. Requests that bear no id themselves are matched as before. Why it works: an answer is only ever credited to a request by its id, or on a connection that has carried no other request.

Looked for as well, without a fault: an answer that breaks off in its head is not delivered (a test at each of 220 offsets, and one of the reader).

Ruled out: waiting for the real answer behind one without an id; a target that never echoes ids would run into each deadline.

--- a/crates/hemlockfall/tests/edge/http_readers.rs
+++ b/crates/hemlockfall/tests/edge/http_readers.rs
@@ -216,6 +216,32 @@
     assert!(!ended.keep_alive);
 }
 
+/// Guards against a head that breaks off and is taken for an empty answer when its connection ends.
+#[test]
+fn a_head_that_breaks_off_is_no_response() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-a: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-a: b\r\n\r\n",
+    ];
+    for head in heads {
+        for bytes in 0..head.len() {
+            let mut reader = ResponseReader::new("GET", LIMITS).allow_unframed();
+
+            let (_, read) = reader
+                .push(&head.as_bytes()[..bytes])
+                .expect("the head is valid so far");
+
+            assert!(read.is_none(), "{bytes} bytes of {head:?}");
+            assert!(
+                reader.finish_at_end().is_none(),
+                "{bytes} bytes of {head:?}"
+            );
+        }
+    }
+}
+
 /// Guards against an answer with a length that is taken for complete when its connection ends
 /// early.
 #[test]
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -52,9 +52,32 @@
     idle_limit: Duration,
     /// Whether the target has closed the connection; input that has arrived may still be unread.
     has_ended: bool,
+    /// Whether the connection has carried an answer before the request in progress.
+    is_reused: bool,
     stray_answers: u8,
 }
 
+/// Request that an answer belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attribution {
+    /// The request in progress.
+    Current,
+    /// Another request, since the answer bears its id.
+    Other,
+    /// Not known: the answer has no id, and may be a late copy of an earlier one.
+    Unknown,
+}
+
+/// Returns the request that an answer belongs to by its id, if any. A request without an id cannot
+/// be distinguished from others.
+fn attribution(expected: &str, found: Option<&str>, is_reused: bool) -> Attribution {
+    match found {
+        Some(found) if found != expected => Attribution::Other,
+        None if is_reused && !expected.is_empty() => Attribution::Unknown,
+        Some(_) | None => Attribution::Current,
+    }
+}
+
 impl TargetConnection {
     /// Returns the size of the buffers for input.
     pub(super) fn held_bytes(&self) -> usize {
@@ -164,6 +187,7 @@
             idle_since: self.now,
             idle_limit: MAX_IDLE_TIME,
             has_ended: false,
+            is_reused: false,
             stray_answers: 0,
         }))
     }
@@ -287,19 +311,19 @@
             self.drop_connection(id);
             return;
         };
-        let expected = self
-            .target
-            .work_items
-            .get(work)
-            .map(|work| (work.request_id.clone(), work.request.method.clone()));
-        let is_stray = match (&expected, read.answer.header(request_id_name)) {
-            (Some((expected, _)), Some(found)) => expected != found,
-            _ => false,
+        let Some(expected) = self.target.work_items.get(work) else {
+            self.drop_connection(id);
+            return;
         };
-        if is_stray && read.keep_alive && open.stray_answers < MAX_STRAY_ANSWERS {
+        let found = read.answer.header(request_id_name);
+        let attribution = attribution(&expected.request_id, found, open.is_reused);
+        let is_skipped = attribution == Attribution::Other
+            && read.keep_alive
+            && open.stray_answers < MAX_STRAY_ANSWERS;
+        if is_skipped {
             open.stray_answers += 1;
-            let method = expected.map(|(_, method)| method).unwrap_or_default();
-            open.reader = Some(ResponseReader::new(&method, limits).allow_unframed());
+            let method = &expected.request.method;
+            open.reader = Some(ResponseReader::new(method, limits).allow_unframed());
             return;
         }
         let has_unsent = open.stream.has_output();
@@ -310,16 +334,33 @@
         if let Some(limit) = read.idle_timeout {
             open.idle_limit = limit.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIME);
         }
-        if !read.keep_alive || has_unsent || has_extra || is_stray {
+        open.is_reused = true;
+        let is_own = attribution == Attribution::Current;
+        if !read.keep_alive || has_unsent || has_extra || !is_own {
             self.connections.remove(id);
         }
-        if is_stray {
-            self.work_failed(work, Failure::BadAnswer);
-        } else {
+        if is_own {
             self.target_answered(work, read.answer);
+        } else {
+            self.log_unattributed_answer(work, read.answer.status, attribution);
+            self.work_failed(work, Failure::BadAnswer);
         }
     }
 
+    fn log_unattributed_answer(&mut self, work: WorkId, status: u16, attribution: Attribution) {
+        if !self.log.admits(LogCategory::Failure, self.now) {
+            return;
+        }
+        let work = self.target.work_items.get(work);
+        self.log.write(
+            "answer_unattributed",
+            json!({
+                "id": work.map(|work| &work.request_id), "status": status,
+                "belongs_to": format!("{attribution:?}"),
+            }),
+        );
+    }
+
     /// Handles a connection that ended without a complete answer.
     fn connection_lost(&mut self, id: u64) {
         self.end_connection(id, Failure::ConnectionLost);
--- a/xtask/tests/mesh/connections.rs
+++ b/xtask/tests/mesh/connections.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hemlockfall_standins::caller::Connection;
 use hemlockfall_standins::caller::Outcome;
@@ -12,11 +13,14 @@
 use crate::setup::await_served;
 use crate::setup::lost_requests;
 use crate::setup::request;
+use crate::setup::send;
 use crate::setup::start;
 use crate::setup::testbed_options;
 
 /// Descriptor limit of a node, low enough for callers to exhaust it.
 const NODE_DESCRIPTORS: u32 = 64;
+/// Number of bytes that cover the head of an answer of the target and a part of its body.
+const LONGEST_BREAK_BYTES: usize = 220;
 
 /// Sends non-idempotent requests from four callers to one target with a single slot, so that its
 /// connection is reused right after each answer; returns the lost requests.
@@ -51,6 +55,73 @@
     assert!(lost.is_empty(), "{lost:#?}");
 }
 
+/// Load: two callers whose orders the target refuses, and two whose orders it runs, share one connection
+/// to the target, on which each answer is written a second time 8 ms later. Guards against orders
+/// whose callers are told that they have not run, although the refusal was that of another request.
+/// Refusals with and without a request id are tried.
+#[test]
+fn a_late_duplicate_refusal_refuses_no_other_request() {
+    for refused in ["/orders/refused/1", "/orders/refused/anonymous"] {
+        let mut options = testbed_options("second_refusal", 1);
+        options.slots = 1;
+        options.run_time = Duration::from_millis(20);
+        options.connection_behaviour =
+            ConnectionBehaviour::DuplicateAnswer(Duration::from_millis(8));
+        let testbed = start(&options);
+        let node = testbed.vms[0].callers;
+        await_served(&testbed, node, "/stock/1");
+        let paths = [refused, "/orders/1", refused, "/orders/1"];
+
+        let callers = paths.map(|path| thread::spawn(move || orders_not_run(node, path)));
+        let not_run: Vec<String> = callers
+            .into_iter()
+            .flat_map(|caller| caller.join().expect("a caller does not panic"))
+            .collect();
+
+        let have_run: Vec<&String> = not_run
+            .iter()
+            .filter(|id| testbed.ledger.runs_of(id) > 0)
+            .collect();
+        assert!(!not_run.is_empty(), "no order was refused");
+        assert!(have_run.is_empty(), "{refused}: {have_run:#?}");
+        let violations = testbed.finish();
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+}
+
+/// Sends orders for two seconds; returns those whose caller was told that they have not run.
+fn orders_not_run(node: SocketAddr, path: &'static str) -> Vec<String> {
+    let started = Instant::now();
+    let mut not_run = Vec::new();
+    for number in 0.. {
+        if started.elapsed() > Duration::from_secs(2) {
+            break;
+        }
+        let sent = request(number, path, true, Duration::from_millis(1500));
+        if matches!(send(node, &sent), Outcome::NotRun) {
+            not_run.push(sent.id);
+        }
+    }
+    not_run
+}
+
+/// Guards against an answer that breaks off and is delivered as a whole one: the target closes its
+/// connection after each number of bytes up to the end of the head and into the body.
+#[test]
+fn an_answer_that_breaks_off_is_not_delivered() {
+    let testbed = start(&testbed_options("broken_answer", 1));
+    let node = testbed.vms[0].callers;
+    await_served(&testbed, node, "/stock/1");
+
+    for bytes in 0..LONGEST_BREAK_BYTES {
+        let path = format!("/orders/broken/{bytes}");
+        let ended = send(node, &request(1, &path, true, Duration::from_secs(1)));
+
+        let is_failure = matches!(ended, Outcome::Failed(502) | Outcome::NotRun);
+        assert!(is_failure, "after {bytes} bytes: {ended:?}");
+    }
+}
+
 /// Sends requests on new connections without a pause until connections are refused; returns those
 /// whose connection ended without an answer after the request had been sent.
 fn cut_off_requests_until_refused(node: SocketAddr) -> Vec<String> {
