Start the requests behind answered ones in a loop

Cause: answer_caller called read_requests, which starts the next request; one that is rejected at once calls answer_caller before it returns. The depth of the calls was the number of requests in the connection's buffer.

Change: answer_caller notes the connection, and the requests behind answered ones are started in a loop at the end of the event. Why it works: answering a request no longer starts another one, whatever a peer sends.

--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -363,7 +363,15 @@
             // The caller closes its side next; a failure shows in the connection's next event.
             let _ = caller.stream.finish();
         }
-        self.read_requests(id);
+        self.answered_callers.push_back(id);
+    }
+
+    /// Starts the requests that wait behind answered ones on their connections. Many of them may be
+    /// answered at once, so they are started in a loop: a call for each would overflow the stack.
+    pub(super) fn read_answered_callers(&mut self) {
+        while let Some(id) = self.answered_callers.pop_front() {
+            self.read_requests(id);
+        }
     }
 
     fn close_caller(&mut self, id: u64) {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -27,6 +27,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -183,6 +184,8 @@
     accept_is_due: bool,
     signals: Option<SignalPipe>,
     callers: Table<Caller>,
+    /// Callers' connections on which requests may wait behind one that has been answered.
+    answered_callers: VecDeque<u64>,
     calls: Table<Call>,
     /// Requests that wait for the first configuration.
     deferred: Vec<DeferredRequest>,
@@ -242,6 +245,7 @@
             accept_is_due: false,
             signals: None,
             callers: Table::default(),
+            answered_callers: VecDeque::new(),
             calls: Table::default(),
             deferred: Vec::new(),
             next_token: 1,
@@ -281,7 +285,7 @@
         node.log_event("node_started", json!({ "incarnation": node.incarnation }));
         node.set_timer(now + TICK, Timer::Tick);
         node.start_store();
-        node.run_due_timers(cx);
+        node.finish_event(cx);
         Some(node)
     }
 
@@ -326,7 +330,7 @@
             Socket::Store(channel) => self.store_ready(channel, &ready),
             Socket::Signals => self.signals_ready(),
         }
-        self.run_due_timers(cx);
+        self.finish_event(cx);
     }
 
     /// Reads the rest of a socket's input after other sockets have had their turn.
@@ -357,17 +361,19 @@
     fn wake(&mut self, cx: CX![]) {
         self.read_clock();
         self.next_wake_at = None;
-        self.run_due_timers(cx);
+        self.finish_event(cx);
     }
 
-    /// Runs the timers that are due, ends the node if its shutdown is complete, and schedules the
-    /// next wake-up.
-    fn run_due_timers(&mut self, cx: CX![]) {
+    /// Finishes the work of an event: starts requests that wait behind answered ones, runs the timers
+    /// that are due, ends the node if its shutdown is complete, and schedules the next wake-up.
+    fn finish_event(&mut self, cx: CX![]) {
+        self.read_answered_callers();
         while let Some(Reverse((at, timer))) = self.timers.peek().copied()
             && at <= self.now
         {
             self.timers.pop();
             self.run_timer(timer);
+            self.read_answered_callers();
         }
         if self.is_stopped() {
             self.log_event("node_stopped", json!({ "calls": self.calls.len() }));
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -1,5 +1,6 @@
 //! Small meshes of real nodes in situations that violated a guarantee before.
 
+mod batches;
 mod connections;
 mod deregistration;
 mod setup;
