Refuse heartbeats for another service or address than the settings name

Cause: any readable, newer heartbeat replaced the target beside the node, and a change of the target left its queue as it was. The settings name the target's service and address, but were not compared.

Change: such a heartbeat is answered 400, logged (heartbeat_foreign) and counted, and changes nothing, also as the first one after a restart. When the service or version of the target changes, queued requests are rejected as not run. The testbed's settings now name the address that its targets announce. Why it works: the queue only ever meets targets of the service and version it was admitted for.

--- a/crates/sidecar/src/node/control.rs
+++ b/crates/sidecar/src/node/control.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::node::callers::own_answer;
 use crate::platform::ControlCall;
+use crate::target;
 use crate::target::HeartbeatOutcome;
 
 const METRICS_PATH: &str = "/metrics";
@@ -52,13 +53,23 @@
     }
 
     fn handle_heartbeat(&mut self, caller: u64, token: u64, heartbeat: Heartbeat) {
-        let before = self.target.own.current().map(|known| known.address);
+        let before = self.target.own.current().cloned();
         let slots = usize::try_from(heartbeat.slots).unwrap_or(usize::MAX);
         let fields = json!({
             "instance": heartbeat.instance, "born_unix_ms": heartbeat.started_unix_ms,
             "sequence": heartbeat.sequence, "service": heartbeat.service,
-            "version": heartbeat.version, "state": format!("{:?}", heartbeat.state),
+            "address": heartbeat.address, "version": heartbeat.version, "state": format!("{:?}", heartbeat.state),
         });
+        if target::is_foreign(
+            &heartbeat,
+            &self.settings.service,
+            self.settings.target_address,
+        ) {
+            metrics::counter!("hemlockfall_sidecar_heartbeats_refused_total").increment(1);
+            self.log_event("heartbeat_foreign", fields);
+            self.answer_caller(caller, token, own_answer(400, "", None));
+            return;
+        }
         let is_draining = heartbeat.state == TargetState::Draining;
         let outcome = self.target.own.apply_heartbeat(heartbeat, self.now);
         match outcome {
@@ -77,8 +88,9 @@
                 self.target.is_unreachable = false;
                 self.target.admission.set_slots(slots);
                 self.target.clear_counts();
-                if let Some(address) = before {
-                    self.drop_old_connections(address);
+                if let Some(before) = before {
+                    self.drop_old_connections(before.address);
+                    self.drain_queue_of_other_target(&before);
                 }
                 self.log_event("target_known", fields);
                 self.record_changed();
@@ -99,6 +111,17 @@
         }
     }
 
+    /// Rejects queued requests if they were admitted for another service or version than that of the
+    /// current target.
+    fn drain_queue_of_other_target(&mut self, before: &Heartbeat) {
+        let is_same = self.target.own.current().is_some_and(|current| {
+            current.service == before.service && current.version == before.version
+        });
+        if !is_same {
+            self.drain_queue();
+        }
+    }
+
     fn handle_deregistration(
         &mut self,
         caller: u64,
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -158,6 +158,7 @@
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
             counter("hemlockfall_sidecar_store_calls_total", "calls to the platform's store by result"),
             counter("hemlockfall_sidecar_objects_refused_total", "objects of the store that cannot be read; what was known before stays in force"),
+            counter("hemlockfall_sidecar_heartbeats_refused_total", "heartbeats of another service or address than the node's target"),
             counter("hemlockfall_sidecar_link_bytes_total", "bytes sent to other nodes, by kind of frame and distance"),
             counter("hemlockfall_sidecar_links_lost_total", "links to other nodes that were lost"),
             counter("hemlockfall_sidecar_log_lines_dropped_total", "log lines over the limit"),
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -4,6 +4,7 @@
 //! by the start of the process and the sequence number within it. A deregistered incarnation never
 //! returns to service.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::Time;
@@ -30,6 +31,13 @@
     Stale,
 }
 
+/// Returns whether a heartbeat is of another writer than the target beside this node, which the
+/// settings name by its service and address.
+#[must_use]
+pub fn is_foreign(heartbeat: &Heartbeat, service: &str, address: SocketAddr) -> bool {
+    heartbeat.service != service || heartbeat.address != address
+}
+
 /// Target beside this node.
 #[derive(Debug, Default)]
 pub struct OwnTarget {
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::at;
@@ -11,6 +12,7 @@
 use hemlockfall_sidecar::model::TargetState::Ready;
 use hemlockfall_sidecar::target::HeartbeatOutcome;
 use hemlockfall_sidecar::target::OwnTarget;
+use hemlockfall_sidecar::target::is_foreign;
 use quickcheck::quickcheck;
 
 /// Guards against a late or repeated heartbeat that replaces a newer one.
@@ -88,6 +90,19 @@
     assert!(!target.is_admitting());
 }
 
+/// Guards against a node that takes the writer of a heartbeat for its target, although the settings
+/// name another service or address.
+#[test]
+fn a_heartbeat_of_another_service_or_address_is_foreign() {
+    let known = heartbeat("a", 100, 1, Ready);
+    let (service, address) = (known.service.clone(), known.address);
+    let elsewhere = SocketAddr::new(address.ip(), address.port() + 1);
+
+    assert!(!is_foreign(&known, &service, address));
+    assert!(is_foreign(&known, "another-service", address));
+    assert!(is_foreign(&known, &service, elsewhere));
+}
+
 /// Guards against a target that counts as responsive although its heartbeats have stopped.
 #[test]
 fn a_target_without_heartbeats_is_unresponsive() {
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -369,6 +369,18 @@
         self.addresses.peers
     }
 
+    /// Returns the address on which the node accepts heartbeats.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.addresses.control
+    }
+
+    /// Returns the address that the target announces.
+    #[must_use]
+    pub fn announced(&self) -> SocketAddr {
+        self.addresses.announced(&self.options)
+    }
+
     fn start(
         options: VmOptions,
         programs: &Programs,
@@ -423,20 +435,12 @@
     /// [`Error::Resource`] when the address cannot be bound.
     pub fn start_target(&mut self, ledger: &Arc<Ledger>) -> Result<()> {
         self.target_starts += 1;
-        // With `ConnectionBehaviour::End`, an answer and the end of its connection have to arrive
-        // together. The proxy would forward them separately, so the node connects to the target
-        // directly.
-        let announced = if self.options.connection_behaviour == ConnectionBehaviour::End {
-            self.addresses.target
-        } else {
-            self.addresses.announced
-        };
         let options = TargetOptions {
             instance: format!("i-{}-{}", self.name, self.target_starts),
             service: self.service.to_owned(),
             version: self.version.clone(),
             address: self.addresses.target,
-            announced,
+            announced: self.addresses.announced(&self.options),
             control: self.addresses.control,
             heartbeat: HEARTBEAT,
             run_time: self.options.run_time,
@@ -507,6 +511,17 @@
             store: ports::free_address()?,
         })
     }
+
+    /// Returns the address that the target announces. With `ConnectionBehaviour::End`, an answer and
+    /// the end of its connection have to arrive together. The proxy would forward them separately,
+    /// so the node connects to the target directly.
+    fn announced(&self, options: &VmOptions) -> SocketAddr {
+        if options.connection_behaviour == ConnectionBehaviour::End {
+            self.target
+        } else {
+            self.announced
+        }
+    }
 }
 
 fn start_node(options: &VmOptions, addresses: &Addresses, program: &Path) -> Result<Process> {
@@ -538,7 +553,7 @@
         addresses.ready,
         addresses.control,
         addresses.metrics,
-        addresses.target,
+        addresses.announced(options),
         addresses.store,
         options.is_first_start,
     );
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod batches;
 mod connections;
 mod deregistration;
+mod foreign_heartbeats;
 mod setup;
 mod stopping;
 
