Read on when the input buffer of a caller has been worked off

Cause: a connection with a full buffer isn't read, the poll reports new input once only, and nothing read the connection again when the buffer had been worked off.

Change: the connection notes that input was left in the socket, and is read again once there is room.

--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -57,6 +57,8 @@
     port: Port,
     stream: Stream,
     input: Vec<u8>,
+    /// Whether input was left in the socket, since `input` was full. No further event announces it.
+    has_unread_input: bool,
     reader: RequestReader,
     /// Requests whose answers have not been written yet, in order of arrival.
     pending: VecDeque<Pending>,
@@ -162,6 +164,7 @@
             port,
             stream,
             input: Vec::new(),
+            has_unread_input: false,
             reader: RequestReader::new(limits),
             pending: VecDeque::new(),
             closing_since: None,
@@ -203,10 +206,11 @@
         let Some(caller) = self.callers.get_mut(id) else {
             return;
         };
-        let reading = if caller.input.len() < MAX_BUFFERED_BYTES {
-            caller.stream.read(&mut caller.input)
-        } else {
+        caller.has_unread_input = caller.input.len() >= MAX_BUFFERED_BYTES;
+        let reading = if caller.has_unread_input {
             Reading::Open
+        } else {
+            caller.stream.read(&mut caller.input)
         };
         match reading {
             Reading::Open => self.read_requests(id),
@@ -218,8 +222,20 @@
         }
     }
 
-    /// Starts the complete requests of the input, up to the limit on requests in progress.
+    /// Starts the complete requests of the input, and reads on if input was left in the socket.
     fn read_requests(&mut self, id: u64) {
+        self.start_requests(id);
+        let Some(caller) = self.callers.get_mut(id) else {
+            return;
+        };
+        if caller.has_unread_input && caller.input.len() < MAX_BUFFERED_BYTES {
+            caller.has_unread_input = false;
+            self.read_later(Socket::Caller(id));
+        }
+    }
+
+    /// Starts the complete requests of the input, up to the limit on requests in progress.
+    fn start_requests(&mut self, id: u64) {
         let limits = self.http_limits();
         loop {
             let now = self.now;
--- a/xtask/tests/mesh/batches.rs
+++ b/xtask/tests/mesh/batches.rs
@@ -82,3 +82,15 @@
     let outcome = ordering.join().expect("the caller ends");
     assert!(matches!(outcome, Outcome::Served), "{outcome:?}");
 }
+
+/// Load: a caller sends 100,000 requests ahead, far more than the node buffers. Guards against a caller
+/// that waits for answers without end, since the node does not read on once it has worked off what
+/// it had buffered.
+#[test]
+fn a_batch_above_the_input_buffer_is_read_to_its_end() {
+    let testbed = start_with_unserved_route("large_batch");
+
+    let refused = refused_of_batch(&testbed, 100_000);
+
+    assert_eq!(refused, 100_000);
+}
