Carry request ids whole on links and refuse those above 256 bytes

What callers saw: a request whose id is longer than 64 characters and whose target is beside another node ended with 504 (read in the code by the review).

Cause: the node of the target truncated the id of another node's call, so that the target's answer counted as one of another request and was skipped until the deadline.

--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -23,6 +23,9 @@
 /// Id that the caller gave to a request.
 pub type RequestId = SmolStr;
 
+/// Longest request id that is accepted, in bytes.
+pub const MAX_REQUEST_ID_BYTES: usize = 256;
+
 /// How often a request of a route may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Idempotency {
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -25,6 +25,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::log::LogCategory;
 use crate::model::Idempotency;
+use crate::model::MAX_REQUEST_ID_BYTES;
 use crate::model::RequestId;
 use crate::model::Route;
 use crate::node::Node;
@@ -43,6 +44,7 @@
 const CODE_SUSPECTED: &str = "HF-3704";
 const CODE_STOPPING: &str = "HF-3708";
 const CODE_UNKNOWN: &str = "HF-3706";
+const CODE_LONG_ID: &str = "HF-3710";
 /// `Retry-After` when no configuration or target is available to estimate a wait from.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Bounds of the `Retry-After` that a caller gets when no target could run its request.
@@ -113,6 +115,10 @@
         arrived: Time,
     ) {
         let request_id = self.request_id(&request);
+        if request_id.len() > MAX_REQUEST_ID_BYTES {
+            self.refuse_long_id(caller, token, request_id.len());
+            return;
+        }
         let Some(config) = self.mesh.config() else {
             if self.can_defer(&request, arrived) {
                 self.defer_request(caller, token, request, arrived);
@@ -198,6 +204,18 @@
         self.attempt(id);
     }
 
+    /// Refuses a request whose id is too long to be carried on a link and echoed whole.
+    fn refuse_long_id(&mut self, caller: u64, token: u64, id_bytes: usize) {
+        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "bad_id").increment(1);
+        if self.log.admits(LogCategory::Failure, self.now) {
+            self.log.write(
+                "request",
+                json!({ "status": 400, "code": CODE_LONG_ID, "id_bytes": id_bytes }),
+            );
+        }
+        self.answer_caller(caller, token, own_answer(400, CODE_LONG_ID, None));
+    }
+
     fn request_id(&self, request: &HttpRequest) -> RequestId {
         let text = request.header(self.header_names.request_id);
         text.unwrap_or_default().into()
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -26,9 +26,6 @@
 use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
 
-/// Length to which the request id of another node's call is truncated, in characters.
-const MAX_REQUEST_ID_CHARS: usize = 64;
-
 impl Node {
     /// Sends a caller's request to another node.
     pub(super) fn attempt_at_peer(&mut self, id: u64, peer: u64) {
@@ -191,9 +188,7 @@
         let request_id: RequestId = request
             .header(self.header_names.request_id)
             .unwrap_or_default()
-            .chars()
-            .take(MAX_REQUEST_ID_CHARS)
-            .collect();
+            .into();
         // The process may end before a run that starts late in a graceful shutdown.
         let can_serve = self.accepts_peer_calls()
             && self.target.own.current().is_some_and(|target| {
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -149,6 +149,7 @@
             code(3707, "the node cannot start; the message says why"),
             code(3708, "the node stops; come back to another one"),
             code(3709, "too much input is being read for the memory of the node; wait a second"),
+            code(3710, "the request id is longer than 256 bytes; send a shorter one"),
         ],
         metrics: &[
             counter("hemlockfall_sidecar_requests_total", "requests by outcome"),
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -298,6 +298,25 @@
     await_served(&testbed, node, &shown);
 }
 
+/// Guards against a long request id that is truncated on a link, so that the target's answer counts as
+/// that of another request, and against an id above the limit that is accepted.
+#[test]
+fn long_request_ids_are_carried_whole_or_refused() {
+    let testbed = start(&testbed_options("long_ids", 2));
+    let other = testbed.vms[1].callers;
+    await_served(&testbed, other, "/stock/1");
+    let mut order = request(1, "/orders/1", true, Duration::from_secs(2));
+
+    order.id = "x".repeat(256);
+    let longest = send(other, &order);
+    order.id.push('x');
+    let too_long = send(other, &order);
+
+    assert!(matches!(longest, Outcome::Served), "{longest:?}");
+    assert!(matches!(too_long, Outcome::Failed(400)), "{too_long:?}");
+    assert_eq!(testbed.ledger.runs_of(&order.id), 0);
+}
+
 /// Guards against a restarted node that refuses requests until it has its first configuration,
 /// while callers retry only once.
 #[test]
