Hold a lock while a test tries ports and starts its node

Cause, by the code: a port is found free by binding it, and a process that another test starts at that moment holds a copy of the listener until it executes its program.

--- a/crates/hemlockfall/tests/node/support.rs
+++ b/crates/hemlockfall/tests/node/support.rs
@@ -11,6 +11,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -26,6 +28,10 @@
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
+/// Held while ports are tried and until a node executes its program: up to then the started process
+/// holds a copy of every listener, so that a port that another test has just tried is in use.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
+
 /// Running node process, which is killed on drop.
 pub struct Node {
     pub peer: SocketAddr,
@@ -46,6 +52,7 @@
 
     /// Starts a node with the given log file setting and standard error.
     pub fn start_with(name: &str, log: &str, standard_error: Stdio) -> Self {
+        let spawn_lock = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let [caller, peer, operator, local, store] = free_addresses();
         let settings = format!(
             "[node]\nname = \"{name}\"\nregion = \"r\"\ndata_centre = \"d\"\n\
@@ -61,6 +68,7 @@
             .stderr(standard_error)
             .spawn()
             .expect("the binary runs");
+        drop(spawn_lock);
         let node = Self {
             peer,
             operator,
