--- a/crates/sidecar/tests/shutdown.rs
+++ b/crates/sidecar/tests/shutdown.rs
@@ -64,6 +64,37 @@
     assert!(!shutdown.may_start(at(4_000), at(7_000)));
 }
 
+/// Guards against a schedule that differs from the table in section 16 of docs/design.md: each row
+/// holds from its time on until that of the next one.
+#[test]
+fn the_schedule_is_that_of_the_design() {
+    let shutdown = Shutdown::new(at(0), GRACE);
+    let rows = [
+        (0, [true, true, false, false]),
+        (2_000, [false, true, false, false]),
+        (2_700, [false, false, false, false]),
+        (5_400, [false, false, true, false]),
+        (5_700, [false, false, true, true]),
+    ];
+
+    for now_ms in 0..6_000 {
+        let now = at(now_ms);
+        let state = [
+            shutdown.accepts_peer_calls(now),
+            shutdown.may_start(now, Duration::MAX),
+            shutdown.interrupts_calls(now),
+            shutdown.is_exit_forced(now),
+        ];
+        let row = rows.iter().rev().find(|(from_ms, _)| now_ms >= *from_ms);
+        assert_eq!(row.map(|(_, state)| *state), Some(state), "{now_ms}");
+        assert_eq!(
+            shutdown.refuses_connections(now),
+            now_ms >= 2_600,
+            "{now_ms}"
+        );
+    }
+}
+
 /// Guards against requests that are interrupted although their targets could still answer in time:
 /// only the last sixth of the grace time is left to the end of the process.
 #[test]
