Soak: batches, other writers, and kills right after a deregistration

Two callers of a run now send batches ahead (2 to 8 requests of mixed run times, or up to 1,500 without a route behind one), also across stops; requests behind a closing answer must not run, and one that has run must not be cut off. Objects that can't be decoded are left in the store, heartbeats for another service or address must not be acknowledged, and in half of the cases the target's node or all nodes are killed within 300 ms of a deregistration. These choices have a random source of their own, so that a seed keeps its other faults.

--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Faults of a run, chosen at random from the seed; they may overlap.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,8 @@
 use hemlockfall_standins::caller::Outcome;
 use hemlockfall_standins::endless::EndlessBytes;
 use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::store::odd_specs;
+use hemlockfall_standins::target::send_foreign_heartbeat;
 use rand::RngExt;
 
 use crate::errors::Result;
@@ -38,6 +41,12 @@
 /// the seed, so that a seed stands for the same faults as before.
 const ENDLESS_INTERVAL: Duration = Duration::from_millis(900);
 const ENDLESS_DEADLINE: Duration = Duration::from_secs(1);
+/// Time between two messages of another writer.
+const FOREIGN_INTERVAL: Duration = Duration::from_millis(1100);
+/// Kinds of objects that nodes read.
+const OBJECT_KINDS: [&str; 3] = ["config", "rollouts", "hemlockfall-nodes"];
+/// Longest time from a deregistration to the kill of nodes that follows it, in milliseconds.
+const MAX_KILL_DELAY_MS: u64 = 300;
 /// Largest share of the VM's memory that a node may use, in percent.
 const MEMORY_PERCENT: u64 = 50;
 
@@ -90,6 +99,8 @@
     RestartTarget(usize),
     ReplaceTarget(usize),
     SendLateHeartbeat(usize),
+    KillNode(usize),
+    KillAllNodes,
 }
 
 /// Has a target answer without end: sends a request for it through one of the nodes. Its outcome
@@ -117,6 +128,31 @@
     });
 }
 
+/// Acts as another writer: leaves an object in the store that can't be decoded, or sends a heartbeat for
+/// another service or address to a node.
+fn send_foreign_message(testbed: &mut Testbed) {
+    let random = &mut testbed.later_random;
+    if random.random_bool(0.5) {
+        let kind = OBJECT_KINDS[random.random_range(0..OBJECT_KINDS.len())];
+        let number = random.random_range(0..odd_specs().len());
+        let spec = &odd_specs()[number];
+        testbed.store.put_odd(kind, &format!("odd-{number}"), spec);
+        return;
+    }
+    let vm = &testbed.vms[random.random_range(0..testbed.vms.len())];
+    let (service, address) = if random.random_bool(0.5) {
+        ("ledger", vm.announced())
+    } else {
+        (vm.service, vm.control())
+    };
+    let (name, control, ledger) = (vm.name.clone(), vm.control(), Arc::clone(&testbed.ledger));
+    std::thread::spawn(move || {
+        if send_foreign_heartbeat(control, service, address) {
+            ledger.report(format!("FOREIGN: {name} took {service} at {address}"));
+        }
+    });
+}
+
 fn check_memory(testbed: &Testbed) {
     let bound_kib = MEMORY_MB * 1024 * MEMORY_PERCENT / 100;
     for vm in &testbed.vms {
@@ -140,6 +176,7 @@
     let mut next_fault = Instant::now();
     let mut next_check = Instant::now() + CONFIG_CHECK_INTERVAL;
     let mut endless_requests = 0;
+    let mut next_foreign = started + FOREIGN_INTERVAL;
     while started.elapsed() < time || !pending.is_empty() {
         let now = Instant::now();
         let due: Vec<Action> = pending
@@ -163,6 +200,10 @@
             send_endless_request(testbed, usize::try_from(endless_requests).unwrap_or(0));
             endless_requests += 1;
         }
+        if now >= next_foreign && started.elapsed() < time {
+            send_foreign_message(testbed);
+            next_foreign = now + FOREIGN_INTERVAL;
+        }
         if now >= next_check {
             check_memory(testbed);
             testbed.check_config();
@@ -300,10 +341,43 @@
                 target.send_late_heartbeat();
             }
         }
+        Action::KillNode(index) => {
+            mark_kill(testbed, index..index + 1);
+            testbed.vms[index].restart_node()?;
+        }
+        Action::KillAllNodes => {
+            mark_kill(testbed, 0..testbed.vms.len());
+            for vm in &mut testbed.vms {
+                vm.restart_node()?;
+            }
+        }
     }
     Ok(())
 }
 
+fn mark_kill(testbed: &mut Testbed, vms: Range<usize>) {
+    testbed.disruptions.mark(Duration::ZERO);
+    for vm in &mut testbed.vms[vms] {
+        vm.undisturbed_since = Instant::now();
+    }
+}
+
+/// Kills the target's node, or all nodes, shortly after a deregistration in some cases.
+fn kill_after_deregistration(
+    testbed: &mut Testbed,
+    index: usize,
+    pending: &mut Vec<(Instant, Action)>,
+) {
+    let random = &mut testbed.later_random;
+    let action = match random.random_range(0..4) {
+        0 => Action::KillNode(index),
+        1 => Action::KillAllNodes,
+        _ => return,
+    };
+    let delay = Duration::from_millis(random.random_range(0..MAX_KILL_DELAY_MS));
+    pending.push((Instant::now() + delay, action));
+}
+
 /// Deregisters a target, which goes on serving until another one replaces it. A heartbeat from
 /// before the deregistration arrives after it.
 fn deregister_target(
@@ -322,6 +396,7 @@
             .ledger
             .record_deregistration(&instance, Instant::now() + DRAIN);
     }
+    kill_after_deregistration(testbed, index, pending);
     let replaced_at = ends_at + DRAIN;
     pending.push((ends_at, Action::SendLateHeartbeat(index)));
     pending.push((replaced_at, Action::ReplaceTarget(index)));
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! injected from outside the processes: by signals, loopback proxies and the stand-in for the
 //! store.
 
+mod batches;
 mod caller;
 mod faults;
 pub mod ledger;
@@ -25,6 +26,8 @@
 /// Time during which faults are injected.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 const CALLERS_PER_NODE: u64 = 2;
+/// Callers that send batches, at the first nodes.
+const BATCH_CALLERS: usize = 2;
 const RUN_TIME: Duration = Duration::from_millis(15);
 const SLOTS: u32 = 8;
 
@@ -106,6 +109,7 @@
     // The start is tried twice: another program may take a port between its choice and its use.
     let mut testbed = Testbed::start(&options).or_else(|_| Testbed::start(&options))?;
     testbed.wait_until_served();
+    testbed.start_batch_callers(BATCH_CALLERS);
     faults::inject(&mut testbed, FAULT_TIME)?;
     testbed.heal()?;
     testbed.check_recovery();
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -31,6 +31,7 @@
 use crate::harness::process::Process;
 use crate::harness::process::Signal;
 use crate::harness::programs::Programs;
+use crate::soak::batches;
 use crate::soak::caller;
 use crate::soak::caller::CallerContext;
 use crate::soak::caller::Disruptions;
@@ -134,6 +135,8 @@
 pub struct Testbed {
     /// Source of the run's random choices.
     pub random: SmallRng,
+    /// Source of the choices of faults that were added later, so that a seed keeps the earlier ones.
+    pub later_random: SmallRng,
     /// The store.
     pub store: Store,
     /// The VMs.
@@ -165,6 +168,7 @@
         let stop: Arc<AtomicBool> = Arc::default();
         let mut testbed = Self {
             random: SmallRng::seed_from_u64(options.seed),
+            later_random: SmallRng::seed_from_u64(options.seed + 1_000_000),
             store,
             vms: Vec::new(),
             ledger,
@@ -183,18 +187,32 @@
         for (index, vm) in testbed.vms.iter().enumerate() {
             for number in 0..options.callers_per_node {
                 let index = u64::try_from(index).unwrap_or(0);
-                testbed.callers.push(caller::start(CallerContext {
-                    node: vm.callers,
-                    seed: options.seed * 1000 + index * options.callers_per_node + number,
-                    ledger: Arc::clone(&testbed.ledger),
-                    disruptions: Arc::clone(&testbed.disruptions),
-                    stop: Arc::clone(&testbed.stop),
-                }));
+                let seed = options.seed * 1000 + index * options.callers_per_node + number;
+                let context = testbed.caller_context(vm, seed);
+                testbed.callers.push(caller::start(context));
             }
         }
         Ok(testbed)
     }
 
+    /// Starts callers that send batches, one at each of the first nodes.
+    pub fn start_batch_callers(&mut self, count: usize) {
+        for (vm, number) in self.vms.iter().take(count).zip(900..) {
+            let context = self.caller_context(vm, self.options.seed * 1000 + number);
+            self.callers.push(batches::start(context));
+        }
+    }
+
+    fn caller_context(&self, vm: &Vm, seed: u64) -> CallerContext {
+        CallerContext {
+            node: vm.callers,
+            seed,
+            ledger: Arc::clone(&self.ledger),
+            disruptions: Arc::clone(&self.disruptions),
+            stop: Arc::clone(&self.stop),
+        }
+    }
+
     /// Starts a VM and adds it.
     ///
     /// # Errors
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -15,6 +15,7 @@
 use hemlockfall_standins::caller as wire;
 use hemlockfall_standins::caller::Outcome;
 use hemlockfall_standins::store::StoreFault;
+use hemlockfall_standins::store::odd_specs;
 use xtask::harness::process::Signal;
 use xtask::soak::proxy::Mode;
 use xtask::soak::testbed::CONFIG_APPLY_TIMEOUT;
@@ -274,13 +275,9 @@
     let mut testbed = start(&testbed_options("odd_objects", 2));
     let node = testbed.vms[1].callers;
     await_served(&testbed, node, "/stock/1");
-    let nested = format!("{}{}", "[".repeat(5_000), "]".repeat(5_000));
-    let address = r#"{"node":"odd-2","peer_address":"127.0.0.1:99999"}"#;
     for kind in ["config", "rollouts", "hemlockfall-nodes"] {
-        for (index, spec) in [nested.as_str(), "1e400", address].iter().enumerate() {
-            let name = format!("odd-{index}");
-            let text = format!(r#"{{"metadata":{{"name":"{name}","revision":1}},"spec":{spec}}}"#);
-            testbed.store.put_text(kind, &name, &text);
+        for (index, spec) in odd_specs().iter().enumerate() {
+            testbed.store.put_odd(kind, &format!("odd-{index}"), spec);
         }
     }
 
