Soak: long runs behind each other, and a series of planned stops

The batches of the soak had no run that outlasts a stop, and its stops fell among unplanned faults, after which a lost request is no violation.

--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -47,6 +47,8 @@
 const OBJECT_KINDS: [&str; 3] = ["config", "rollouts", "hemlockfall-nodes"];
 /// Longest time from a deregistration to the kill of nodes that follows it, in milliseconds.
 const MAX_KILL_DELAY_MS: u64 = 300;
+/// Longest time between two planned stops, in milliseconds.
+const MAX_STOP_GAP_MS: u64 = 1500;
 /// Largest share of the VM's memory that a node may use, in percent.
 const MEMORY_PERCENT: u64 = 50;
 
@@ -179,15 +181,7 @@
     let mut next_foreign = started + FOREIGN_INTERVAL;
     while started.elapsed() < time || !pending.is_empty() {
         let now = Instant::now();
-        let due: Vec<Action> = pending
-            .iter()
-            .filter(|(at, _)| *at <= now)
-            .map(|(_, action)| *action)
-            .collect();
-        pending.retain(|(at, _)| *at > now);
-        for action in due {
-            run_action(testbed, action, &mut pending)?;
-        }
+        run_due_actions(testbed, &mut pending)?;
         if now >= next_fault && started.elapsed() < time {
             let fault = FAULTS[testbed.random.random_range(0..FAULTS.len())];
             begin_fault(testbed, fault, &mut pending)?;
@@ -245,16 +239,7 @@
                 vm.restart_node()?;
             }
         }
-        Fault::StopNode => {
-            testbed.vms[index].undisturbed_since = ends_at + SHUTDOWN_GRACE;
-            testbed.vms[index].node.signal(Signal::Term)?;
-            let id = testbed.vms[index].node.id();
-            let must_end_by = Instant::now() + SHUTDOWN_GRACE;
-            pending.push((
-                Instant::now() + POLL,
-                Action::RestartStoppedNode(index, id, must_end_by),
-            ));
-        }
+        Fault::StopNode => stop_node(testbed, index, ends_at, pending)?,
         Fault::PauseNode => {
             testbed.vms[index].node.signal(Signal::Stop)?;
             pending.push((ends_at, Action::ResumeNode(index)));
@@ -294,6 +279,61 @@
     Ok(())
 }
 
+/// Sends SIGTERM to a node, which is started again once it has ended.
+fn stop_node(
+    testbed: &mut Testbed,
+    index: usize,
+    undisturbed_from: Instant,
+    pending: &mut Vec<(Instant, Action)>,
+) -> Result<()> {
+    testbed.vms[index].undisturbed_since = undisturbed_from + SHUTDOWN_GRACE;
+    testbed.vms[index].node.signal(Signal::Term)?;
+    let id = testbed.vms[index].node.id();
+    let must_end_by = Instant::now() + SHUTDOWN_GRACE;
+    pending.push((
+        Instant::now() + POLL,
+        Action::RestartStoppedNode(index, id, must_end_by),
+    ));
+    Ok(())
+}
+
+/// Stops nodes in a series of planned stops that overlap, without any other fault: the first nodes,
+/// whose callers send batches, and some of the others.
+///
+/// # Errors
+/// A process cannot be started or signalled.
+pub fn stop_nodes_as_planned(testbed: &mut Testbed, first: usize) -> Result<()> {
+    let mut pending = Vec::new();
+    for index in 0..testbed.vms.len() {
+        let random = &mut testbed.later_random;
+        let gap = Duration::from_millis(random.random_range(0..MAX_STOP_GAP_MS));
+        if index >= first && random.random_bool(0.6) {
+            continue;
+        }
+        std::thread::sleep(gap);
+        stop_node(testbed, index, Instant::now(), &mut pending)?;
+    }
+    while !pending.is_empty() {
+        run_due_actions(testbed, &mut pending)?;
+        std::thread::sleep(POLL);
+    }
+    Ok(())
+}
+
+fn run_due_actions(testbed: &mut Testbed, pending: &mut Vec<(Instant, Action)>) -> Result<()> {
+    let now = Instant::now();
+    let due: Vec<Action> = pending
+        .iter()
+        .filter(|(at, _)| *at <= now)
+        .map(|(_, action)| *action)
+        .collect();
+    pending.retain(|(at, _)| *at > now);
+    for action in due {
+        run_action(testbed, action, pending)?;
+    }
+    Ok(())
+}
+
 fn run_action(
     testbed: &mut Testbed,
     action: Action,
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -113,5 +113,6 @@
     faults::inject(&mut testbed, FAULT_TIME)?;
     testbed.heal()?;
     testbed.check_recovery();
+    faults::stop_nodes_as_planned(&mut testbed, BATCH_CALLERS)?;
     Ok(testbed.finish())
 }
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -44,6 +44,8 @@
 pub const SERVICES: [&str; 2] = ["desk", "feed"];
 /// Memory that the settings state for a VM, in MB; the smallest of the users' deployments.
 pub const MEMORY_MB: u64 = 160;
+/// Timeout of the route for requests that last for most of a stop, in seconds.
+const BATCH_TIMEOUT_S: u64 = 8;
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time within which a newly started mesh must serve all requests.
 const START_TIMEOUT: Duration = Duration::from_secs(12);
@@ -246,7 +248,9 @@
             wire::route("orders", HOST, "/orders/", "desk", false),
             wire::route("stock", HOST, "/stock/", "desk", true),
             wire::route("feed", HOST, "/feed/", "feed", true),
+            wire::route("batch", HOST, "/batch/", "desk", true),
         ];
+        routes[3]["timeoutS"] = BATCH_TIMEOUT_S.into();
         for probed in (2..=version).step_by(2) {
             let prefix = format!("/probe-{probed}/");
             routes.push(wire::route(
