--- a/xtask/tests/mesh/batches.rs
+++ b/xtask/tests/mesh/batches.rs
@@ -18,6 +18,8 @@
 use crate::setup::start;
 use crate::setup::testbed_options;
 
+/// Time for which a node that has just started defers requests without a target, and a margin.
+const START_DEFERRAL: Duration = Duration::from_millis(1500);
 /// Time that the caller of a batch waits for each of its answers.
 const BATCH_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -32,7 +34,8 @@
     let config = wire::config(testbed.config.0 + 1, &routes, &services);
     testbed.store.put("config", "main", config);
     await_served(&testbed, testbed.vms[0].callers, "/orders/1");
-    thread::sleep(Duration::from_millis(1500));
+    // A node that has just started defers requests without a target instead of refusing them.
+    thread::sleep(START_DEFERRAL);
     testbed
 }
 
