Log and measure the rate limit that a target names

The adapter now decodes the header, the line target_limit has each change of it and each value that is no decimal number, the line run the limit that is known, and two metrics have the limit and the requests sent. No decision depends on them yet.

--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -340,6 +340,7 @@
             self.connections.remove(id);
         }
         if is_own {
+            self.read_notices(work, &read.answer);
             self.target_answered(work, read.answer);
         } else {
             self.log_unattributed_answer(work, read.answer.status, attribution);
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -22,6 +22,7 @@
 mod stop;
 mod store;
 mod store_replies;
+mod target_notices;
 mod targets;
 mod transfers;
 
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -56,6 +56,8 @@
     pub(crate) tallies: Vec<(RouteName, Tally)>,
     /// Counts of answers of runs that began while the target was busy.
     pub(crate) busy_tally: Tally,
+    /// Rate limit that the last answer named, in requests per second.
+    pub(crate) named_rate_per_s: Option<f64>,
 }
 
 /// Request for this node's target.
@@ -210,6 +212,7 @@
         self.set_timer(deadline, Timer::Work(id));
         match self.send_to_target(id) {
             Ok(connection) => {
+                metrics::counter!("hemlockfall_sidecar_target_requests_total").increment(1);
                 let started = self.now;
                 let is_busy = self.target.admission.is_busy();
                 if let Some(work) = self.target.work_items.get_mut(id) {
@@ -495,6 +498,7 @@
             "outcome": outcome, "run_ms": ms(took),
             "at_node_ms": ms(self.now.saturating_sub(work.submitted_at)),
             "running": load.running, "queued": load.queued, "heartbeat_age_ms": heartbeat_age_ms,
+            "limit_per_s": self.target.named_rate_per_s,
         });
         self.log.write("run", fields);
     }
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -41,6 +41,20 @@
     pub caller_service: &'static str,
 }
 
+/// Rate limit of a target, as one of its answers states it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RateNotice {
+    /// The answer names no limit.
+    None,
+    /// Requests per second that the target takes from all nodes together; finite and not negative.
+    PerSecond(f64),
+    /// The answer names a limit that cannot be decoded.
+    Unreadable {
+        /// Value on the wire.
+        value: SmolStr,
+    },
+}
+
 /// Call to the control address, made by the node's target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlCall {
@@ -244,6 +258,9 @@
     /// Decodes a call to the control address.
     fn control_call(&self, request: &HttpRequest) -> ControlCall;
 
+    /// Decodes the rate limit that a target names in an answer.
+    fn rate_notice(&self, answer: &HttpAnswer) -> RateNotice;
+
     /// Encodes a call to the store.
     fn store_request(&self, call: &StoreCall) -> HttpRequest;
 
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -61,6 +61,14 @@
     }
 }
 
+const fn gauge(name: &'static str, help: &'static str) -> MetricSpec {
+    MetricSpec {
+        name,
+        kind: MetricKind::Gauge,
+        help,
+    }
+}
+
 const fn histogram(name: &'static str, help: &'static str) -> MetricSpec {
     MetricSpec {
         name,
@@ -157,6 +165,8 @@
             counter("hemlockfall_sidecar_bad_answers_total", "answers of the target that are no valid or too large messages, by code"),
             counter("hemlockfall_sidecar_inputs_cut_total", "connections closed because messages being read used too much memory, by peer"),
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
+            counter("hemlockfall_sidecar_target_requests_total", "requests sent to the node's target"),
+            gauge("hemlockfall_sidecar_target_limit_per_s", "requests per second to which the target limits all nodes together; -1 when it names no limit"),
             counter("hemlockfall_sidecar_store_calls_total", "calls to the platform's store by result"),
             counter("hemlockfall_sidecar_objects_refused_total", "objects of the store that cannot be read; what was known before stays in force"),
             counter("hemlockfall_sidecar_heartbeats_refused_total", "heartbeats of another service or address than the node's target"),
