Keep to the rate that a target limits all nodes to

The target's need was made worse by those who had been told of it.

Cause: a signal of the target in its answers was not read. The target's node admits by free slots and run times only; both let a target in need have more. The log line target_limit shows that the node had the value while the rate stayed as it was, which rules out late knowledge and lost knowledge.

Change: the target's node, through which every request reaches the target, has a token bucket at the named rate, so the sum over all nodes holds whatever they know. Requests that the rate does not allow in time are refused at once as not run; load reports carry the wait, so that other targets are chosen. A lower limit holds at once, a higher one or none only from an answer to a request sent after the lower one was read. Of a limit of zero 0.5 requests a second are left, since only an answer shows its end. After a restart of the node two slots are used until the first answer, as the limit was lost with the process.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! All requests reach the target through this node, so it has an exact count of the slots in use.
 //! Requests beyond the slots wait in the order of priority and due time while an answer in time can
-//! be expected. All others are rejected at once and have not run.
+//! be expected. All others are rejected at once and have not run. A target may also limit the rate of
+//! its requests, see [`crate::rate_limit`].
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 
 use crate::clock::Time;
 use crate::model::LoadReport;
+use crate::rate_limit::RateLimiter;
 
 /// Weight of the newest run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.1;
@@ -30,6 +32,10 @@
 /// Maximum number of waiting requests for each slot.
 const QUEUE_PER_SLOT: usize = 4;
 
+/// Slots that are used until the first answer of a target that an earlier process of this node may
+/// have sent requests to. A limit that its answers named is not known any more.
+const FIRST_ANSWER_SLOTS: usize = 2;
+
 /// Part of the slots, in percent, from which a target counts as busy.
 const BUSY_PERCENT: usize = 70;
 
@@ -86,6 +92,8 @@
     TooLate,
     /// The queue has reached its maximum length.
     QueueFull,
+    /// The rate limit of the target does not allow an answer in time.
+    RateLimited,
 }
 
 /// Decision on a request.
@@ -139,6 +147,9 @@
     waiting: Vec<AdmissionRequest>,
     /// Whether the target has just started and is still slow.
     is_cold: bool,
+    rate: RateLimiter,
+    /// Whether the target may have named limits to an earlier process of this node.
+    awaits_first_answer: bool,
     /// Sorted by route.
     routes: Vec<(RouteName, RouteTimes)>,
     mean_run_ms: f64,
@@ -156,25 +167,70 @@
         self.is_cold = is_cold;
     }
 
+    /// Begins with another process of the target, whose rate limit is not known yet.
+    /// `awaits_first_answer` is set if an earlier process of this node may have sent requests to it.
+    pub fn replace_target(&mut self, awaits_first_answer: bool, now: Time) {
+        self.rate.reset(now);
+        self.awaits_first_answer = awaits_first_answer;
+    }
+
+    /// Applies the rate limit of an answer to a request that was sent at `sent_at`.
+    pub fn set_rate_limit(&mut self, per_s: f64, sent_at: Time, now: Time) {
+        self.rate.set(per_s, sent_at, now);
+    }
+
+    /// Ends the rate limit after an answer without one to a request that was sent at `sent_at`.
+    pub fn withdraw_rate_limit(&mut self, sent_at: Time) {
+        self.rate.withdraw(sent_at);
+    }
+
+    /// Returns the rate limit of the target in requests per second, if there is one.
+    #[must_use]
+    pub fn rate_limit_per_s(&self) -> Option<f64> {
+        self.rate.per_s()
+    }
+
+    /// Returns the time until a new request may be sent under the rate limit.
+    #[must_use]
+    pub fn rate_limit_wait(&self, now: Time) -> Duration {
+        self.rate.wait(self.waiting.len(), now)
+    }
+
+    /// Records that the target has answered a request of this process.
+    pub fn answered(&mut self) {
+        self.awaits_first_answer = false;
+    }
+
     /// Gives a request a slot, queues it or rejects it.
     pub fn admit(&mut self, request: AdmissionRequest, now: Time) -> AdmissionDecision {
         let run = self.expected_run(&request.route, request.target_latency);
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.running < self.open_slots()
+            && self.waiting.is_empty()
+            && self.rate.wait(0, now).is_zero()
+        {
             let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
                 && request.uplink.arrival(now + run) > latest_answer(&request);
             if now >= request.deadline || is_late_on_uplink {
-                return self.reject(RejectReason::TooLate, &request);
+                return self.reject(RejectReason::TooLate, &request, now);
+            }
+            if self.rate.take(now) {
+                self.running += 1;
+                return AdmissionDecision::Run;
             }
-            self.running += 1;
-            return AdmissionDecision::Run;
         }
         if self.waiting.len() >= self.slots.max(1) * QUEUE_PER_SLOT {
-            return self.reject(RejectReason::QueueFull, &request);
+            return self.reject(RejectReason::QueueFull, &request, now);
         }
         let index = self.queue_position(&request);
-        let run_end = now + self.expected_wait(index) + run;
+        let run_end = now + self.expected_wait(index, now) + run;
         if request.uplink.arrival(run_end) > latest_answer(&request) {
-            return self.reject(RejectReason::TooLate, &request);
+            let is_rate_limited = self.rate.wait(index, now) > self.expected_slot_wait(index);
+            let reason = if is_rate_limited {
+                RejectReason::RateLimited
+            } else {
+                RejectReason::TooLate
+            };
+            return self.reject(reason, &request, now);
         }
         self.waiting.insert(index, request);
         let displaced = self.displace(index + 1, now);
@@ -226,19 +282,31 @@
     /// Gives free slots to waiting requests and removes those that cannot be answered in time.
     pub fn dispatch(&mut self, now: Time) -> Dispatch {
         let mut dispatch = Dispatch::default();
-        while self.running < self.slots && !self.waiting.is_empty() {
-            let request = self.waiting.remove(0);
+        while self.running < self.open_slots() && !self.waiting.is_empty() {
+            let request = &self.waiting[0];
             let run = self.expected_run(&request.route, request.target_latency);
-            if now + run / 2 + request.uplink.send > latest_answer(&request) {
-                dispatch.expired.push(request.id);
+            if now + run / 2 + request.uplink.send > latest_answer(request) {
+                dispatch.expired.push(self.waiting.remove(0).id);
                 continue;
             }
+            if !self.rate.take(now) {
+                break;
+            }
+            let request = self.waiting.remove(0);
             self.running += 1;
             dispatch.run.push(request.id);
         }
         dispatch
     }
 
+    /// Returns when a waiting request may be sent that has a free slot but no permit of the rate
+    /// limit.
+    #[must_use]
+    pub fn next_permit_at(&self, now: Time) -> Option<Time> {
+        let is_limited = self.running < self.open_slots() && !self.waiting.is_empty();
+        is_limited.then(|| now + self.rate.wait(0, now))
+    }
+
     /// Empties the queue when the target admits no more requests.
     pub fn drain(&mut self) -> Vec<WorkId> {
         self.waiting.drain(..).map(|request| request.id).collect()
@@ -262,6 +330,7 @@
             failed_permille: round_to_u16(self.failed_share * 1000.0),
             uplink_busy_ms: 0,
             route_send_ms: 0,
+            rate_limit_wait_ms: 0,
         }
     }
 
@@ -297,16 +366,30 @@
             .partition_point(|other| (other.priority, other.due) <= (request.priority, request.due))
     }
 
+    /// Returns the number of slots that may be used now.
+    fn open_slots(&self) -> usize {
+        if self.awaits_first_answer {
+            return self.slots.min(FIRST_ANSWER_SLOTS);
+        }
+        self.slots
+    }
+
+    /// Returns the expected time until a request at a position of the queue is sent.
+    fn expected_wait(&self, index: usize, now: Time) -> Duration {
+        self.expected_slot_wait(index)
+            .max(self.rate.wait(index, now))
+    }
+
     /// Returns the expected time until a request at a position of the queue gets a slot.
-    fn expected_wait(&self, index: usize) -> Duration {
-        if self.running < self.slots {
+    fn expected_slot_wait(&self, index: usize) -> Duration {
+        if self.running < self.open_slots() {
             return Duration::ZERO;
         }
         let ahead_ms: f64 = self.waiting[..index]
             .iter()
             .map(|request| self.run_ms(&request.route, request.target_latency))
             .sum();
-        let slots = f64::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
+        let slots = f64::from(u16::try_from(self.open_slots().max(1)).unwrap_or(u16::MAX));
         let next_ms = self.mean_run_ms * self.cold_factor();
         Duration::from_secs_f64((ahead_ms + next_ms) / slots / 1000.0)
     }
@@ -317,7 +400,7 @@
         let mut index = from;
         while let Some(request) = self.waiting.get(index) {
             let run = self.expected_run(&request.route, request.target_latency);
-            let run_end = now + self.expected_wait(index) + run;
+            let run_end = now + self.expected_wait(index, now) + run;
             if request.uplink.arrival(run_end) > latest_answer(request) {
                 displaced.push(self.waiting.remove(index).id);
             } else {
@@ -327,10 +410,15 @@
         displaced
     }
 
-    fn reject(&self, reason: RejectReason, request: &AdmissionRequest) -> AdmissionDecision {
+    fn reject(
+        &self,
+        reason: RejectReason,
+        request: &AdmissionRequest,
+        now: Time,
+    ) -> AdmissionDecision {
         AdmissionDecision::Reject {
             reason,
-            retry_after: self.expected_wait(self.queue_position(request)),
+            retry_after: self.expected_wait(self.queue_position(request), now),
         }
     }
 
--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -155,9 +155,20 @@
 }
 
 impl Candidate {
-    /// Returns the expected time until a slot is free, in milliseconds.
+    /// Returns the expected time until the target can be sent a request, in milliseconds: until a
+    /// slot is free and the rate limit of the target allows it.
     #[must_use]
     pub fn expected_wait_ms(&self, now: Time) -> f64 {
+        self.slot_wait_ms(now).max(self.rate_limit_wait_ms(now))
+    }
+
+    /// Returns what is left of the reported wait for the rate limit.
+    fn rate_limit_wait_ms(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.load_at);
+        f64::from(self.load.rate_limit_wait_ms) - age.as_secs_f64() * 1000.0
+    }
+
+    fn slot_wait_ms(&self, now: Time) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let excess = self.requests_at_target(now) + 1.0 - slots;
         if excess <= 0.0 {
--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -150,6 +150,8 @@
     Suspected,
     /// The target refused the request before running it.
     ByTarget,
+    /// The rate limit of the target does not allow an answer in time.
+    RateLimited,
 }
 
 /// Reason why the outcome of a call is unknown; the call may have run.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod node;
 pub mod overlay;
 pub mod platform;
+pub mod rate_limit;
 pub mod router;
 pub mod settings;
 pub mod shutdown;
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -323,4 +323,6 @@
     /// Time that the uplink needs for an answer of mean size of the route that the report is
     /// about, in milliseconds; 0 for small answers.
     pub route_send_ms: u16,
+    /// Time until the rate limit of the target allows a further request, in milliseconds.
+    pub rate_limit_wait_ms: u16,
 }
--- a/crates/sidecar/src/node/control.rs
+++ b/crates/sidecar/src/node/control.rs
@@ -73,6 +73,7 @@
         }
         let is_draining = heartbeat.state == TargetState::Draining;
         let outcome = self.target.own.apply_heartbeat(heartbeat, self.now);
+        self.check_target_process(before.as_ref());
         match outcome {
             HeartbeatOutcome::Stale => {
                 self.log_event("heartbeat_stale", fields);
@@ -112,6 +113,23 @@
         }
     }
 
+    /// Forgets the rate limit when another process of the target than that of the last heartbeat
+    /// has started.
+    fn check_target_process(&mut self, before: Option<&Heartbeat>) {
+        let Some(current) = self.target.own.current() else {
+            return;
+        };
+        let process =
+            |heartbeat: &Heartbeat| (heartbeat.instance.clone(), heartbeat.started_unix_ms);
+        if before.map(process) == Some(process(current)) {
+            return;
+        }
+        let is_older_than_node = current.started_unix_ms < self.incarnation;
+        self.target
+            .admission
+            .replace_target(is_older_than_node, self.now);
+    }
+
     /// Rejects queued requests if they were admitted for another service or version than that of the
     /// current target.
     fn drain_queue_of_other_target(&mut self, before: &Heartbeat) {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -83,9 +83,9 @@
 
 pub use run::run;
 
-/// Interval of the periodic checks that need no exact time.
 /// Time until more input of a socket is read whose input was not read whole.
 const READ_PAUSE: Duration = Duration::from_millis(1);
+/// Interval of the periodic checks that need no exact time.
 const TICK: Duration = Duration::from_millis(100);
 /// Time since the last tick beyond which the process was paused or the VM suspended.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(900);
@@ -144,6 +144,8 @@
     Work(WorkId),
     /// A call to the store is due or has taken too long.
     Store,
+    /// The rate limit of the target allows a further request.
+    Permit,
     /// The VM's uplink has room for the next chunk of a large answer.
     Uplink,
     /// A socket has more input than was read at once.
@@ -400,6 +402,7 @@
             Timer::Call(id) => self.call_timed_out(id),
             Timer::Work(id) => self.work_timed_out(id),
             Timer::Store => self.drive_store(),
+            Timer::Permit => self.permit_due(),
             Timer::Uplink => self.drive_uplink(),
             Timer::Read(socket) => self.read_socket(socket),
         }
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -263,7 +263,10 @@
             && is_allowed(rule, &target.version)
             && !call.tried.contains(&OWN_NODE)
         {
-            let load = self.target.admission.load_for(&call.route.name);
+            let load = LoadReport {
+                rate_limit_wait_ms: self.rate_limit_wait_ms(),
+                ..self.target.admission.load_for(&call.route.name)
+            };
             candidates.push(Candidate {
                 node: OWN_NODE,
                 distance: Distance::Own,
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -56,8 +56,8 @@
     pub(crate) tallies: Vec<(RouteName, Tally)>,
     /// Counts of answers of runs that began while the target was busy.
     pub(crate) busy_tally: Tally,
-    /// Rate limit that the last answer named, in requests per second.
-    pub(crate) named_rate_per_s: Option<f64>,
+    /// When `Timer::Permit` fires next.
+    pub(crate) permit_timer: Option<Time>,
 }
 
 /// Request for this node's target.
@@ -184,6 +184,7 @@
                 for work in displaced {
                     self.reject_work(work, Refusal::TooLate, Duration::ZERO);
                 }
+                self.schedule_permit();
             }
             AdmissionDecision::Reject {
                 reason,
@@ -192,6 +193,7 @@
                 let refusal = match reason {
                     RejectReason::TooLate => Refusal::TooLate,
                     RejectReason::QueueFull => Refusal::QueueFull,
+                    RejectReason::RateLimited => Refusal::RateLimited,
                 };
                 self.reject_work(id, refusal, retry_after);
             }
@@ -265,6 +267,25 @@
         for id in dispatch.run {
             self.run_work(id);
         }
+        self.schedule_permit();
+    }
+
+    /// Sets a timer for the next request that has a free slot and waits for the rate limit.
+    fn schedule_permit(&mut self) {
+        let Some(at) = self.target.admission.next_permit_at(self.now) else {
+            return;
+        };
+        let is_set = self.target.permit_timer.is_some_and(|set| set <= at);
+        if !is_set {
+            self.target.permit_timer = Some(at);
+            self.set_timer(at, Timer::Permit);
+        }
+    }
+
+    /// Sends the waiting requests that the rate limit allows by now.
+    pub(super) fn permit_due(&mut self) {
+        self.target.permit_timer = None;
+        self.dispatch_work();
     }
 
     /// Rejects all waiting requests, since the target accepts no more.
@@ -380,7 +401,7 @@
 
     /// Returns whether an answer was made by the target for this request. A success must carry the
     /// target's signature.
-    fn is_valid_answer(&self, work: &WorkItem, answer: &HttpAnswer) -> bool {
+    pub(super) fn is_valid_answer(&self, work: &WorkItem, answer: &HttpAnswer) -> bool {
         let is_own = answer
             .header(self.header_names.request_id)
             .is_none_or(|id| id == work.request_id);
@@ -498,7 +519,7 @@
             "outcome": outcome, "run_ms": ms(took),
             "at_node_ms": ms(self.now.saturating_sub(work.submitted_at)),
             "running": load.running, "queued": load.queued, "heartbeat_age_ms": heartbeat_age_ms,
-            "limit_per_s": self.target.named_rate_per_s,
+            "limit_per_s": self.target.admission.rate_limit_per_s(),
         });
         self.log.write("run", fields);
     }
--- a/crates/sidecar/src/node/transfers.rs
+++ b/crates/sidecar/src/node/transfers.rs
@@ -184,6 +184,7 @@
     pub(super) fn load(&self) -> LoadReport {
         LoadReport {
             uplink_busy_ms: saturated_ms(self.uplink.busy_for(self.now)),
+            rate_limit_wait_ms: self.rate_limit_wait_ms(),
             ..self.target.admission.load()
         }
     }
@@ -205,9 +206,15 @@
         LoadReport {
             uplink_busy_ms: saturated_ms(self.uplink.busy_for(self.now)),
             route_send_ms: saturated_ms(self.uplink.time_for(bytes)),
+            rate_limit_wait_ms: self.rate_limit_wait_ms(),
             ..self.target.admission.load_for(route)
         }
     }
+
+    /// Returns the time until the rate limit of the target allows a further request.
+    pub(super) fn rate_limit_wait_ms(&self) -> u16 {
+        saturated_ms(self.target.admission.rate_limit_wait(self.now))
+    }
 }
 
 fn saturated_ms(duration: std::time::Duration) -> u16 {
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -32,6 +32,7 @@
             failed_permille: 0,
             uplink_busy_ms: 0,
             route_send_ms: 0,
+            rate_limit_wait_ms: 0,
         },
         load_at: at(1_000),
         outstanding: 0,
--- a/crates/sidecar/tests/uplink.rs
+++ b/crates/sidecar/tests/uplink.rs
@@ -68,6 +68,7 @@
             failed_permille: 0,
             uplink_busy_ms,
             route_send_ms: 78,
+            rate_limit_wait_ms: 0,
         },
         load_at: at(1_000),
         outstanding: 0,
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -499,6 +499,16 @@
         self.node.restart()
     }
 
+    /// Ends the target abruptly and starts it again under the id that it had.
+    ///
+    /// # Errors
+    /// The address is in use.
+    pub fn restart_target(&mut self, ledger: &Arc<Ledger>) -> Result<()> {
+        self.target = None;
+        self.target_starts -= 1;
+        self.start_target(ledger)
+    }
+
     /// Changes the mode of all proxies around the node.
     pub fn set_proxies(&self, mode: Mode) {
         for proxy in [&self.store_proxy, &self.target_proxy, &self.link_proxy] {
--- a/xtask/tests/mesh/rate_limits.rs
+++ b/xtask/tests/mesh/rate_limits.rs
@@ -183,3 +183,63 @@
         .find(|(_, outcome, _)| !matches!(outcome, Outcome::Served | Outcome::NotRun));
     assert!(failed.is_none(), "{failed:?}");
 }
+
+/// Load: the only target of a service limits its rate, and its node is restarted while callers go on.
+/// Guards against a node that has lost the limit with its process and fills the target's slots.
+#[test]
+fn a_limit_outlasts_the_restart_of_the_targets_node() {
+    let mut options = testbed_options("limit_and_restart", 2);
+    options.run_time = Duration::from_millis(150);
+    let mut testbed = start(&options);
+    for vm in &testbed.vms {
+        await_served(&testbed, vm.callers, PATH);
+    }
+    let load = Load::start(&testbed);
+    target(&testbed, 0).set_notice(RATE_LIMIT, Some("0.5"));
+    let bound_at = Instant::now() + STABILITY_WINDOW;
+    thread::sleep(STABILITY_WINDOW + WINDOW / 4);
+
+    testbed.vms[0].restart_node().expect("the node starts");
+    thread::sleep(WINDOW);
+    let busiest = busiest_window(target(&testbed, 0), bound_at);
+    let ends = load.stop();
+
+    assert!(busiest <= allowed(0.5), "{busiest} requests in a window");
+    assert!(!ends.is_empty());
+}
+
+/// Guards against a limit that is misread or kept when its value changes: one that rises, falls to
+/// zero, cannot be read, or is gone with the process that named it.
+#[test]
+fn a_limit_follows_the_values_that_the_target_names() {
+    let mut testbed = start(&testbed_options("limit_values", 2));
+    let node = testbed.vms[1].callers;
+    await_served(&testbed, node, PATH);
+    let load = Load::start(&testbed);
+
+    let mut busiest = Vec::new();
+    for value in ["4", "30", "many", "0"] {
+        target(&testbed, 0).set_notice(RATE_LIMIT, Some(value));
+        // The limit before holds until the next answer.
+        thread::sleep(Duration::from_millis(1_500));
+        let named_at = Instant::now();
+        thread::sleep(WINDOW);
+        busiest.push(busiest_window(target(&testbed, 0), named_at));
+    }
+    let ledger = Arc::clone(&testbed.ledger);
+    testbed.vms[0]
+        .restart_target(&ledger)
+        .expect("the target starts");
+    await_served(&testbed, node, PATH);
+    let restarted_at = Instant::now();
+    thread::sleep(Duration::from_secs(1));
+    let unlimited = busiest_window(target(&testbed, 0), restarted_at);
+    load.stop();
+
+    assert!((10..=allowed(4.0)).contains(&busiest[0]), "{busiest:?}");
+    for risen in &busiest[1..3] {
+        assert!((80..=allowed(30.0)).contains(risen), "{busiest:?}");
+    }
+    assert!(busiest[3] <= allowed(0.0), "{busiest:?}");
+    assert!(unlimited > 100, "{unlimited} requests");
+}
