Take a target out of service that announces in an answer that it leaves

What targets saw: after an answer with the announcement, requests of all nodes went on reaching them (65 in the test a_target_that_announces_its_stop_gets_no_more_requests) until they said so in a heartbeat or a call, which they may do later or never.

Cause: the same class as the rate limit, a statement of the target in its answers that was not read.

Change: the announcement counts as a deregistration of the process that the answered request was sent to. So queued requests are refused as not run, all nodes are told, and the store and other nodes keep it for a restarted node.

--- a/crates/sidecar/src/node/deregistration.rs
+++ b/crates/sidecar/src/node/deregistration.rs
@@ -23,15 +23,20 @@
 }
 
 impl Node {
-    /// Rejects queued requests if the target takes no more, and broadcasts and stores the
-    /// deregistration before it is acknowledged.
+    /// Publishes a deregistration before it is acknowledged.
     pub(super) fn begin_deregistration(&mut self, caller: u64, token: u64) {
+        self.publish_deregistration();
+        self.acknowledge_when_stored(caller, token);
+    }
+
+    /// Rejects queued requests if the target takes no more, and broadcasts and stores the
+    /// deregistration.
+    pub(super) fn publish_deregistration(&mut self) {
         if !self.is_target_open() {
             self.drain_queue();
         }
         self.record_changed();
         self.store_own_entry();
-        self.acknowledge_when_stored(caller, token);
     }
 
     /// Acknowledges a call about a deregistered target, once the store holds the deregistration.
--- a/crates/sidecar/src/node/target_notices.rs
+++ b/crates/sidecar/src/node/target_notices.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 
 use crate::admission::WorkId;
+use crate::clock::Time;
 use crate::log::LogCategory;
 use crate::node::Node;
 use crate::node::targets::WorkState;
@@ -20,9 +21,32 @@
             return;
         };
         let is_success = (200..300).contains(&answer.status) && self.is_valid_answer(work, answer);
+        self.target.admission.answered();
+        if self.platform.announces_leaving(answer) && self.target.own.announce_leaving(started) {
+            self.target_leaves(id);
+        }
+        self.read_rate_limit(id, answer, started, is_success);
+    }
+
+    /// Rejects queued requests, and broadcasts and stores the deregistration of a target that has
+    /// announced that it leaves. It binds later processes of this node as well.
+    fn target_leaves(&mut self, id: WorkId) {
+        let request = self.target.work_items.get(id).map(|work| &work.request_id);
+        let fields =
+            json!({ "id": request, "instance": self.target.own.key().map(|key| key.instance) });
+        self.log_event("target_leaves", fields);
+        self.publish_deregistration();
+    }
+
+    fn read_rate_limit(
+        &mut self,
+        id: WorkId,
+        answer: &HttpAnswer,
+        started: Time,
+        is_success: bool,
+    ) {
         let admission = &mut self.target.admission;
         let before = admission.rate_limit_per_s();
-        admission.answered();
         match self.platform.rate_notice(answer) {
             RateNotice::PerSecond(per_s) => admission.set_rate_limit(per_s, started, self.now),
             // A refusal or a failure may come from a part of the target that does not know its
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -261,6 +261,9 @@
     /// Decodes the rate limit that a target names in an answer.
     fn rate_notice(&self, answer: &HttpAnswer) -> RateNotice;
 
+    /// Returns whether a target announces in an answer that it leaves.
+    fn announces_leaving(&self, answer: &HttpAnswer) -> bool;
+
     /// Encodes a call to the store.
     fn store_request(&self, call: &StoreCall) -> HttpRequest;
 
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 struct CurrentTarget {
     heartbeat: Heartbeat,
+    /// When the first heartbeat of this process of the target was received.
+    known_at: Time,
     received_at: Time,
     is_draining: bool,
 }
@@ -77,6 +79,7 @@
         let is_draining = heartbeat.state == TargetState::Draining;
         self.current = Some(CurrentTarget {
             heartbeat,
+            known_at: now,
             received_at: now,
             is_draining,
         });
@@ -108,6 +111,22 @@
         key
     }
 
+    /// Deregisters the target after it has announced that it leaves, in its answer to a request that
+    /// was sent at `sent_at`. Returns whether it took requests until now; an answer of an earlier
+    /// process changes nothing.
+    pub fn announce_leaving(&mut self, sent_at: Time) -> bool {
+        let leaving = self
+            .current
+            .as_ref()
+            .filter(|current| !current.is_draining && sent_at >= current.known_at)
+            .map(|current| key_of(&current.heartbeat));
+        let Some(key) = leaving else {
+            return false;
+        };
+        self.add_deregistered(key);
+        true
+    }
+
     /// Records a deregistered incarnation, so that no late heartbeat brings it back into service.
     /// Above the capacity, the key with the earliest start is discarded.
     pub fn add_deregistered(&mut self, key: TargetKey) {
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -127,3 +127,23 @@
         !target.is_admitting()
     }
 }
+
+/// Guards against a target that is taken out of service by a late answer of its earlier process, and
+/// against one that returns to service by a later heartbeat of the process that leaves.
+#[test]
+fn an_announcement_binds_the_process_that_made_it() {
+    let mut target = OwnTarget::default();
+    target.apply_heartbeat(heartbeat("i-1", 10, 1, Ready), at(1_000));
+    target.apply_heartbeat(heartbeat("i-1", 20, 1, Ready), at(5_000));
+
+    assert!(!target.announce_leaving(at(4_900)));
+    assert!(target.is_admitting());
+
+    assert!(target.announce_leaving(at(5_100)));
+    target.apply_heartbeat(heartbeat("i-1", 20, 2, Ready), at(6_000));
+    assert!(!target.is_admitting());
+    assert!(!target.announce_leaving(at(6_100)), "announced before");
+
+    target.apply_heartbeat(heartbeat("i-1", 30, 1, Ready), at(9_000));
+    assert!(target.is_admitting());
+}
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod deregistration;
 mod foreign_heartbeats;
+mod leaving_notices;
 mod rate_limits;
 mod setup;
 mod stopping;
