Restore a target's rate limit from other nodes after a restart

The limit is lost with the process, but every node that was told of it still has it. Load reports now tell it apart from one that is not known, and calls carry it; the restarted node keeps to it until the target answers. All slots are open at once otherwise. Requests that begin at the restarted node itself may run before the first answer or call.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -12,6 +12,8 @@
 
 use crate::clock::Time;
 use crate::model::LoadReport;
+use crate::model::RateLimitReport;
+use crate::rate_limit;
 use crate::rate_limit::RateLimiter;
 
 /// Weight of the newest run in the moving average of run times.
@@ -32,10 +34,6 @@
 /// Maximum number of waiting requests for each slot.
 const QUEUE_PER_SLOT: usize = 4;
 
-/// Slots that are used until the first answer of a target that an earlier process of this node may
-/// have sent requests to. A limit that its answers named is not known any more.
-const FIRST_ANSWER_SLOTS: usize = 2;
-
 /// Part of the slots, in percent, from which a target counts as busy.
 const BUSY_PERCENT: usize = 70;
 
@@ -148,8 +146,8 @@
     /// Whether the target has just started and is still slow.
     is_cold: bool,
     rate: RateLimiter,
-    /// Whether the target may have named limits to an earlier process of this node.
-    awaits_first_answer: bool,
+    /// Whether the target has answered a request of this process of the node.
+    has_answered: bool,
     /// Sorted by route.
     routes: Vec<(RouteName, RouteTimes)>,
     mean_run_ms: f64,
@@ -168,10 +166,17 @@
     }
 
     /// Begins with another process of the target, whose rate limit is not known yet.
-    /// `awaits_first_answer` is set if an earlier process of this node may have sent requests to it.
-    pub fn replace_target(&mut self, awaits_first_answer: bool, now: Time) {
+    pub fn replace_target(&mut self, now: Time) {
         self.rate.reset(now);
-        self.awaits_first_answer = awaits_first_answer;
+        self.has_answered = false;
+    }
+
+    /// Applies the rate limit that the target named to an earlier process of this node, as another
+    /// node knows it. An answer to this process goes before it.
+    pub fn restore_rate_limit(&mut self, per_s: f64, now: Time) {
+        if !self.has_answered && self.rate.per_s().is_none() {
+            self.rate.set(per_s, now, now);
+        }
     }
 
     /// Applies the rate limit of an answer to a request that was sent at `sent_at`.
@@ -190,6 +195,14 @@
         self.rate.per_s()
     }
 
+    fn rate_limit_report(&self) -> RateLimitReport {
+        match self.rate.per_s() {
+            Some(per_s) => RateLimitReport::Limited(rate_limit::to_milli(per_s)),
+            None if self.has_answered => RateLimitReport::Unlimited,
+            None => RateLimitReport::Unknown,
+        }
+    }
+
     /// Returns the time until a new request may be sent under the rate limit.
     #[must_use]
     pub fn rate_limit_wait(&self, now: Time) -> Duration {
@@ -198,15 +211,13 @@
 
     /// Records that the target has answered a request of this process.
     pub fn answered(&mut self) {
-        self.awaits_first_answer = false;
+        self.has_answered = true;
     }
 
     /// Gives a request a slot, queues it or rejects it.
     pub fn admit(&mut self, request: AdmissionRequest, now: Time) -> AdmissionDecision {
         let run = self.expected_run(&request.route, request.target_latency);
-        if self.running < self.open_slots()
-            && self.waiting.is_empty()
-            && self.rate.wait(0, now).is_zero()
+        if self.running < self.slots && self.waiting.is_empty() && self.rate.wait(0, now).is_zero()
         {
             let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
                 && request.uplink.arrival(now + run) > latest_answer(&request);
@@ -282,7 +293,7 @@
     /// Gives free slots to waiting requests and removes those that cannot be answered in time.
     pub fn dispatch(&mut self, now: Time) -> Dispatch {
         let mut dispatch = Dispatch::default();
-        while self.running < self.open_slots() && !self.waiting.is_empty() {
+        while self.running < self.slots && !self.waiting.is_empty() {
             let request = &self.waiting[0];
             let run = self.expected_run(&request.route, request.target_latency);
             if now + run / 2 + request.uplink.send > latest_answer(request) {
@@ -303,7 +314,7 @@
     /// limit.
     #[must_use]
     pub fn next_permit_at(&self, now: Time) -> Option<Time> {
-        let is_limited = self.running < self.open_slots() && !self.waiting.is_empty();
+        let is_limited = self.running < self.slots && !self.waiting.is_empty();
         is_limited.then(|| now + self.rate.wait(0, now))
     }
 
@@ -331,6 +342,7 @@
             uplink_busy_ms: 0,
             route_send_ms: 0,
             rate_limit_wait_ms: 0,
+            rate_limit: self.rate_limit_report(),
         }
     }
 
@@ -366,14 +378,6 @@
             .partition_point(|other| (other.priority, other.due) <= (request.priority, request.due))
     }
 
-    /// Returns the number of slots that may be used now.
-    fn open_slots(&self) -> usize {
-        if self.awaits_first_answer {
-            return self.slots.min(FIRST_ANSWER_SLOTS);
-        }
-        self.slots
-    }
-
     /// Returns the expected time until a request at a position of the queue is sent.
     fn expected_wait(&self, index: usize, now: Time) -> Duration {
         self.expected_slot_wait(index)
@@ -382,14 +386,14 @@
 
     /// Returns the expected time until a request at a position of the queue gets a slot.
     fn expected_slot_wait(&self, index: usize) -> Duration {
-        if self.running < self.open_slots() {
+        if self.running < self.slots {
             return Duration::ZERO;
         }
         let ahead_ms: f64 = self.waiting[..index]
             .iter()
             .map(|request| self.run_ms(&request.route, request.target_latency))
             .sum();
-        let slots = f64::from(u16::try_from(self.open_slots().max(1)).unwrap_or(u16::MAX));
+        let slots = f64::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
         let next_ms = self.mean_run_ms * self.cold_factor();
         Duration::from_secs_f64((ahead_ms + next_ms) / slots / 1000.0)
     }
--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -95,6 +95,8 @@
     pub due_ms: i32,
     /// Latency up to which answers of the route are in time, in milliseconds.
     pub target_latency_ms: u32,
+    /// Rate limit of the target that the sender knows of, in requests per 1000 seconds.
+    pub rate_limit_milli_per_s: Option<u32>,
     /// Method.
     pub method: Text,
     /// Path with query.
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -303,6 +303,18 @@
     }
 }
 
+/// Rate limit of a target as its node knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RateLimitReport {
+    /// Not known: no answer of the target has reached the node's process.
+    #[default]
+    Unknown,
+    /// The target names no limit.
+    Unlimited,
+    /// Requests that the target takes from all nodes together, in 1000 seconds.
+    Limited(u32),
+}
+
 /// Load of a target as its node measures it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -325,4 +337,6 @@
     pub route_send_ms: u16,
     /// Time until the rate limit of the target allows a further request, in milliseconds.
     pub rate_limit_wait_ms: u16,
+    /// Rate limit of the target.
+    pub rate_limit: RateLimitReport,
 }
--- a/crates/sidecar/src/node/control.rs
+++ b/crates/sidecar/src/node/control.rs
@@ -124,10 +124,7 @@
         if before.map(process) == Some(process(current)) {
             return;
         }
-        let is_older_than_node = current.started_unix_ms < self.incarnation;
-        self.target
-            .admission
-            .replace_target(is_older_than_node, self.now);
+        self.target.admission.replace_target(self.now);
     }
 
     /// Rejects queued requests if they were admitted for another service or version than that of the
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -22,9 +22,11 @@
 use crate::node::calls::AttemptEnd;
 use crate::node::calls::AttemptLocation;
 use crate::node::mesh::VersionRule;
+use crate::node::peers::Peer;
 use crate::node::targets::WorkItem;
 use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
+use crate::rate_limit;
 
 impl Node {
     /// Sends a caller's request to another node.
@@ -61,6 +63,7 @@
             })
             .cloned()
             .collect();
+        let rate_limit_milli_per_s = self.peers.get(peer).and_then(Peer::known_rate_limit);
         let frame = CallFrame {
             call: id,
             service: writer.encode(&call.service),
@@ -77,6 +80,7 @@
             deadline_ms: whole_ms(call.deadline.saturating_sub(now)),
             due_ms: signed_ms_until(call.due, now),
             target_latency_ms: whole_ms(call.route.target_latency),
+            rate_limit_milli_per_s,
             method: writer.encode(&request.method),
             path: request.target.clone(),
             headers: writer.headers(&headers),
@@ -235,6 +239,10 @@
             self.answer_link(id, frame.call, &work, end);
             return Ok(());
         }
+        if let Some(milli_per_s) = frame.rate_limit_milli_per_s {
+            let per_s = rate_limit::from_milli(milli_per_s);
+            self.target.admission.restore_rate_limit(per_s, now);
+        }
         let answer_bytes = self.large_answer_bytes(&work.route);
         let work = self.target.work_items.insert(WorkItem {
             answer_bytes,
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -13,6 +13,8 @@
 use crate::edge::frame::Frame;
 use crate::model::LoadReport;
 use crate::model::NodeRecord;
+use crate::model::RateLimitReport;
+use crate::model::TargetKey;
 use crate::model::TargetRecord;
 use crate::node::Node;
 use crate::node::calls::Call;
@@ -48,6 +50,9 @@
     pub(super) dial_failures: u32,
     pub(super) load: LoadReport,
     pub(super) load_at: Time,
+    /// Rate limit that a process of the node's target has named, in requests per 1000 seconds. It
+    /// outlasts a restart of the node.
+    rate_limit_milli_per_s: Option<(TargetKey, u32)>,
     /// Mean run and send times by route, sorted by route.
     pub(super) route_times: Vec<(RouteName, RouteTimes)>,
     pub(super) outstanding: u16,
@@ -65,6 +70,24 @@
 }
 
 impl Peer {
+    /// Returns the rate limit that the current process of the node's target is known to have, in
+    /// requests per 1000 seconds.
+    pub(super) fn known_rate_limit(&self) -> Option<u32> {
+        let (key, milli_per_s) = self.rate_limit_milli_per_s.as_ref()?;
+        let target = self.record.target.as_ref()?;
+        (target.key == *key).then_some(*milli_per_s)
+    }
+
+    fn record_rate_limit(&mut self, report: RateLimitReport) {
+        match (report, &self.record.target) {
+            (RateLimitReport::Limited(milli_per_s), Some(target)) => {
+                self.rate_limit_milli_per_s = Some((target.key.clone(), milli_per_s));
+            }
+            (RateLimitReport::Unlimited, _) => self.rate_limit_milli_per_s = None,
+            (RateLimitReport::Unknown, _) | (RateLimitReport::Limited(_), None) => {}
+        }
+    }
+
     fn route_times(&self, route: &RouteName) -> RouteTimes {
         self.route_times
             .binary_search_by(|(name, _)| name.cmp(route))
@@ -151,6 +174,7 @@
             dial_failures: 0,
             load: LoadReport::default(),
             load_at: self.now,
+            rate_limit_milli_per_s: None,
             route_times: Vec::new(),
             outstanding: 0,
             watcher_heartbeat_at: None,
@@ -215,6 +239,7 @@
         };
         peer.load = load;
         peer.load_at = now;
+        peer.record_rate_limit(load.rate_limit);
         let Some(route) = route.filter(|_| load.route_run_ms > 0) else {
             return;
         };
--- a/crates/sidecar/src/rate_limit.rs
+++ b/crates/sidecar/src/rate_limit.rs
@@ -2,7 +2,9 @@
 //!
 //! A target in need names in its answers how many requests per second it takes from all nodes
 //! together, for as long as it says so. Only this node can reach the target, so one token bucket
-//! here bounds the sum over all nodes, whatever they have learned of the limit.
+//! here bounds the sum over all nodes, whatever they have learned of the limit. A restarted node has
+//! lost the limit; nodes that were told of it send it along with their calls until the node has an
+//! answer of its own.
 
 use std::time::Duration;
 
@@ -35,6 +37,24 @@
     refilled_at: Time,
 }
 
+/// Returns a rate in requests per 1000 seconds, as nodes report it.
+#[must_use]
+pub fn to_milli(per_s: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is clamped to the range of the type"
+    )]
+    let milli = (per_s * 1000.0).clamp(0.0, f64::from(u32::MAX)) as u32;
+    milli
+}
+
+/// Returns the requests per second of a reported rate.
+#[must_use]
+pub fn from_milli(milli_per_s: u32) -> f64 {
+    f64::from(milli_per_s) / 1000.0
+}
+
 impl RateLimiter {
     /// Applies the limit of an answer to a request that was sent at `sent_at`. Answers on several
     /// connections may be read in another order than they were made. So a higher limit replaces a
--- a/crates/sidecar/tests/balance.rs
+++ b/crates/sidecar/tests/balance.rs
@@ -13,6 +13,7 @@
 use hemlockfall_sidecar::balance::Demand;
 use hemlockfall_sidecar::balance::Distance;
 use hemlockfall_sidecar::model::LoadReport;
+use hemlockfall_sidecar::model::RateLimitReport;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -33,6 +34,7 @@
             uplink_busy_ms: 0,
             route_send_ms: 0,
             rate_limit_wait_ms: 0,
+            rate_limit: RateLimitReport::Unknown,
         },
         load_at: at(1_000),
         outstanding: 0,
--- a/crates/sidecar/tests/rate_limit.rs
+++ b/crates/sidecar/tests/rate_limit.rs
@@ -11,6 +11,8 @@
 use hemlockfall_sidecar::admission::RejectReason;
 use hemlockfall_sidecar::admission::UplinkDemand;
 use hemlockfall_sidecar::clock::Time;
+use hemlockfall_sidecar::model::RateLimitReport;
+use hemlockfall_sidecar::rate_limit;
 use hemlockfall_sidecar::rate_limit::RateLimiter;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -180,22 +182,26 @@
     assert_eq!(queue.next_permit_at(due), None);
 }
 
-/// Guards against a restarted node that fills all slots of a target before it has learned from an
-/// answer that the target limits its rate.
+/// Guards against a restarted node that fills all slots of a target whose limit other nodes know, and
+/// against their knowledge that goes before an answer of the target.
 #[test]
-fn a_restarted_node_sends_few_requests_before_the_first_answer() {
+fn a_restarted_node_takes_the_limit_from_others_until_the_first_answer() {
     let mut queue = AdmissionQueue::default();
     queue.set_slots(SLOTS);
-    queue.replace_target(true, at(0));
+    queue.replace_target(at(0));
+    assert_eq!(queue.load().rate_limit, RateLimitReport::Unknown);
 
+    queue.restore_rate_limit(10.0, at(100));
     for id in 0..20 {
         queue.admit(request(id, 100), at(100));
     }
-    assert_eq!(queue.load().running, 2);
+    assert_eq!(queue.load().running, 0);
+    assert_eq!(queue.load().rate_limit, RateLimitReport::Limited(10_000));
 
     queue.answered();
-    let dispatch = queue.dispatch(at(200));
-    assert!(!dispatch.run.is_empty());
+    queue.withdraw_rate_limit(at(200));
+    queue.restore_rate_limit(10.0, at(300));
+    assert_eq!(queue.load().rate_limit, RateLimitReport::Unlimited);
 }
 
 /// Rate that a target names at a time, in requests per second; infinite without a limit.
@@ -203,22 +209,39 @@
     named.unwrap_or(f64::INFINITY)
 }
 
+/// Nodes at which requests begin: the target's node, one of its data centre, and a distant one.
+const OWN: usize = 0;
+const NEAR: usize = 1;
+const NODES: usize = 3;
+
+/// Run at the simulated target.
+struct Run {
+    node: usize,
+    started: Time,
+    end_ms: u64,
+}
+
 /// Answer of the simulated target on its way to the node.
 struct Answer {
     read_at_ms: u64,
+    node: usize,
     started: Time,
     named: Option<f64>,
 }
 
 /// Target whose limit changes at random times, and its node, which is paused and restarted at
-/// random times. Answers are read late and in another order than they were made.
+/// random times. Answers are read late and in another order than they were made, and a request may
+/// begin at any node.
 struct Simulation {
     random: SmallRng,
     queue: AdmissionQueue,
     named: Option<f64>,
-    /// Starts and ends of the runs in progress whose answers the node will read.
-    runs: Vec<(Time, u64)>,
+    runs: Vec<Run>,
     answers: Vec<Answer>,
+    /// When each node was first told of a limit; requests that begin there count from then on.
+    told_ms: [Option<u64>; NODES],
+    /// Limit that each node sends along with its calls.
+    known: [Option<u32>; NODES],
     /// Rate of the last answer that was read, infinite before the first one.
     told_per_s: f64,
     first_named_ms: Option<u64>,
@@ -239,6 +262,8 @@
             named: None,
             runs: Vec::new(),
             answers: Vec::new(),
+            told_ms: [None; NODES],
+            known: [None; NODES],
             told_per_s: f64::INFINITY,
             first_named_ms: None,
             resumes_ms: 0,
@@ -252,10 +277,16 @@
         self.random.random_range(0.0..1000.0) < per_s
     }
 
-    fn send(&mut self, now_ms: u64) {
-        self.arrivals_ms.push(now_ms);
+    fn send(&mut self, node: usize, now_ms: u64) {
+        if self.told_ms[node].is_some_and(|told_ms| told_ms + TOLD_MS <= now_ms) {
+            self.arrivals_ms.push(now_ms);
+        }
         let end_ms = now_ms + self.random.random_range(5..300);
-        self.runs.push((at(now_ms), end_ms));
+        self.runs.push(Run {
+            node,
+            started: at(now_ms),
+            end_ms,
+        });
     }
 
     fn change_target(&mut self, now_ms: u64) {
@@ -272,20 +303,24 @@
             self.named = limits[self.random.random_range(0..limits.len())];
             self.first_named_ms = self.first_named_ms.or(self.named.map(|_| now_ms));
         }
-        let (ended, running) = self.runs.drain(..).partition(|(_, end)| *end <= now_ms);
-        self.runs = running;
-        let ended: Vec<(Time, u64)> = ended;
-        for (started, _) in ended {
+        let runs = std::mem::take(&mut self.runs);
+        for run in runs {
+            if run.end_ms > now_ms {
+                self.runs.push(run);
+                continue;
+            }
             let read_at_ms = now_ms + self.random.random_range(0..40);
             self.answers.push(Answer {
                 read_at_ms,
-                started,
+                node: run.node,
+                started: run.started,
                 named: self.named,
             });
         }
     }
 
-    /// Restarts the node at most once in a window. The runs for the old process give no answer.
+    /// Restarts the node at most once in a window. The runs for the old process give no answer, and
+    /// requests that begin at the node count from the next answer on.
     fn change_node(&mut self, now_ms: u64) {
         if self.chance(0.1) {
             self.resumes_ms = now_ms + self.random.random_range(100..2_000);
@@ -295,9 +330,10 @@
             self.resumes_ms = now_ms + self.random.random_range(100..1_000);
             self.queue = AdmissionQueue::default();
             self.queue.set_slots(SLOTS);
-            self.queue.replace_target(true, at(self.resumes_ms));
+            self.queue.replace_target(at(self.resumes_ms));
             self.runs.clear();
             self.answers.clear();
+            self.told_ms[OWN] = None;
         }
     }
 
@@ -306,18 +342,22 @@
         self.answers.retain_mut(|answer| {
             let is_due = answer.read_at_ms <= now_ms;
             if is_due {
-                due.push((answer.started, answer.named));
+                due.push((answer.node, answer.started, answer.named));
             }
             !is_due
         });
         while !due.is_empty() {
             let index = self.random.random_range(0..due.len());
-            let (started, named) = due.swap_remove(index);
+            let (node, started, named) = due.swap_remove(index);
             self.queue.answered();
             match named {
-                Some(per_s) => self.queue.set_rate_limit(per_s, started, at(now_ms)),
+                Some(per_s) => {
+                    self.queue.set_rate_limit(per_s, started, at(now_ms));
+                    self.told_ms[node] = self.told_ms[node].or(Some(now_ms));
+                }
                 None => self.queue.withdraw_rate_limit(started),
             }
+            self.report_load(node);
             self.told_per_s = rate_or_infinite(named);
             let took = at(now_ms).saturating_sub(started);
             self.queue.finished(&"lookup".into(), took, true);
@@ -325,9 +365,31 @@
         }
     }
 
+    fn report_load(&mut self, node: usize) {
+        match self.queue.load().rate_limit {
+            RateLimitReport::Unknown => {}
+            RateLimitReport::Unlimited => self.known[node] = None,
+            RateLimitReport::Limited(milli_per_s) => self.known[node] = Some(milli_per_s),
+        }
+    }
+
     fn dispatch(&mut self, now_ms: u64) {
-        for _ in self.queue.dispatch(at(now_ms)).run {
-            self.send(now_ms);
+        for id in self.queue.dispatch(at(now_ms)).run {
+            self.send(usize::try_from(id).expect("small") % NODES, now_ms);
+        }
+    }
+
+    fn begin_request(&mut self, now_ms: u64) {
+        let node = self.random.random_range(0..NODES);
+        if node != OWN
+            && let Some(milli_per_s) = self.known[node]
+        {
+            let per_s = rate_limit::from_milli(milli_per_s);
+            self.queue.restore_rate_limit(per_s, at(now_ms));
+        }
+        let id = now_ms * NODES as u64 + node as u64;
+        if self.queue.admit(request(id, now_ms), at(now_ms)) == AdmissionDecision::Run {
+            self.send(node, now_ms);
         }
     }
 
@@ -341,10 +403,10 @@
                 self.dispatch(now_ms);
             }
             if self.chance(150.0) {
-                let admitted = self.queue.admit(request(now_ms, now_ms), at(now_ms));
-                if admitted == AdmissionDecision::Run {
-                    self.send(now_ms);
-                }
+                self.begin_request(now_ms);
+            }
+            if now_ms.is_multiple_of(100) {
+                self.report_load(NEAR);
             }
         }
         let named_per_s = rate_or_infinite(self.named);
--- a/crates/sidecar/tests/uplink.rs
+++ b/crates/sidecar/tests/uplink.rs
@@ -16,6 +16,7 @@
 use hemlockfall_sidecar::balance::Distance;
 use hemlockfall_sidecar::clock::Time;
 use hemlockfall_sidecar::model::LoadReport;
+use hemlockfall_sidecar::model::RateLimitReport;
 use hemlockfall_sidecar::uplink::Uplink;
 use quickcheck::quickcheck;
 use rand::SeedableRng;
@@ -69,6 +70,7 @@
             uplink_busy_ms,
             route_send_ms: 78,
             rate_limit_wait_ms: 0,
+            rate_limit: RateLimitReport::Unknown,
         },
         load_at: at(1_000),
         outstanding: 0,
