--- a/xtask/tests/mesh/deregistration.rs
+++ b/xtask/tests/mesh/deregistration.rs
@@ -22,13 +22,13 @@
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Starts a mesh of two nodes of which the first has the only target of its service.
-fn start_with_one_target(test: &str) -> Testbed {
+pub fn start_with_one_target(test: &str) -> Testbed {
     let testbed = start(&testbed_options(test, 2));
     await_served(&testbed, testbed.vms[1].callers, "/stock/1");
     testbed
 }
 
-fn kill(testbed: &mut Testbed, vm: usize) {
+pub fn kill(testbed: &mut Testbed, vm: usize) {
     testbed.vms[vm]
         .node
         .signal(Signal::Kill)
@@ -37,7 +37,7 @@
 
 /// Sends orders to both nodes, and a heartbeat from before the deregistration before each of them;
 /// returns the orders that reached the target.
-fn runs_after_late_heartbeats(testbed: &Testbed, deregistered: &Target) -> Vec<String> {
+pub fn runs_after_late_heartbeats(testbed: &Testbed, deregistered: &Target) -> Vec<String> {
     let mut sent = Vec::new();
     for number in 0..60 {
         deregistered.send_late_heartbeat();
@@ -51,7 +51,7 @@
 }
 
 /// Waits until all nodes have a configuration again, which shows that they have read the store.
-fn await_config(testbed: &Testbed) {
+pub fn await_config(testbed: &Testbed) {
     let started = Instant::now();
     for vm in &testbed.vms {
         loop {
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -6,6 +6,7 @@
 mod foreign_heartbeats;
 mod leaving_notices;
 mod rate_limits;
+mod restored_store;
 mod setup;
 mod stopping;
 
