Notice a store that came back from an older copy, and write again what it lost

What could be seen: after a drill of the store, a confirmed configuration was not in force, a rollout was not judged, and a target whose leave had been acknowledged got requests after the loss of all nodes. No user has seen it.

Cause: revisions were compared as if the store never gave one out twice, and what a node had written once was taken to stay written. A watch went on from a revision of the lost content, which the store had given out again; a rollout under a lower revision was ignored; entries, deregistrations and outcomes were written once.

Change: the adapter decodes the number that the store's answers bear, and a revision consists of that era and its number, so one of a later era is newer wherever it is compared, also on links. On the first answer of a later era the watchers list the kinds again; their heartbeats tell the others; each node writes its entry with its deregistrations again, spread over 5 ms a node; outcomes are written again when the store shows the rollout without them, and no write names a revision of an earlier era. A rollout that an older one replaces meanwhile is kept for 30 s. The first watch after a failure returns at once, as a watch that waits would show the era after 2.5 s only.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -24,6 +24,7 @@
 use crate::model::NodeRecord;
 use crate::model::ObjectRevision;
 use crate::model::Rollout;
+use crate::model::StoreEra;
 use crate::model::TargetKey;
 
 /// Result type of this module.
@@ -305,6 +306,8 @@
     pub config_version: ConfigVersion,
     /// Highest revision of the rollouts that the node knows.
     pub rollouts_revision: ObjectRevision,
+    /// Latest era of the store that the watcher knows of.
+    pub store_era: Option<StoreEra>,
 }
 
 /// Rollout as one node sends it to another.
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -16,8 +16,8 @@
 
 /// Version of a configuration; later ones are higher, in steps that may be larger than 1.
 pub type ConfigVersion = u64;
-/// Revision of an object in the platform's store.
-pub type ObjectRevision = u64;
+/// Number of times that the platform's store has come back from an older copy of its content.
+pub type StoreEra = u64;
 /// Id of a target; a restarted target may keep it.
 pub type InstanceId = SmolStr;
 /// Id that the caller gave to a request.
@@ -26,6 +26,17 @@
 /// Longest request id that is accepted, in bytes.
 pub const MAX_REQUEST_ID_BYTES: usize = 256;
 
+/// Revision of an object in the platform's store. The store gives numbers out again after it has come
+/// back from an older copy, so they compare within an era only, and any revision of a later era is
+/// newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ObjectRevision {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Number within the era.
+    pub number: u64,
+}
+
 /// How often a request of a route may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Idempotency {
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -42,6 +42,9 @@
 /// Changes of the configuration that are kept for nodes that missed them.
 const MAX_KEPT_DELTAS: usize = 8;
 
+/// Time for which a rollout is kept that the store has lost.
+const LOST_ROLLOUT_RETENTION: Duration = Duration::from_secs(30);
+
 /// Origin of an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateSource {
@@ -91,6 +94,9 @@
     pub(super) router: Router,
     /// Sorted by service.
     pub(super) rollouts: Vec<TrackedRollout>,
+    /// Rollouts that the store lost when it came back from an older copy, and when. The operator
+    /// writes them again.
+    lost_rollouts: Vec<(Time, TrackedRollout)>,
     /// Until when this node may not know yet that a rollout has ended.
     rollouts_held_until: Time,
 }
@@ -105,6 +111,8 @@
     /// Outcome to be written to the store, and the time of the last attempt.
     pub(super) decided: Option<RolloutState>,
     pub(super) written_at: Option<Time>,
+    /// Whether the rollout has ended and the store may have lost its outcome.
+    pub(super) is_outcome_in_doubt: bool,
     exposure: Exposure,
 }
 
@@ -117,10 +125,34 @@
             is_stopped: false,
             decided: None,
             written_at: None,
+            is_outcome_in_doubt: false,
             exposure: Exposure::default(),
         }
     }
 
+    /// Applies a newer revision of the same rollout. A final state is never reverted.
+    fn renew(&mut self, rollout: Rollout, first_seen: Time) {
+        self.first_seen = self.first_seen.min(first_seen);
+        let state = self.rollout.state;
+        self.rollout = rollout;
+        if state != RolloutState::Running {
+            self.rollout.state = state;
+        }
+    }
+
+    /// Compares the state that the store holds with the outcome, if that is in doubt.
+    fn check_stored_outcome(&mut self, stored: &Rollout) {
+        if !self.is_outcome_in_doubt || stored.target_version != self.rollout.target_version {
+            return;
+        }
+        if stored.state == RolloutState::Running {
+            self.decided = Some(self.rollout.state);
+        } else {
+            self.is_outcome_in_doubt = false;
+            self.decided = None;
+        }
+    }
+
     /// Returns the versions that a new request may run on, and its use for the canary.
     fn rule(
         &mut self,
@@ -258,7 +290,9 @@
     }
 
     /// Applies a rollout or its new state and returns whether anything changed.
-    fn apply_rollout(&mut self, rollout: Rollout, first_seen: Time) -> bool {
+    fn apply_rollout(&mut self, rollout: Rollout, first_seen: Time, now: Time) -> bool {
+        self.lost_rollouts
+            .retain(|(at, _)| now.saturating_sub(*at) < LOST_ROLLOUT_RETENTION);
         match self.rollout_index(&rollout.service) {
             Err(index) => {
                 self.rollouts
@@ -270,23 +304,45 @@
                 if rollout.revision <= existing.rollout.revision {
                     return false;
                 }
-                if rollout.target_version != existing.rollout.target_version {
-                    *existing = TrackedRollout::new(rollout, first_seen);
+                if rollout.target_version == existing.rollout.target_version {
+                    existing.renew(rollout, first_seen);
                     return true;
                 }
-                existing.first_seen = existing.first_seen.min(first_seen);
-                // A final state of the same rollout is never reverted.
-                let is_final = existing.rollout.state != RolloutState::Running;
-                let state = existing.rollout.state;
-                existing.rollout = rollout;
-                if is_final {
-                    existing.rollout.state = state;
+                let is_later_era = rollout.revision.era > existing.rollout.revision.era;
+                let is_lost = |(_, lost): &(Time, TrackedRollout)| {
+                    lost.rollout.service == rollout.service
+                        && lost.rollout.target_version == rollout.target_version
+                };
+                let found = self.lost_rollouts.iter().position(is_lost);
+                let renewed = match found {
+                    Some(lost) => {
+                        let (_, mut lost) = self.lost_rollouts.swap_remove(lost);
+                        lost.renew(rollout, first_seen);
+                        lost
+                    }
+                    None => TrackedRollout::new(rollout, first_seen),
+                };
+                let replaced = std::mem::replace(existing, renewed);
+                if is_later_era {
+                    self.lost_rollouts.push((now, replaced));
                 }
                 true
             }
         }
     }
 
+    /// Marks the outcomes of all rollouts that have ended as possibly lost by the store. They are
+    /// written again once the store shows the rollout without its outcome.
+    pub(super) fn doubt_stored_outcomes(&mut self) {
+        for tracked in &mut self.rollouts {
+            tracked.written_at = None;
+            if tracked.rollout.state != RolloutState::Running {
+                tracked.is_outcome_in_doubt = true;
+                tracked.decided = None;
+            }
+        }
+    }
+
     pub(super) fn remove_rollout(&mut self, service: &str) {
         if let Ok(index) = self.rollout_index(service) {
             self.rollouts.remove(index);
@@ -452,6 +508,7 @@
             return;
         }
         let now = self.now;
+        self.handle_store_era(heartbeat.store_era);
         self.mesh.newest_announced = self.mesh.newest_announced.max(heartbeat.config_version);
         let is_behind = heartbeat.config_version > self.mesh.config_version()
             || heartbeat.rollouts_revision > self.mesh.rollouts_revision();
@@ -495,7 +552,8 @@
     pub(super) fn adopt_rollout(&mut self, rollout: Rollout, age: Duration, source: UpdateSource) {
         let fields = json!({
             "service": rollout.service, "version": rollout.target_version,
-            "state": format!("{:?}", rollout.state), "revision": rollout.revision,
+            "state": format!("{:?}", rollout.state), "revision": rollout.revision.number,
+            "store_era": rollout.revision.era,
             "finish_in_ms": ms(rollout.finish_in), "age_ms": ms(age), "source": source.name(),
         });
         let service = rollout.service.clone();
@@ -505,7 +563,14 @@
             .map(|tracked| tracked.rollout.target_version.clone());
         let is_new_rollout = current_version.as_ref() != Some(&rollout.target_version);
         let first_seen = self.now.saturating_sub(age);
-        if !self.mesh.apply_rollout(rollout, first_seen) {
+        let stored = rollout.clone();
+        let has_changed = self.mesh.apply_rollout(rollout, first_seen, self.now);
+        if source == UpdateSource::Store
+            && let Some(tracked) = self.mesh.tracked_rollout_mut(&service)
+        {
+            tracked.check_stored_outcome(&stored);
+        }
+        if !has_changed {
             return;
         }
         if is_new_rollout {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -21,6 +21,7 @@
 mod stalled_links;
 mod stop;
 mod store;
+mod store_era;
 mod store_replies;
 mod target_notices;
 mod targets;
--- a/crates/sidecar/src/node/rollouts.rs
+++ b/crates/sidecar/src/node/rollouts.rs
@@ -38,7 +38,9 @@
                 .mesh
                 .rollouts
                 .iter()
-                .filter(|tracked| tracked.rollout.state == RolloutState::Running)
+                .filter(|tracked| {
+                    tracked.rollout.state == RolloutState::Running || tracked.is_outcome_in_doubt
+                })
                 .map(|tracked| tracked.rollout.service.clone())
                 .collect();
             for service in services {
@@ -119,7 +121,7 @@
         let Some(tracked) = self.mesh.tracked_rollout_mut(service) else {
             return;
         };
-        if tracked.decided.is_some() {
+        if tracked.decided.is_some() || tracked.is_outcome_in_doubt {
             return;
         }
         // Watchers that rank later evaluate with a lag: those before them should have decided.
@@ -158,12 +160,17 @@
     /// Writes a decided outcome, and again at intervals until the store has it.
     fn write_outcome(&mut self, service: &str) {
         let now = self.now;
+        let store_era = self.store.era.unwrap_or_default();
         let Some(tracked) = self.mesh.tracked_rollout_mut(service) else {
             return;
         };
         let Some(state) = tracked.decided else {
             return;
         };
+        if tracked.rollout.revision.era != store_era {
+            // The store may have given the revision out again for another rollout.
+            return;
+        }
         let is_due = tracked
             .written_at
             .is_none_or(|at| now.saturating_sub(at) >= WRITE_RETRY_INTERVAL);
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -23,6 +23,7 @@
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
 use crate::model::ObjectRevision;
+use crate::model::StoreEra;
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::TICK;
@@ -40,6 +41,9 @@
 
 /// Time for which the store may hold a watch open. A stalled connection is noticed only after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// The same for the first watch after a failed call. The store may have come back from an older copy,
+/// which its answer shows.
+const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Time for an answer of the store, besides the wait of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest and longest backoff after a failed call.
@@ -88,6 +92,8 @@
     pub(super) config: StoreConnection,
     pub(super) rollouts: StoreConnection,
     pub(super) queue: VecDeque<StoreCall>,
+    /// Latest era of the store that this node knows of.
+    pub(super) era: Option<StoreEra>,
     /// Revision of this node's entry, once it is known.
     pub(super) entry_revision: Option<ObjectRevision>,
     pub(super) entry_is_due: bool,
@@ -171,6 +177,7 @@
             config: StoreConnection::new(now),
             rollouts: StoreConnection::new(now),
             queue: VecDeque::new(),
+            era: None,
             entry_revision: None,
             entry_is_due: true,
             entry_was_read: false,
@@ -268,12 +275,12 @@
     }
 
     fn next_store_call(&mut self, channel: Channel) -> Option<StoreCall> {
-        let (kind, revision) = match channel {
+        let (kind, connection) = match channel {
             Channel::Calls => return self.next_queued_call(),
-            Channel::Config => (StoreKind::Config, self.store.config.revision),
-            Channel::Rollouts => (StoreKind::Rollouts, self.store.rollouts.revision),
+            Channel::Config => (StoreKind::Config, &self.store.config),
+            Channel::Rollouts => (StoreKind::Rollouts, &self.store.rollouts),
         };
-        match revision {
+        match connection.revision {
             None if self.should_list() => Some(StoreCall::List {
                 kind,
                 after: None,
@@ -282,7 +289,11 @@
             Some(revision) if self.store.watch.is_watcher() => Some(StoreCall::Watch {
                 kind,
                 revision,
-                wait: WATCH_WAIT,
+                wait: if connection.failures > 0 {
+                    FIRST_WATCH_WAIT
+                } else {
+                    WATCH_WAIT
+                },
             }),
             _ => None,
         }
@@ -406,6 +417,7 @@
             is_watching,
             config_version: self.mesh.config_version(),
             rollouts_revision: self.mesh.rollouts_revision(),
+            store_era: self.store.era,
         };
         self.broadcast(&Frame::WatcherHeartbeat(heartbeat), None);
     }
@@ -413,16 +425,21 @@
     /// Restarts the watches, whose connections may have failed during a process pause.
     pub(super) fn restart_watches(&mut self) {
         for channel in [Channel::Config, Channel::Rollouts] {
-            let now = self.now;
-            let connection = self.store.connection(channel);
-            if connection.current.take().is_some() {
-                connection.close();
-                connection.not_before = now;
-            }
+            self.abandon_watch(channel);
         }
         self.drive_store();
     }
 
+    /// Abandons the call in progress of a channel, so that the next one can begin.
+    pub(super) fn abandon_watch(&mut self, channel: Channel) {
+        let now = self.now;
+        let connection = self.store.connection(channel);
+        if connection.current.take().is_some() {
+            connection.close();
+            connection.not_before = now;
+        }
+    }
+
     fn begin_store_call(&mut self, channel: Channel, call: StoreCall) {
         self.store.count_call(call.name());
         let request = self.platform.store_request(&call);
@@ -536,6 +553,9 @@
             self.store_call_failed(channel, &reason);
             return;
         }
+        if !self.is_of_current_era(channel, &call, &read.answer) {
+            return;
+        }
         let connection = self.store.connection(channel);
         connection.failures = 0;
         connection.last_success = Some(now);
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -22,6 +22,7 @@
 use crate::model::ObjectRevision;
 use crate::model::Rollout;
 use crate::model::RolloutState;
+use crate::model::StoreEra;
 use crate::model::TargetKey;
 
 /// Names of the request and answer headers that the platform defines.
@@ -267,6 +268,9 @@
     /// Encodes a call to the store.
     fn store_request(&self, call: &StoreCall) -> HttpRequest;
 
+    /// Returns the era of the store in which it gave an answer; 0 if the answer does not state it.
+    fn store_era(&self, answer: &HttpAnswer) -> StoreEra;
+
     /// Decodes the store's reply to a call.
     fn store_reply(&self, call: &StoreCall, answer: &HttpAnswer) -> StoreReply;
 }
