Test orders that reach a stopping node late in the grace time

Operators of a similar system saw requests that came late in a planned stop in calm passed on and cut at the end of the grace time, also ones that may not be repeated.

--- a/xtask/tests/mesh/stopping.rs
+++ b/xtask/tests/mesh/stopping.rs
@@ -25,7 +25,11 @@
 
 /// Starts a mesh with a route whose timeout is longer than the time for a graceful shutdown.
 fn start_with_long_route(test: &str, slots: u32) -> Testbed {
-    let mut options = testbed_options(test, 1);
+    start_nodes_with_long_route(test, slots, 1)
+}
+
+fn start_nodes_with_long_route(test: &str, slots: u32, nodes: usize) -> Testbed {
+    let mut options = testbed_options(test, nodes);
     options.slots = slots;
     let testbed = start(&options);
     let mut routes = [
@@ -38,7 +42,9 @@
     }
     let config = wire::config(testbed.config.0 + 1, &routes, &SERVICES);
     testbed.store.put("config", "main", config);
-    await_served(&testbed, testbed.vms[0].callers, "/batch/1");
+    for vm in &testbed.vms {
+        await_served(&testbed, vm.callers, "/batch/1");
+    }
     testbed
 }
 
@@ -159,3 +165,60 @@
     };
     assert_eq!(testbed.ledger.runs_of(&sent[1].id), 0);
 }
+
+/// Load: in calm, callers whose connections have a request in progress send orders late in the grace
+/// time, once at the node of the target and once at another. Guards against orders that are passed on
+/// and cut off at the end of the node without the target's answer.
+#[test]
+fn a_stopping_node_answers_every_order_that_it_passes_on() {
+    for stopped in [0, 1] {
+        let mut testbed = start_nodes_with_long_route("late_orders", 16, 2);
+        let node = testbed.vms[stopped].callers;
+        let mut sent = Vec::new();
+        let mut connections = Vec::new();
+        for caller in 0..6_u64 {
+            let number = 10 * (usize::try_from(caller).expect("small") + 1);
+            let first = batch_request(number, 2_900 + 300 * caller);
+            let mut connection = Connection::open(node).expect("the node accepts connections");
+            connection.send_ahead(&first).expect("the node reads");
+            let (run_ms, deadline) = match caller % 2 {
+                0 => (300 + 100 * caller, Duration::from_millis(1_600)),
+                _ => (500 + 500 * caller, LONG),
+            };
+            let order = request(
+                number + 1,
+                &format!("/orders/takes/{run_ms}"),
+                true,
+                deadline,
+            );
+            sent.push([first, order]);
+            connections.push(connection);
+        }
+        thread::sleep(Duration::from_millis(100));
+
+        testbed.vms[stopped]
+            .node
+            .signal(Signal::Term)
+            .expect("the node runs");
+        thread::sleep(Duration::from_millis(2_800));
+        for (connection, [_, order]) in connections.iter_mut().zip(&sent) {
+            // The node may have closed the connection.
+            let _ = connection.send_ahead(order);
+        }
+        let outcomes: Vec<Vec<Outcome>> = connections
+            .iter_mut()
+            .zip(&sent)
+            .map(|(connection, sent)| receive_all(connection, sent))
+            .collect();
+
+        for (outcomes, [first, order]) in outcomes.iter().zip(&sent) {
+            let [Outcome::Served, late] = outcomes.as_slice() else {
+                panic!("node {stopped}, {}: {outcomes:?}", first.path);
+            };
+            let is_answered = matches!(late, Outcome::Served);
+            let runs = testbed.ledger.runs_of(&order.id);
+            let path = &order.path;
+            assert!(is_answered || runs == 0, "node {stopped}, {path}: {late:?}");
+        }
+    }
+}
