Soak: a target that limits its rate, and a store that comes back from a copy

Both happen at fixed times of each run, with their own random choices, so that a seed keeps its other faults. Deregistrations of the seconds that the store loses are not checked afterwards, since a kill of all nodes may follow at once.

--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -18,6 +18,7 @@
 use crate::errors::Result;
 use crate::harness::process::Signal;
 use crate::soak::caller::HOST;
+use crate::soak::drill::Drill;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
 use crate::soak::testbed::MEMORY_MB;
@@ -179,9 +180,11 @@
     let mut next_check = Instant::now() + CONFIG_CHECK_INTERVAL;
     let mut endless_requests = 0;
     let mut next_foreign = started + FOREIGN_INTERVAL;
+    let mut drill = Drill::begin(testbed, time);
     while started.elapsed() < time || !pending.is_empty() {
         let now = Instant::now();
         run_due_actions(testbed, &mut pending)?;
+        drill.step(testbed);
         if now >= next_fault && started.elapsed() < time {
             let fault = FAULTS[testbed.random.random_range(0..FAULTS.len())];
             begin_fault(testbed, fault, &mut pending)?;
@@ -205,6 +208,7 @@
         }
         std::thread::sleep(POLL);
     }
+    drill.end(testbed);
     Ok(())
 }
 
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -40,6 +40,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Forgets the targets that were deregistered after a moment.
+    pub fn forget_deregistrations_since(&self, moment: Instant) {
+        self.lock().deregistered.retain(|(_, at)| *at < moment);
+    }
+
     /// Records that a target has begun to run a request.
     pub fn record_run(&self, run: &Run) {
         let mut state = self.lock();
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod batches;
 mod caller;
+mod drill;
 mod faults;
 pub mod ledger;
 pub mod proxy;
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -139,6 +139,8 @@
     pub random: SmallRng,
     /// Source of the choices of faults that were added later, so that a seed keeps the earlier ones.
     pub later_random: SmallRng,
+    /// The same for the faults of [`crate::soak::drill`].
+    pub drill_random: SmallRng,
     /// The store.
     pub store: Store,
     /// The VMs.
@@ -171,6 +173,7 @@
         let mut testbed = Self {
             random: SmallRng::seed_from_u64(options.seed),
             later_random: SmallRng::seed_from_u64(options.seed + 1_000_000),
+            drill_random: SmallRng::seed_from_u64(options.seed + 2_000_000),
             store,
             vms: Vec::new(),
             ledger,
