--- a/crates/sidecar/src/node/deregistration.rs
+++ b/crates/sidecar/src/node/deregistration.rs
@@ -39,6 +39,12 @@
         self.store_own_entry();
     }
 
+    /// Writes this node's entry again after a target has deregistered.
+    pub(super) fn store_own_entry(&mut self) {
+        self.store.entry_is_due = true;
+        self.drive_store();
+    }
+
     /// Acknowledges a call about a deregistered target, once the store holds the deregistration.
     pub(super) fn acknowledge_when_stored(&mut self, caller: u64, token: u64) {
         if !self.store.entry_is_due {
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -234,12 +234,6 @@
         }
     }
 
-    /// Writes this node's entry again after a target has deregistered.
-    pub(super) fn store_own_entry(&mut self) {
-        self.store.entry_is_due = true;
-        self.drive_store();
-    }
-
     /// Starts the calls that are due and abandons those that have timed out.
     pub(super) fn drive_store(&mut self) {
         for channel in CHANNELS {
@@ -430,16 +424,6 @@
         self.drive_store();
     }
 
-    /// Abandons the call in progress of a channel, so that the next one can begin.
-    pub(super) fn abandon_watch(&mut self, channel: Channel) {
-        let now = self.now;
-        let connection = self.store.connection(channel);
-        if connection.current.take().is_some() {
-            connection.close();
-            connection.not_before = now;
-        }
-    }
-
     fn begin_store_call(&mut self, channel: Channel, call: StoreCall) {
         self.store.count_call(call.name());
         let request = self.platform.store_request(&call);
--- a/crates/sidecar/src/node/store_era.rs
+++ b/crates/sidecar/src/node/store_era.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Abandons the call in progress of a channel, so that the next one can begin.
+    pub(super) fn abandon_watch(&mut self, channel: Channel) {
+        let now = self.now;
+        let connection = self.store.connection(channel);
+        if connection.current.take().is_some() {
+            connection.close();
+            connection.not_before = now;
+        }
+    }
+
     fn begin_store_era(&mut self, era: StoreEra, source: &str) {
         let before = self.store.era.replace(era);
         self.log_event(
--- a/xtask/src/soak/drill.rs
+++ b/xtask/src/soak/drill.rs
@@ -9,8 +9,7 @@
 
 use crate::soak::testbed::Testbed;
 
-/// Header by which a target names the limit of its rate, and the limit in requests per second.
-const RATE_LIMIT: &str = "Server-Limit";
+/// Limit that the target names, in requests per second.
 const LIMIT_PER_S: usize = 20;
 /// Time after the first naming from which on a limit binds, and the window over which requests count.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
@@ -37,7 +36,7 @@
         let now = Instant::now();
         let limit = LIMIT_PER_S.to_string();
         let instance = testbed.vms[vm].target.as_ref().map(|target| {
-            target.set_notice(RATE_LIMIT, Some(&limit));
+            target.set_rate_limit(Some(&limit));
             target.instance().to_owned()
         });
         Self {
@@ -72,7 +71,7 @@
         let Some(target) = &vm.target else {
             return;
         };
-        target.set_notice(RATE_LIMIT, None);
+        target.set_rate_limit(None);
         if target.instance() != self.instance || vm.undisturbed_since > self.named_at {
             return;
         }
--- a/xtask/tests/mesh/leaving_notices.rs
+++ b/xtask/tests/mesh/leaving_notices.rs
@@ -16,8 +16,6 @@
 use crate::setup::start;
 use crate::setup::testbed_options;
 
-/// Header by which a target announces that it leaves.
-const LEAVING: &str = "Server-Leaving";
 /// Time after the announcement in which requests may still be on their way to the target.
 const IN_TRANSIT: Duration = Duration::from_millis(300);
 const PATH: &str = "/stock/1";
@@ -49,7 +47,7 @@
 /// Announces in its answers that a target leaves, and waits until one of them was delivered.
 fn announce(testbed: &Testbed, vm: usize) -> Instant {
     let before = target(testbed, vm).arrivals().len();
-    target(testbed, vm).set_notice(LEAVING, Some("1"));
+    target(testbed, vm).set_leaving(Some("1"));
     let started = Instant::now();
     while target(testbed, vm).arrivals().len() == before {
         assert!(
@@ -73,7 +71,7 @@
     }
 
     let announced = announce(&testbed, 0);
-    target(&testbed, 0).set_notice(LEAVING, None);
+    target(&testbed, 0).set_leaving(None);
     let outcomes = send_for(&testbed, 0, Duration::from_secs(2));
     let unserved = outcomes
         .iter()
@@ -94,7 +92,7 @@
     let node = testbed.vms[1].callers;
     await_served(&testbed, node, PATH);
     for odd in ["0", "yes", ""] {
-        target(&testbed, 0).set_notice(LEAVING, Some(odd));
+        target(&testbed, 0).set_leaving(Some(odd));
         await_served(&testbed, node, PATH);
     }
     await_served(&testbed, node, PATH);
--- a/xtask/tests/mesh/rate_limits.rs
+++ b/xtask/tests/mesh/rate_limits.rs
@@ -19,8 +19,6 @@
 use crate::setup::start;
 use crate::setup::testbed_options;
 
-/// Header by which a target names the limit of its rate.
-const RATE_LIMIT: &str = "Server-Limit";
 /// Time after the first naming from which on a limit binds.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Window over which the requests at a target are counted.
@@ -109,11 +107,11 @@
     let load = Load::start(&testbed);
     thread::sleep(Duration::from_secs(1));
 
-    target(&testbed, 0).set_notice(RATE_LIMIT, Some("20.5"));
+    target(&testbed, 0).set_rate_limit(Some("20.5"));
     let named_at = Instant::now();
     thread::sleep(STABILITY_WINDOW + WINDOW);
     let busiest = busiest_window(target(&testbed, 0), named_at + STABILITY_WINDOW);
-    target(&testbed, 0).set_notice(RATE_LIMIT, None);
+    target(&testbed, 0).set_rate_limit(None);
     let withdrawn_at = Instant::now();
     thread::sleep(WINDOW);
     let busiest_afterwards = busiest_window(target(&testbed, 0), withdrawn_at);
@@ -145,7 +143,7 @@
     thread::sleep(Duration::from_secs(1));
 
     for vm in [0, 2] {
-        target(&testbed, vm).set_notice(RATE_LIMIT, Some("10"));
+        target(&testbed, vm).set_rate_limit(Some("10"));
     }
     let bound_at = Instant::now() + STABILITY_WINDOW;
     thread::sleep(STABILITY_WINDOW + WINDOW);
@@ -186,7 +184,7 @@
         await_served(&testbed, vm.callers, PATH);
     }
     let load = Load::start(&testbed);
-    target(&testbed, 0).set_notice(RATE_LIMIT, Some("0.5"));
+    target(&testbed, 0).set_rate_limit(Some("0.5"));
     let bound_at = Instant::now() + STABILITY_WINDOW;
     thread::sleep(STABILITY_WINDOW + WINDOW / 4);
 
@@ -210,7 +208,7 @@
 
     let mut busiest = Vec::new();
     for value in ["4", "30", "many", "0"] {
-        target(&testbed, 0).set_notice(RATE_LIMIT, Some(value));
+        target(&testbed, 0).set_rate_limit(Some(value));
         // The limit before holds until the next answer.
         thread::sleep(Duration::from_millis(1_500));
         let named_at = Instant::now();
