--- a/crates/sidecar/src/rate_limit.rs
+++ b/crates/sidecar/src/rate_limit.rs
@@ -14,7 +14,7 @@
 /// the window over which targets count, so that a burst leaves most of the window's allowance.
 const BURST: Duration = Duration::from_millis(250);
 /// Lowest rate that is enforced, in requests per second. Only an answer shows that a limit has
-/// ended, so some requests are sent even to a target that names none.
+/// ended, so some requests are sent even to a target that takes none.
 const MIN_RATE_PER_S: f64 = 0.5;
 /// Tolerance for rounding errors of the tokens.
 const TOKEN_TOLERANCE: f64 = 1e-6;
