Wait until no run is counted before a test starts the next one

The target counts a run until its answer has been sent, which the caller may read before. So the wait for one running request could end with the first one, before the second had arrived. The assertions are the same.

--- a/xtask/tests/target_contract.rs
+++ b/xtask/tests/target_contract.rs
@@ -176,6 +176,8 @@
     let (cluster, address) = target(|spec| spec.service_time_ms = 8_000);
 
     let deadline = send(address, "/orders", &[("hemlockfall-deadline-ms", "50")], "");
+    // A run counts until its answer has been sent, and the answer is read before that.
+    wait_running(&cluster, 0);
     let (cancelled, cancel) = std::thread::scope(|scope| {
         let headers = [("hemlockfall-attempt", "a-7")];
         let run = scope.spawn(move || send(address, "/orders", &headers, ""));
