Soak: check the limit of a target although its node has other faults

Only a crash or leave of the target ends the check now, and each restart of its node allows 8 requests more, of its own callers.

--- a/xtask/src/soak/drill.rs
+++ b/xtask/src/soak/drill.rs
@@ -16,6 +16,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Requests that a window allows: one and a half times the limit in 4 s, and 5 more.
 const ALLOWED: usize = LIMIT_PER_S * 6 + 5;
+/// Requests of its own callers that a restarted node may send before it has learned of the limit.
+const ALLOWED_BY_RESTART: usize = 8;
 
 /// Faults at fixed times of a run.
 #[derive(Debug)]
@@ -23,6 +25,9 @@
     vm: usize,
     instance: String,
     named_at: Instant,
+    /// Id of the process of the node beside the target, and how often it was restarted.
+    process: u32,
+    restarts: usize,
     copy: Option<(Instant, StoreCopy)>,
     copy_at: Instant,
     restore_at: Instant,
@@ -43,6 +48,8 @@
             vm,
             instance: instance.unwrap_or_default(),
             named_at: now,
+            process: testbed.vms[vm].node.id(),
+            restarts: 0,
             copy: None,
             copy_at: now + time.mul_f64(share),
             restore_at: now + time.mul_f64(share + 0.3),
@@ -53,6 +60,10 @@
     /// lost with the store if all nodes are killed right after.
     pub fn step(&mut self, testbed: &mut Testbed) {
         let now = Instant::now();
+        let process = testbed.vms[self.vm].node.id();
+        if std::mem::replace(&mut self.process, process) != process {
+            self.restarts += 1;
+        }
         if self.copy.is_none() && now >= self.copy_at && now < self.restore_at {
             self.copy = Some((now, testbed.store.copy()));
         }
@@ -65,21 +76,22 @@
         }
     }
 
-    /// Withdraws the limit, and checks it if its target and the node beside it had no fault.
+    /// Withdraws the limit, and checks it if its target has neither left nor crashed.
     pub fn end(self, testbed: &Testbed) {
         let vm = &testbed.vms[self.vm];
         let Some(target) = &vm.target else {
             return;
         };
         target.set_rate_limit(None);
-        if target.instance() != self.instance || vm.undisturbed_since > self.named_at {
+        if target.instance() != self.instance {
             return;
         }
         let requests = target.busiest_window(self.named_at + STABILITY_WINDOW, WINDOW);
-        if requests > ALLOWED {
+        let allowed = ALLOWED + ALLOWED_BY_RESTART * self.restarts;
+        if requests > allowed {
             let instance = &self.instance;
             testbed.ledger.report(format!(
-                "LIMIT: {instance} got {requests} requests in {WINDOW:?}, allowed {ALLOWED}"
+                "LIMIT: {instance} got {requests} requests in {WINDOW:?}, allowed {allowed}"
             ));
         }
     }
