Types, settings and decoding for regions, cold rates, evacuations and client accounts

Change: the types, the settings with neutral defaults, and the decoding. Keys leave the adapter as digests only.

--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hemlockfall_core::ids::DataCentreName;
+use hemlockfall_core::ids::Digest;
 use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::RegionName;
@@ -23,6 +24,9 @@
 /// Id that the caller gave to a request.
 pub type RequestId = SmolStr;
 
+/// Name of a client account.
+pub type AccountName = SmolStr;
+
 /// Longest request id that is accepted, in bytes.
 pub const MAX_REQUEST_ID_BYTES: usize = 256;
 
@@ -76,6 +80,10 @@
     pub priority: u8,
     /// Services with their weights; never empty.
     pub services: Vec<WeightedService>,
+    /// Regions in which the requests may be served, sorted; empty if all regions may serve them.
+    pub allowed_regions: Vec<RegionName>,
+    /// Whether the requests need no key of a client account.
+    pub is_public: bool,
 }
 
 /// Limits of a service.
@@ -85,6 +93,50 @@
     pub name: ServiceName,
     /// Largest number of connections to one target.
     pub max_connections: u32,
+    /// Path of the targets' health check; empty if the service has none.
+    pub health_path: SmolStr,
+    /// Requests that a cold target takes from all nodes together, in 1000 seconds; 0 for no limit.
+    pub cold_milli_per_s: u32,
+}
+
+/// BLAKE3 digest of a key. The key itself is dropped where the configuration and the requests are
+/// decoded, so that no frame, log line or error can contain it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyDigest(Digest);
+
+impl KeyDigest {
+    /// Returns the digest of a key.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        let mut digest = Digest::default();
+        let length = digest.len();
+        digest.copy_from_slice(&blake3::hash(key.as_bytes()).as_bytes()[..length]);
+        Self(digest)
+    }
+}
+
+/// Limit on the requests of a client account, over all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Requests in 1000 seconds.
+    pub milli_per_s: u64,
+    /// Requests beyond the rate that may be sent at once.
+    pub burst: u32,
+}
+
+/// Client account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientAccount {
+    /// Name.
+    pub name: AccountName,
+    /// Digests of the account's keys, sorted. No other account has one of these keys.
+    pub keys: Vec<KeyDigest>,
+    /// Priority of the account's requests, which replaces that of the route.
+    pub priority: Option<u8>,
+    /// Limit on the account's requests, if there is one.
+    pub quota: Option<Quota>,
+    /// Regions in which the requests may be served, sorted; empty if all regions may serve them.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -111,6 +163,8 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Client accounts, sorted by name; `None` if requests need no key.
+    pub accounts: Option<Vec<ClientAccount>>,
 }
 
 /// Difference between a configuration and a later one.
@@ -128,6 +182,53 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Changes of the client accounts; `None` if the later configuration has none.
+    pub accounts: Option<AccountsDelta>,
+}
+
+/// Difference between the client accounts of two configurations.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountsDelta {
+    /// Accounts that are new or changed.
+    pub changed: Vec<ClientAccount>,
+    /// Names of the removed accounts.
+    pub removed: Vec<AccountName>,
+}
+
+impl AccountsDelta {
+    fn between(base: &[ClientAccount], later: &[ClientAccount]) -> Self {
+        let find = |accounts: &[ClientAccount], name: &AccountName| {
+            let index = accounts.binary_search_by(|account| account.name.cmp(name));
+            index.ok().map(|index| accounts[index].clone())
+        };
+        Self {
+            changed: later
+                .iter()
+                .filter(|account| find(base, &account.name).as_ref() != Some(*account))
+                .cloned()
+                .collect(),
+            removed: base
+                .iter()
+                .filter(|account| find(later, &account.name).is_none())
+                .map(|account| account.name.clone())
+                .collect(),
+        }
+    }
+
+    /// Returns the accounts that the delta leads to, sorted by name.
+    fn apply(self, base: &[ClientAccount]) -> Vec<ClientAccount> {
+        let is_kept = |account: &&ClientAccount| {
+            !self.removed.contains(&account.name)
+                && !self
+                    .changed
+                    .iter()
+                    .any(|changed| changed.name == account.name)
+        };
+        let mut accounts: Vec<ClientAccount> = base.iter().filter(is_kept).cloned().collect();
+        accounts.extend(self.changed);
+        accounts.sort_by(|a, b| a.name.cmp(&b.name));
+        accounts
+    }
 }
 
 impl MeshConfig {
@@ -158,6 +259,9 @@
                 .collect(),
             services: self.services.clone(),
             limits: self.limits,
+            accounts: self.accounts.as_deref().map(|later| {
+                AccountsDelta::between(base.accounts.as_deref().unwrap_or(&[]), later)
+            }),
         }
     }
 
@@ -187,6 +291,9 @@
             routes,
             services: delta.services,
             limits: delta.limits,
+            accounts: delta
+                .accounts
+                .map(|changes| changes.apply(self.accounts.as_deref().unwrap_or(&[]))),
         })
     }
 
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -24,6 +24,7 @@
 use crate::fingerprint;
 use crate::fingerprint::Fingerprint;
 use crate::log::LogCategory;
+use crate::model::AccountName;
 use crate::model::Idempotency;
 use crate::model::MAX_REQUEST_ID_BYTES;
 use crate::model::RequestId;
@@ -63,6 +64,10 @@
     pub(crate) request_id: RequestId,
     pub(crate) route: Rc<Route>,
     pub(crate) service: ServiceName,
+    /// Client account of the caller, if the configuration has accounts and the route needs one.
+    pub(crate) account: Option<AccountName>,
+    /// Priority of the client account, otherwise that of the route.
+    pub(crate) priority: u8,
     pub(crate) version: VersionRule,
     canary_use: CanaryUse,
     fingerprint: Fingerprint,
@@ -181,6 +186,8 @@
             request: Rc::new(request),
             request_id,
             service,
+            account: None,
+            priority: route.priority,
             version,
             canary_use,
             fingerprint,
@@ -371,7 +378,7 @@
             route: call.route.name.clone(),
             is_idempotent: call.route.idempotency == Idempotency::Idempotent,
             is_retry: call.target_attempts > 0,
-            priority: call.route.priority,
+            priority: call.priority,
             due: call.due,
             deadline: call.deadline,
             target_latency: call.route.target_latency,
@@ -455,7 +462,7 @@
         };
         call.version = self.mesh.retry_rule(&call.service);
         let service = call.service.clone();
-        let priority = call.route.priority;
+        let priority = call.priority;
         if self.budget.try_retry(&service, priority, self.now, nodes) {
             self.attempt(id);
         } else {
@@ -514,7 +521,7 @@
                     "version_rule": format!("{:?}", call.version), "status": answer.status,
                     "outcome": outcome, "waited_ms": ms(waited),
                     "asked_before_ms": ms(call.arrived.saturating_sub(call.first_requested_at)),
-                    "priority": call.route.priority, "attempts": call.trace,
+                    "account": call.account, "priority": call.priority, "attempts": call.trace,
                     "config": config, "config_age_ms": config_age_ms,
                 }),
             );
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -75,7 +75,7 @@
             caller_service: writer.encode(&caller_service),
             is_idempotent: call.route.idempotency == Idempotency::Idempotent,
             is_retry: call.target_attempts > 0,
-            priority: call.route.priority,
+            priority: call.priority,
             sent_ms: transit::clock_ms(now),
             deadline_ms: whole_ms(call.deadline.saturating_sub(now)),
             due_ms: signed_ms_until(call.due, now),
--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -56,7 +56,7 @@
                             self.store.entry_was_read |= !lacks_own_entry;
                         }
                     }
-                    StoreKind::Config | StoreKind::Rollouts => {
+                    StoreKind::Config | StoreKind::Rollouts | StoreKind::Evacuations => {
                         self.store.connection(channel).revision = Some(revision);
                     }
                 }
@@ -130,6 +130,7 @@
                 self.adopt_rollout(rollout, Duration::ZERO, UpdateSource::Store);
             }
             StoreObject::Node { entry, revision } => self.handle_node_entry(entry, revision),
+            StoreObject::Evacuation { .. } => {}
             StoreObject::Unreadable { name, reason } => {
                 metrics::counter!("hemlockfall_sidecar_objects_refused_total").increment(1);
                 self.log_event(
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -40,6 +40,10 @@
     pub not_run: &'static str,
     /// Service on whose VM the caller runs.
     pub caller_service: &'static str,
+    /// Key of the caller's client account.
+    pub account_key: &'static str,
+    /// Name of the caller's client account, for the target.
+    pub account_name: &'static str,
 }
 
 /// Rate limit of a target, as one of its answers states it.
@@ -84,6 +88,8 @@
     Config,
     /// Rollouts.
     Rollouts,
+    /// Evacuations of data centres.
+    Evacuations,
     /// Entries of nodes.
     Nodes,
 }
@@ -178,6 +184,11 @@
     Config(Box<MeshConfig>),
     /// A rollout.
     Rollout(Rollout),
+    /// The evacuation of a data centre.
+    Evacuation {
+        /// Data centre.
+        data_centre: DataCentreName,
+    },
     /// The entry of a node.
     Node {
         /// The entry.
@@ -262,6 +273,10 @@
     /// Decodes the rate limit that a target names in an answer.
     fn rate_notice(&self, answer: &HttpAnswer) -> RateNotice;
 
+    /// Returns whether a target states in an answer to a health check that it is cold; `None` if the
+    /// answer does not tell.
+    fn is_cold(&self, answer: &HttpAnswer) -> Option<bool>;
+
     /// Returns whether a target announces in an answer that it leaves.
     fn announces_leaving(&self, answer: &HttpAnswer) -> bool;
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -68,6 +68,18 @@
     memory_mb: f64,
     /// Largest number of lines about requests that are logged per second.
     pub log_lines_per_s: u32,
+    /// Time within which an evacuation must be in force, in seconds; 0 if there are no evacuations.
+    evacuate_s: f64,
+    /// Requests in one second at a cold target, relative to its cold rate, that must not be exceeded.
+    pub cold_overshoot: f64,
+    /// Requests in one second at a cold target that are allowed in addition.
+    pub cold_allowance: u32,
+    /// Window of the quotas of client accounts, in seconds; 0 if there are no quotas.
+    quota_window_s: f64,
+    /// Part of a quota by which the requests of a window may exceed it.
+    pub quota_overshoot: f64,
+    /// Requests of a window beyond a quota that are allowed in addition.
+    pub quota_allowance: u32,
 }
 
 impl SidecarSettings {
@@ -132,6 +144,18 @@
         bytes
     }
 
+    /// Returns whether the platform has evacuations of data centres.
+    #[must_use]
+    pub fn has_evacuations(&self) -> bool {
+        self.evacuate_s > 0.0
+    }
+
+    /// Returns the window of the quotas of client accounts; zero if there are no quotas.
+    #[must_use]
+    pub fn quota_window(&self) -> Duration {
+        Duration::from_secs_f64(self.quota_window_s)
+    }
+
     /// Returns the limits on retries.
     #[must_use]
     pub fn budget(&self) -> BudgetLimits {
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -36,6 +36,8 @@
                 weight: *weight,
             })
             .collect(),
+        allowed_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -51,6 +53,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        accounts: None,
     }
 }
 
