Home regions: serve requests in the allowed regions only

Cause: a route may name the regions in which its requests may be served, and the node ignored them. Change: the candidates for a request and the deferral of early requests heed the regions that the route and the client account both allow (the account's list is empty until accounts are checked). The overlay plans at least 12 links to targets of a service in the regions of each route that leads to it and names regions.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod overlay;
 pub mod platform;
 pub mod rate_limit;
+pub mod regions;
 pub mod router;
 pub mod settings;
 pub mod shutdown;
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -38,6 +38,7 @@
 use crate::node::targets::WorkItem;
 use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
+use crate::regions::AllowedRegions;
 
 const CODE_NO_CONFIG: &str = "HF-3701";
 const CODE_NO_ROUTE: &str = "HF-3702";
@@ -68,6 +69,8 @@
     pub(crate) account: Option<AccountName>,
     /// Priority of the client account, otherwise that of the route.
     pub(crate) priority: u8,
+    /// Regions that both the route and the client account allow.
+    pub(crate) allowed_regions: AllowedRegions,
     pub(crate) version: VersionRule,
     canary_use: CanaryUse,
     fingerprint: Fingerprint,
@@ -146,7 +149,8 @@
             self.refuse_request(caller, token, &request_id, 503, CODE_STOPPING);
             return;
         }
-        if self.awaits_targets(&route) && self.can_defer(&request, arrived) {
+        let allowed_regions = AllowedRegions::intersection(&route.allowed_regions, &[]);
+        if self.awaits_targets(&route, &allowed_regions) && self.can_defer(&request, arrived) {
             self.defer_request(caller, token, request, arrived);
             return;
         }
@@ -188,6 +192,7 @@
             service,
             account: None,
             priority: route.priority,
+            allowed_regions,
             version,
             canary_use,
             fingerprint,
--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -10,6 +10,7 @@
 use crate::clock::Time;
 use crate::model::Route;
 use crate::node::Node;
+use crate::regions::AllowedRegions;
 
 /// Time after the start in which the first target records may still arrive, in ticks.
 const STARTING_TICKS: u64 = 12;
@@ -53,13 +54,14 @@
         });
     }
 
-    /// Returns whether a starting node lacks a ready target for a route but may soon receive one.
-    pub(super) fn awaits_targets(&self, route: &Route) -> bool {
+    /// Returns whether a starting node lacks a ready target for a route in the allowed regions but
+    /// may soon receive one.
+    pub(super) fn awaits_targets(&self, route: &Route, regions: &AllowedRegions) -> bool {
         self.ticks < STARTING_TICKS
             && !route
                 .services
                 .iter()
-                .any(|entry| self.has_ready_target(&entry.service))
+                .any(|entry| self.has_ready_target(&entry.service, regions))
     }
 
     /// Starts the deferred requests. Those that still lack a configuration or targets are deferred
--- a/crates/sidecar/src/node/link_selection.rs
+++ b/crates/sidecar/src/node/link_selection.rs
@@ -9,6 +9,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::model::NodeRecord;
 use crate::node::Node;
+use crate::overlay::HomeRegions;
 use crate::overlay::LinkNeeds;
 use crate::overlay::Member;
 use crate::overlay::Overlay;
@@ -75,6 +76,7 @@
                     id,
                     rank: peer.rank,
                     data_centre: peer.record.data_centre.clone(),
+                    region: peer.record.region.clone(),
                     distance: peer.distance,
                     service: target
                         .filter(|target| target.is_ready)
@@ -92,11 +94,30 @@
                 .iter()
                 .map(|(service, _)| service.clone())
                 .collect(),
+            home_regions: self.home_regions(),
             is_starting: !self.store.nodes_listed || self.ticks < SETTLING_TICKS,
         };
         self.overlay = Overlay::plan(rank_of(&self.settings.name), &members, &needs);
     }
 
+    /// Returns the services of routes that may be served in some regions only.
+    fn home_regions(&self) -> Vec<HomeRegions> {
+        let routes = self.mesh.config().map_or(&[][..], |config| &config.routes);
+        let mut home_regions: Vec<HomeRegions> = routes
+            .iter()
+            .filter(|route| !route.allowed_regions.is_empty())
+            .flat_map(|route| {
+                route.services.iter().map(|entry| HomeRegions {
+                    service: entry.service.clone(),
+                    regions: route.allowed_regions.clone(),
+                })
+            })
+            .collect();
+        home_regions.sort_unstable();
+        home_regions.dedup();
+        home_regions
+    }
+
     /// Opens the links that are wanted and due.
     pub(super) fn dial_wanted(&mut self) {
         let now = self.now;
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -20,6 +20,7 @@
 use crate::node::calls::Call;
 use crate::node::calls::is_allowed;
 use crate::node::mesh::VersionRule;
+use crate::regions::AllowedRegions;
 use crate::store_watch::Rank;
 use crate::store_watch::rank_of;
 
@@ -259,13 +260,17 @@
         }
     }
 
-    /// Returns whether a target of a service takes requests, at this node or a linked one.
-    pub(super) fn has_ready_target(&self, service: &str) -> bool {
+    /// Returns whether a target of a service in the allowed regions takes requests, at this node or
+    /// a linked one.
+    pub(super) fn has_ready_target(&self, service: &str, regions: &AllowedRegions) -> bool {
         let is_target = |target: &TargetRecord| target.is_ready && target.service == service;
         let own = self.target.own.record(self.is_target_open());
-        own.as_ref().is_some_and(is_target)
+        let is_own = regions.allows(&self.settings.region) && own.as_ref().is_some_and(is_target);
+        is_own
             || self.peers.iter().any(|(_, peer)| {
-                peer.is_linked && peer.record.target.as_ref().is_some_and(is_target)
+                peer.is_linked
+                    && regions.allows(&peer.record.region)
+                    && peer.record.target.as_ref().is_some_and(is_target)
             })
     }
 
@@ -285,6 +290,7 @@
         if let Some(target) = own
             && target.is_ready
             && target.service == call.service
+            && call.allowed_regions.allows(&self.settings.region)
             && is_allowed(rule, &target.version)
             && !call.tried.contains(&OWN_NODE)
         {
@@ -308,6 +314,7 @@
             let is_usable = peer.is_linked
                 && target.is_ready
                 && target.service == call.service
+                && call.allowed_regions.allows(&peer.record.region)
                 && is_allowed(rule, &target.version)
                 && !call.tried.contains(&id)
                 && !self.is_stalled(peer);
--- a/crates/sidecar/src/overlay.rs
+++ b/crates/sidecar/src/overlay.rs
@@ -5,9 +5,10 @@
 //! these links, and the relays at the other end broadcast them in theirs, so an update crosses
 //! between two data centres a fixed number of times, whatever the number of nodes. In addition,
 //! each node is linked with some targets of each service elsewhere, in case its own data centre is
-//! full.
+//! full, and with more targets of a service whose requests may be served in some regions only.
 
 use hemlockfall_core::ids::DataCentreName;
+use hemlockfall_core::ids::RegionName;
 use hemlockfall_core::ids::ServiceName;
 
 use crate::balance::Distance;
@@ -37,6 +38,8 @@
     pub rank: Rank,
     /// Data centre of the node.
     pub data_centre: DataCentreName,
+    /// Region of the node.
+    pub region: RegionName,
     /// Distance of the node.
     pub distance: Distance,
     /// Service of its target; `None` if the target does not admit requests.
@@ -61,6 +64,15 @@
     }
 }
 
+/// Service whose requests on some route may be served in some regions only.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HomeRegions {
+    /// Service.
+    pub service: ServiceName,
+    /// Regions that the route allows.
+    pub regions: Vec<RegionName>,
+}
+
 /// State of a node that determines additional links.
 #[derive(Clone, Debug, Default)]
 pub struct LinkNeeds {
@@ -68,6 +80,8 @@
     pub evidence_recipients: Vec<u64>,
     /// Services whose linked targets are too full.
     pub full_services: Vec<ServiceName>,
+    /// Services with routes that may be served in some regions only.
+    pub home_regions: Vec<HomeRegions>,
     /// Whether the node has just started and its list of members may be incomplete.
     pub is_starting: bool,
 }
@@ -95,6 +109,9 @@
         wanted.extend(&remote_relays);
         wanted.extend(&needs.evidence_recipients);
         wanted.extend(service_links(own, members, &needs.full_services));
+        for home in &needs.home_regions {
+            wanted.extend(home_links(own, members, home, &needs.full_services));
+        }
         wanted.sort_unstable();
         wanted.dedup();
         Self {
@@ -190,6 +207,33 @@
     links
 }
 
+/// Returns the nodes in other data centres to be linked with so that at least `MIN_SERVICE_LINKS`
+/// linked targets of a service are in the regions that a route allows. Near targets come first.
+fn home_links(
+    own: Rank,
+    members: &[Member],
+    home: &HomeRegions,
+    full_services: &[ServiceName],
+) -> Vec<u64> {
+    let mut targets: Vec<(Distance, u64, u64)> = members
+        .iter()
+        .filter(|member| member.service.as_ref() == Some(&home.service) && member.is_live())
+        .filter(|member| home.regions.contains(&member.region))
+        .map(|member| (member.distance, pair_hash(own, member.rank), member.id))
+        .collect();
+    targets.sort_unstable();
+    let extra = if full_services.contains(&home.service) {
+        OVERLOAD_LINKS
+    } else {
+        0
+    };
+    targets
+        .into_iter()
+        .take(MIN_SERVICE_LINKS + extra)
+        .map(|(_, _, id)| id)
+        .collect()
+}
+
 /// Returns a hash of a pair of nodes.
 fn pair_hash(own: Rank, other: Rank) -> u64 {
     let (own, other) = (u64::from_le_bytes(own), u64::from_le_bytes(other));
--- a/crates/sidecar/tests/overlay.rs
+++ b/crates/sidecar/tests/overlay.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use hemlockfall_sidecar::balance::Distance;
+use hemlockfall_sidecar::overlay::HomeRegions;
 use hemlockfall_sidecar::overlay::LinkNeeds;
 use hemlockfall_sidecar::overlay::Member;
 use hemlockfall_sidecar::overlay::Overlay;
@@ -58,6 +59,7 @@
                 id: Self::id(node),
                 rank: self.ranks[node],
                 data_centre: format!("dc-{}", self.data_centre(node)).into(),
+                region: format!("region-{}", self.data_centre(node) % 2).into(),
                 distance: self.distance(own, node),
                 service: Some(SERVICES[node / self.data_centres % SERVICES.len()].into()),
                 is_linked: true,
@@ -221,9 +223,8 @@
     let members = mesh.members(0);
     let normal = Overlay::plan(mesh.ranks[0], &members, &LinkNeeds::default());
     let needs = LinkNeeds {
-        evidence_recipients: Vec::new(),
         full_services: vec!["desk".into()],
-        is_starting: false,
+        ..LinkNeeds::default()
     };
 
     let overloaded = Overlay::plan(mesh.ranks[0], &members, &needs);
@@ -261,6 +262,40 @@
     );
 }
 
+/// Load: requests of a route that one region may serve, at nodes of the other region. Guards against
+/// requests refused because the node is linked with few of the allowed targets, and against further
+/// links for services without such a route.
+#[test]
+fn a_service_with_home_regions_is_linked_in_these_regions() {
+    let mesh = mesh(82, 4);
+    let needs = LinkNeeds {
+        home_regions: vec![HomeRegions {
+            service: "feed".into(),
+            regions: vec!["region-1".into()],
+        }],
+        ..LinkNeeds::default()
+    };
+    for own in 0..82 {
+        let members = mesh.members(own);
+        let links_in_home = |overlay: &Overlay, service: &str| {
+            let is_home = |member: &&Member| {
+                member.region == "region-1" && member.service.as_deref() == Some(service)
+            };
+            let homes = members.iter().filter(is_home);
+            homes.filter(|member| overlay.wants(member.id)).count()
+        };
+
+        let without = Overlay::plan(mesh.ranks[own], &members, &LinkNeeds::default());
+        let with = Overlay::plan(mesh.ranks[own], &members, &needs);
+
+        assert!(links_in_home(&with, "feed") >= 12, "node {own}");
+        assert_eq!(
+            links_in_home(&with, "desk"),
+            links_in_home(&without, "desk")
+        );
+    }
+}
+
 quickcheck! {
     /// Guards against running nodes that an update does not reach, whatever the sizes of the data
     /// centres.
