Evacuations: close the targets of an evacuated data centre

Cause: the operator evacuates a data centre by an object in the store, and the nodes didn't read it. Change: with evacuate_s set, the store watchers list and watch the evacuations on a channel of their own and broadcast the whole set with its revision; the newer revision wins, also across eras of the store. Watcher heartbeats name the revision, and a node that lacks the set asks for it with the configuration. A node whose data centre is evacuated, or that knows no set yet, closes its target and refuses its queue; the others leave out the targets of that data centre. The watcher heartbeats have a module of their own. A list that the store answers with 404 is repeated after the backoff instead of at once.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::evacuations::EvacuationSet;
 use crate::fingerprint::Fingerprint;
 use crate::judge::Evidence;
 use crate::model::ConfigDelta;
@@ -238,13 +239,15 @@
         /// Version of the configuration.
         config: ConfigVersion,
     },
-    /// Asks for the configuration and the rollouts.
+    /// Asks for the configuration, the evacuations and the rollouts.
     ConfigRequest {
         /// Version that the sender has; 0 if it has none.
         current: ConfigVersion,
     },
     /// Complete configuration.
     Config(Box<MeshConfig>),
+    /// All evacuations.
+    Evacuations(EvacuationSet),
     /// All rollouts.
     Rollouts(Vec<RolloutUpdate>),
     /// A request was running at a target when the target was lost; forwarded to other nodes.
@@ -306,6 +309,8 @@
     pub config_version: ConfigVersion,
     /// Highest revision of the rollouts that the node knows.
     pub rollouts_revision: ObjectRevision,
+    /// Revision of the evacuations that the node knows.
+    pub evacuations_revision: ObjectRevision,
     /// Latest era of the store that the watcher knows of.
     pub store_era: Option<StoreEra>,
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caller_retries;
 pub mod clock;
 pub mod edge;
+pub mod evacuations;
 pub mod exposure;
 pub mod fingerprint;
 pub mod judge;
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -301,6 +301,7 @@
             Frame::HasConfig { config } => self.handle_config_version(id, config),
             Frame::ConfigRequest { current } => self.handle_config_request(id, current),
             Frame::Config(config) => self.adopt_config(*config, UpdateSource::Peer(id)),
+            Frame::Evacuations(set) => self.adopt_evacuations(set, UpdateSource::Peer(id)),
             Frame::Rollouts(updates) => self.handle_rollout_updates(id, updates),
             Frame::Suspect { fingerprint, event } => self.handle_suspect(id, fingerprint, event),
             Frame::Evidence {
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -12,7 +12,7 @@
 use crate::edge::frame;
 use crate::edge::frame::Frame;
 use crate::edge::frame::RolloutUpdate;
-use crate::edge::frame::WatcherHeartbeatFrame;
+use crate::evacuations::Evacuations;
 use crate::exposure::CanaryUse;
 use crate::exposure::Exposure;
 use crate::exposure::RolloutRequest;
@@ -55,14 +55,14 @@
 }
 
 impl UpdateSource {
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::Store => "store",
             Self::Peer(_) => "peer",
         }
     }
 
-    fn link(self) -> Option<u64> {
+    pub(super) fn link(self) -> Option<u64> {
         match self {
             Self::Store => None,
             Self::Peer(link) => Some(link),
@@ -92,6 +92,7 @@
     /// The configuration in force as an encoded frame, once another node has requested it.
     encoded_config: Option<Rc<Vec<u8>>>,
     pub(super) router: Router,
+    pub(super) evacuations: Evacuations,
     /// Sorted by service.
     pub(super) rollouts: Vec<TrackedRollout>,
     /// Rollouts that the store lost when it came back from an older copy, and when. The operator
@@ -188,6 +189,11 @@
         now.saturating_sub(self.config_adopted_at)
     }
 
+    /// Records the version that another node has announced.
+    pub(super) fn config_announced(&mut self, version: ConfigVersion) {
+        self.newest_announced = self.newest_announced.max(version);
+    }
+
     /// Keeps a change for nodes that missed it. Kept changes form a sequence without gaps.
     fn push_delta(&mut self, delta: ConfigDelta) {
         let follows = |last: &ConfigDelta| last.version == delta.base;
@@ -418,7 +424,7 @@
     /// when that node has nothing newer.
     pub(super) fn handle_config_version(&mut self, link: u64, config: ConfigVersion) {
         if config > self.mesh.config_version() {
-            self.mesh.newest_announced = self.mesh.newest_announced.max(config);
+            self.mesh.config_announced(config);
             self.request_config(link);
         } else if self
             .mesh
@@ -429,10 +435,12 @@
         }
     }
 
-    /// Requests the configuration again as long as this node lacks one or knows of a newer one.
+    /// Requests the configuration again as long as this node lacks one, lacks the evacuations that
+    /// are sent with it, or knows of a newer one.
     pub(super) fn check_config(&mut self) {
-        let is_behind =
-            self.mesh.config().is_none() || self.mesh.newest_announced > self.mesh.config_version();
+        let is_behind = self.mesh.config().is_none()
+            || self.lacks_evacuations()
+            || self.mesh.newest_announced > self.mesh.config_version();
         if !is_behind {
             return;
         }
@@ -482,6 +490,8 @@
     }
 
     pub(super) fn handle_config_request(&mut self, link: u64, current: ConfigVersion) {
+        // The evacuations go first, so that the other node knows them when it begins to serve.
+        self.send_evacuations(link);
         let deltas = self.mesh.deltas_since(current);
         if !deltas.is_empty() {
             for delta in deltas {
@@ -502,34 +512,6 @@
         }
     }
 
-    /// Handles a store watcher's heartbeat: requests versions that this node lacks, and forwards
-    /// the heartbeat if it is new.
-    pub(super) fn handle_watcher_heartbeat(&mut self, link: u64, heartbeat: WatcherHeartbeatFrame) {
-        if heartbeat.node == self.settings.name {
-            return;
-        }
-        let now = self.now;
-        self.handle_store_era(heartbeat.store_era);
-        self.mesh.newest_announced = self.mesh.newest_announced.max(heartbeat.config_version);
-        let is_behind = heartbeat.config_version > self.mesh.config_version()
-            || heartbeat.rollouts_revision > self.mesh.rollouts_revision();
-        if is_behind {
-            self.request_config(link);
-        }
-        let Some(peer) = self
-            .peer_by_name(&heartbeat.node)
-            .and_then(|peer| self.peers.get_mut(peer))
-        else {
-            return;
-        };
-        let this_heartbeat = (heartbeat.incarnation, heartbeat.number);
-        if this_heartbeat > peer.last_watcher_heartbeat {
-            peer.last_watcher_heartbeat = this_heartbeat;
-            peer.watcher_heartbeat_at = heartbeat.is_watching.then_some(now);
-            self.broadcast(&Frame::WatcherHeartbeat(heartbeat), Some(link));
-        }
-    }
-
     pub(super) fn handle_rollout_updates(&mut self, link: u64, updates: Vec<RolloutUpdate>) {
         for item in updates {
             let age = Duration::from_millis(item.age_ms.into());
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod deferred;
 mod deregistration;
+mod evacuations;
 mod link_calls;
 mod link_selection;
 mod links;
@@ -26,6 +27,7 @@
 mod target_notices;
 mod targets;
 mod transfers;
+mod watcher_heartbeats;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -270,6 +270,7 @@
             || self.peers.iter().any(|(_, peer)| {
                 peer.is_linked
                     && regions.allows(&peer.record.region)
+                    && !self.mesh.evacuations.contains(&peer.record.data_centre)
                     && peer.record.target.as_ref().is_some_and(is_target)
             })
     }
@@ -315,6 +316,7 @@
                 && target.is_ready
                 && target.service == call.service
                 && call.allowed_regions.allows(&peer.record.region)
+                && !self.mesh.evacuations.contains(&peer.record.data_centre)
                 && is_allowed(rule, &target.version)
                 && !call.tried.contains(&id)
                 && !self.is_stalled(peer);
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -17,8 +17,6 @@
 
 use crate::balance::Distance;
 use crate::clock::Time;
-use crate::edge::frame::Frame;
-use crate::edge::frame::WatcherHeartbeatFrame;
 use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
@@ -40,12 +38,12 @@
 use crate::store_watch::rank_of;
 
 /// Time for which the store may hold a watch open. A stalled connection is noticed only after it.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+pub(super) const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// The same for the first watch after a failed call. The store may have come back from an older copy,
 /// which its answer shows.
 const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Time for an answer of the store, besides the wait of a watch.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest and longest backoff after a failed call.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
@@ -58,12 +56,6 @@
 /// Nodes of each data centre that read the configuration themselves when they start. When all nodes
 /// start together, dissemination from fewer nodes would take longer than reading the store.
 const CONFIG_READERS_PER_DATA_CENTRE: usize = 2;
-/// Ticks between two heartbeats of a store watcher; more in a large mesh, since every node receives
-/// each of them.
-const HEARTBEAT_TICKS: u64 = 5;
-const LARGE_MESH_HEARTBEAT_TICKS: u64 = 10;
-/// Known other nodes from which on a mesh counts as large.
-const LARGE_MESH_NODES: usize = 40;
 /// Bound on the calls that wait for the connection.
 const QUEUE_CAPACITY: usize = 64;
 /// Limits on the store's answers: an answer holds about 1 MB.
@@ -78,9 +70,18 @@
     Calls,
     Config,
     Rollouts,
+    Evacuations,
 }
 
-const CHANNELS: [Channel; 3] = [Channel::Calls, Channel::Config, Channel::Rollouts];
+/// Channels that carry a watch.
+pub(super) const WATCH_CHANNELS: [Channel; 3] =
+    [Channel::Config, Channel::Rollouts, Channel::Evacuations];
+const CHANNELS: [Channel; 4] = [
+    Channel::Calls,
+    Channel::Config,
+    Channel::Rollouts,
+    Channel::Evacuations,
+];
 
 /// State of the exchange with the store.
 #[expect(
@@ -91,6 +92,7 @@
     pub(super) calls: StoreConnection,
     pub(super) config: StoreConnection,
     pub(super) rollouts: StoreConnection,
+    pub(super) evacuations: StoreConnection,
     pub(super) queue: VecDeque<StoreCall>,
     /// Latest era of the store that this node knows of.
     pub(super) era: Option<StoreEra>,
@@ -111,9 +113,9 @@
     pub(super) started: Time,
     pub(super) watch: StoreWatch,
     /// Whether the last heartbeat announced that this node watches the store.
-    was_watching_store: bool,
+    pub(super) was_watching_store: bool,
     /// Watcher heartbeats sent so far; numbers the next one.
-    heartbeats_sent: u32,
+    pub(super) heartbeats_sent: u32,
     /// Numbers of calls since the last traffic report, sorted by the name of the call.
     pub(super) call_counts: Vec<(&'static str, u64)>,
 }
@@ -134,11 +136,15 @@
 
 impl StoreSync {
     /// Returns the size of the buffers for input of each connection.
-    pub(super) fn held_bytes(&self) -> [(Socket, usize); 3] {
+    pub(super) fn held_bytes(&self) -> [(Socket, usize); 4] {
         [
             (Socket::Store(Channel::Calls), self.calls.held_bytes()),
             (Socket::Store(Channel::Config), self.config.held_bytes()),
             (Socket::Store(Channel::Rollouts), self.rollouts.held_bytes()),
+            (
+                Socket::Store(Channel::Evacuations),
+                self.evacuations.held_bytes(),
+            ),
         ]
     }
 }
@@ -176,6 +182,7 @@
             calls: StoreConnection::new(now),
             config: StoreConnection::new(now),
             rollouts: StoreConnection::new(now),
+            evacuations: StoreConnection::new(now),
             queue: VecDeque::new(),
             era: None,
             entry_revision: None,
@@ -209,6 +216,7 @@
             Channel::Calls => &mut self.calls,
             Channel::Config => &mut self.config,
             Channel::Rollouts => &mut self.rollouts,
+            Channel::Evacuations => &mut self.evacuations,
         }
     }
 }
@@ -260,19 +268,13 @@
         }
     }
 
-    fn heartbeat_ticks(&self) -> u64 {
-        if self.peers.len() >= LARGE_MESH_NODES {
-            LARGE_MESH_HEARTBEAT_TICKS
-        } else {
-            HEARTBEAT_TICKS
-        }
-    }
-
     fn next_store_call(&mut self, channel: Channel) -> Option<StoreCall> {
         let (kind, connection) = match channel {
             Channel::Calls => return self.next_queued_call(),
             Channel::Config => (StoreKind::Config, &self.store.config),
             Channel::Rollouts => (StoreKind::Rollouts, &self.store.rollouts),
+            Channel::Evacuations if !self.settings.has_evacuations() => return None,
+            Channel::Evacuations => (StoreKind::Evacuations, &self.store.evacuations),
         };
         match connection.revision {
             None if self.should_list() => Some(StoreCall::List {
@@ -383,42 +385,9 @@
             || self.store.watch.is_watcher()
     }
 
-    /// Returns whether this node's watch on the configuration works.
-    pub(super) fn is_watching_store(&self) -> bool {
-        let connection = &self.store.config;
-        let is_watching = matches!(connection.current, Some(StoreCall::Watch { .. }));
-        let is_recent = connection
-            .last_success
-            .is_some_and(|at| self.now.saturating_sub(at) < WATCH_WAIT + CALL_TIMEOUT);
-        is_watching && is_recent && connection.failures == 0
-    }
-
-    /// Broadcasts at once when this node begins or ceases to watch the store.
-    fn announce_watch_state(&mut self) {
-        let is_watching = self.is_watching_store();
-        if std::mem::replace(&mut self.store.was_watching_store, is_watching) == is_watching {
-            return;
-        }
-        self.send_watcher_heartbeat(is_watching);
-    }
-
-    fn send_watcher_heartbeat(&mut self, is_watching: bool) {
-        self.store.heartbeats_sent += 1;
-        let heartbeat = WatcherHeartbeatFrame {
-            node: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            number: self.store.heartbeats_sent,
-            is_watching,
-            config_version: self.mesh.config_version(),
-            rollouts_revision: self.mesh.rollouts_revision(),
-            store_era: self.store.era,
-        };
-        self.broadcast(&Frame::WatcherHeartbeat(heartbeat), None);
-    }
-
     /// Restarts the watches, whose connections may have failed during a process pause.
     pub(super) fn restart_watches(&mut self) {
-        for channel in [Channel::Config, Channel::Rollouts] {
+        for channel in WATCH_CHANNELS {
             self.abandon_watch(channel);
         }
         self.drive_store();
@@ -527,9 +496,10 @@
             return;
         };
         let reply = self.platform.store_reply(&call, &read.answer);
-        let failure = match &reply {
-            StoreReply::Refused { status } => Some(format!("status {status}")),
-            StoreReply::Unreadable { reason } => Some(reason.clone()),
+        let failure = match (&call, &reply) {
+            (_, StoreReply::Refused { status }) => Some(format!("status {status}")),
+            (_, StoreReply::Unreadable { reason }) => Some(reason.clone()),
+            (StoreCall::List { .. }, StoreReply::Missing) => Some("no such kind".to_owned()),
             _ => None,
         };
         if let Some(reason) = failure {
--- a/crates/sidecar/src/node/store_era.rs
+++ b/crates/sidecar/src/node/store_era.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::node::Timer;
 use crate::node::store::Channel;
+use crate::node::store::WATCH_CHANNELS;
 use crate::platform::StoreCall;
 
 /// Time for each node of the mesh over which the entries are written again, so that the nodes of a
@@ -86,7 +87,7 @@
             "store_restored",
             json!({ "era": era, "before": before, "source": source }),
         );
-        for channel in [Channel::Config, Channel::Rollouts] {
+        for channel in WATCH_CHANNELS {
             self.abandon_watch(channel);
             self.store.connection(channel).revision = None;
         }
--- a/crates/sidecar/src/node/store_replies.rs
+++ b/crates/sidecar/src/node/store_replies.rs
@@ -39,6 +39,11 @@
                     revision,
                 },
             ) => {
+                if kind == StoreKind::Evacuations {
+                    self.store.connection(channel).revision = Some(revision);
+                    self.evacuations_listed(objects, revision);
+                    return;
+                }
                 let has_own_entry = objects.iter().any(|object| self.is_own_entry(object));
                 for object in objects {
                     self.handle_store_object(object);
@@ -62,10 +67,14 @@
                 }
             }
             (StoreCall::Watch { kind, .. }, StoreReply::Changed { events, revision }) => {
+                self.store.connection(channel).revision = Some(revision);
+                if kind == StoreKind::Evacuations {
+                    self.evacuations_changed(events, revision);
+                    return;
+                }
                 for event in events {
                     self.handle_store_event(kind, event);
                 }
-                self.store.connection(channel).revision = Some(revision);
             }
             (StoreCall::Watch { .. }, StoreReply::HistoryExpired) => {
                 self.log_event(
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -139,6 +139,7 @@
     pub(super) fn is_target_open(&self) -> bool {
         self.target.own.is_admitting()
             && !self.target.is_unreachable
+            && !self.may_be_evacuated()
             && self.are_deregistrations_known()
     }
 
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -30,6 +30,8 @@
     Rollouts,
     /// Requests suspected of crashing targets.
     Suspects,
+    /// Evacuations of data centres.
+    Evacuations,
 }
 
 impl FrameKind {
@@ -52,6 +54,7 @@
             | Frame::HasConfig { .. }
             | Frame::ConfigRequest { .. }
             | Frame::Config(_) => Self::Config,
+            Frame::Evacuations(_) => Self::Evacuations,
             Frame::Rollouts(_) | Frame::Evidence { .. } | Frame::StopCanary { .. } => {
                 Self::Rollouts
             }
@@ -74,6 +77,7 @@
             Self::Config => "config",
             Self::Rollouts => "rollouts",
             Self::Suspects => "suspects",
+            Self::Evacuations => "evacuations",
         }
     }
 }
