Cold targets: bound the requests that reach them in a second

Cause: a cold target crashes if it gets well more than its cold rate, and the node only expected longer runs of it. Change: the admission queue holds a token bucket at the cold rate, of the type of the rate limiter, while the target is cold or may be cold. Beside it, no request is sent while the requests that can have reached the target within the last second, those that run and those that have ended since, reach the bound of the settings. After an evacuation, a process pause or the loss of the target the last report counts for nothing; a health check each 500 ms or the next heartbeat ends the doubt. The other nodes learn of the limit through the wait for the rate limit in the load reports. A node without a configuration keeps its target closed if the platform bounds cold targets, as it doesn't know the cold rate.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -3,7 +3,8 @@
 //! All requests reach the target through this node, so it has an exact count of the slots in use.
 //! Requests beyond the slots wait in the order of priority and due time while an answer in time can
 //! be expected. All others are rejected at once and have not run. A target may also limit the rate of
-//! its requests, see [`crate::rate_limit`].
+//! its requests, see [`crate::rate_limit`], and takes fewer while it is cold, see
+//! [`crate::cold_rate`].
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use hemlockfall_core::ids::RouteName;
 
 use crate::clock::Time;
+use crate::cold_rate::ColdLimit;
+use crate::cold_rate::ColdRate;
 use crate::model::LoadReport;
 use crate::model::RateLimitReport;
 use crate::rate_limit;
@@ -146,6 +149,7 @@
     /// Whether the target has just started and is still slow.
     is_cold: bool,
     rate: RateLimiter,
+    cold_rate: ColdRate,
     /// Whether the target has answered a request of this process of the node.
     has_answered: bool,
     /// Sorted by route.
@@ -165,6 +169,49 @@
         self.is_cold = is_cold;
     }
 
+    /// Sets the limit for a cold target, and whether the target is cold or may be cold.
+    pub fn set_cold_limit(&mut self, limit: Option<ColdLimit>, may_be_cold: bool, now: Time) {
+        self.cold_rate.advance(now);
+        self.cold_rate.set_limit(limit, now);
+        self.cold_rate.set_in_force(may_be_cold, now);
+    }
+
+    /// Returns the rate of the target in requests per second while it is limited as cold.
+    #[must_use]
+    pub fn cold_limit_per_s(&self) -> Option<f64> {
+        self.cold_rate.current().map(|limit| limit.per_s)
+    }
+
+    /// Gives a health check a slot and returns true, unless a request could not be sent now either. It
+    /// does not wait for the cold rate, as only its answer shows that the target is no longer cold,
+    /// but counts as a request in the bound on a cold target.
+    pub fn admit_check(&mut self, now: Time) -> bool {
+        self.cold_rate.advance(now);
+        let can_send = self.running < self.slots
+            && self.cold_rate.window_wait(0, self.running, now).is_zero()
+            && self.rate.take(now);
+        if can_send {
+            self.cold_rate.take(now);
+            self.running += 1;
+        }
+        can_send
+    }
+
+    /// Returns the time until a request may be sent behind a number of others under both limits.
+    fn permit_wait(&self, requests_before: usize, now: Time) -> Duration {
+        let cold_wait = self.cold_rate.wait(requests_before, self.running, now);
+        self.rate.wait(requests_before, now).max(cold_wait)
+    }
+
+    /// Returns whether a request may be sent now under both limits, and counts it if so.
+    fn take_permit(&mut self, now: Time) -> bool {
+        if !self.permit_wait(0, now).is_zero() {
+            return false;
+        }
+        self.cold_rate.take(now);
+        self.rate.take(now)
+    }
+
     /// Begins with another process of the target, whose rate limit is not known yet.
     pub fn replace_target(&mut self, now: Time) {
         self.rate.reset(now);
@@ -203,10 +250,10 @@
         }
     }
 
-    /// Returns the time until a new request may be sent under the rate limit.
+    /// Returns the time until a new request may be sent under the rate limit and the cold rate.
     #[must_use]
     pub fn rate_limit_wait(&self, now: Time) -> Duration {
-        self.rate.wait(self.waiting.len(), now)
+        self.permit_wait(self.waiting.len(), now)
     }
 
     /// Records that the target has answered a request of this process.
@@ -216,15 +263,18 @@
 
     /// Gives a request a slot, queues it or rejects it.
     pub fn admit(&mut self, request: AdmissionRequest, now: Time) -> AdmissionDecision {
+        self.cold_rate.advance(now);
         let run = self.expected_run(&request.route, request.target_latency);
-        if self.running < self.slots && self.waiting.is_empty() && self.rate.wait(0, now).is_zero()
+        if self.running < self.slots
+            && self.waiting.is_empty()
+            && self.permit_wait(0, now).is_zero()
         {
             let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
                 && request.uplink.arrival(now + run) > latest_answer(&request);
             if now >= request.deadline || is_late_on_uplink {
                 return self.reject(RejectReason::TooLate, &request, now);
             }
-            if self.rate.take(now) {
+            if self.take_permit(now) {
                 self.running += 1;
                 return AdmissionDecision::Run;
             }
@@ -235,7 +285,7 @@
         let index = self.queue_position(&request);
         let run_end = now + self.expected_wait(index, now) + run;
         if request.uplink.arrival(run_end) > latest_answer(&request) {
-            let is_rate_limited = self.rate.wait(index, now) > self.expected_slot_wait(index);
+            let is_rate_limited = self.permit_wait(index, now) > self.expected_slot_wait(index);
             let reason = if is_rate_limited {
                 RejectReason::RateLimited
             } else {
@@ -281,6 +331,7 @@
     /// Releases the slot of a request that did not run.
     pub fn release(&mut self) {
         self.running = self.running.saturating_sub(1);
+        self.cold_rate.record_end();
     }
 
     /// Removes a request from the queue and returns whether it was waiting.
@@ -292,6 +343,7 @@
 
     /// Gives free slots to waiting requests and removes those that cannot be answered in time.
     pub fn dispatch(&mut self, now: Time) -> Dispatch {
+        self.cold_rate.advance(now);
         let mut dispatch = Dispatch::default();
         while self.running < self.slots && !self.waiting.is_empty() {
             let request = &self.waiting[0];
@@ -300,7 +352,7 @@
                 dispatch.expired.push(self.waiting.remove(0).id);
                 continue;
             }
-            if !self.rate.take(now) {
+            if !self.take_permit(now) {
                 break;
             }
             let request = self.waiting.remove(0);
@@ -315,7 +367,7 @@
     #[must_use]
     pub fn next_permit_at(&self, now: Time) -> Option<Time> {
         let is_limited = self.running < self.slots && !self.waiting.is_empty();
-        is_limited.then(|| now + self.rate.wait(0, now))
+        is_limited.then(|| now + self.permit_wait(0, now))
     }
 
     /// Empties the queue when the target admits no more requests.
@@ -381,7 +433,7 @@
     /// Returns the expected time until a request at a position of the queue is sent.
     fn expected_wait(&self, index: usize, now: Time) -> Duration {
         self.expected_slot_wait(index)
-            .max(self.rate.wait(index, now))
+            .max(self.permit_wait(index, now))
     }
 
     /// Returns the expected time until a request at a position of the queue gets a slot.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod buffers;
 pub mod caller_retries;
 pub mod clock;
+pub mod cold_doubt;
+pub mod cold_rate;
 pub mod edge;
 pub mod evacuations;
 pub mod exposure;
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::node::Socket;
 use crate::node::calls::AttemptEnd;
+use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
 
 /// Longest time to connect to the target, which is on the same VM.
@@ -110,6 +111,7 @@
             return Err(io::ErrorKind::NotFound.into());
         };
         let (is_idempotent, method) = (work.is_idempotent, work.request.method.clone());
+        let is_check = work.origin == WorkOrigin::HealthCheck;
         let names = self.header_names;
         let replaced = [
             names.deadline_ms,
@@ -130,7 +132,14 @@
         ];
         let mut output = Vec::with_capacity(512 + request.body.len());
         response::write_request(&mut output, &request, &extra);
-        let connection = match self.idle_connection(address, is_idempotent) {
+        // On a new connection no late copy of an earlier answer can be taken for that to a health
+        // check, which has no id.
+        let reused = if is_check {
+            None
+        } else {
+            self.idle_connection(address, is_idempotent)
+        };
+        let connection = match reused {
             Some(connection) => connection,
             None => self.open_connection(address)?,
         };
--- a/crates/sidecar/src/node/control.rs
+++ b/crates/sidecar/src/node/control.rs
@@ -74,6 +74,10 @@
         let is_draining = heartbeat.state == TargetState::Draining;
         let outcome = self.target.own.apply_heartbeat(heartbeat, self.now);
         self.check_target_process(before.as_ref());
+        if outcome != HeartbeatOutcome::Stale {
+            self.target.cold_doubt.heartbeat(self.now);
+            self.update_coldness();
+        }
         match outcome {
             HeartbeatOutcome::Stale => {
                 self.log_event("heartbeat_stale", fields);
--- a/crates/sidecar/src/node/evacuations.rs
+++ b/crates/sidecar/src/node/evacuations.rs
@@ -92,7 +92,11 @@
         if self.is_own_evacuated() && !was_evacuated {
             self.drain_queue();
         }
+        if was_evacuated && !self.is_own_evacuated() {
+            self.doubt_coldness();
+        }
         self.check_target();
+        self.check_coldness();
     }
 
     /// Sends the evacuations to another node, if they are known.
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -381,6 +381,7 @@
         self.mesh.config_adopted_at = self.now;
         self.mesh.encoded_config = None;
         self.overlay_is_due = true;
+        self.update_coldness();
         if let Some(before) = before {
             self.broadcast_config_change(config.delta_from(&before), source);
         } else {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod abandoned_calls;
 mod callers;
 mod calls;
+mod coldness;
 mod connections;
 mod control;
 mod deferred;
@@ -355,12 +356,14 @@
         self.check_buffers();
     }
 
-    /// Sets the time of the event, and holds rollouts after a process pause: the first events may
-    /// be requests, handled before the updates that arrived meanwhile have been read.
+    /// Sets the time of the event. After a process pause, holds rollouts and treats the target as cold:
+    /// the first events may be requests, handled before the updates that arrived meanwhile have been
+    /// read.
     fn read_clock(&mut self) {
         self.now = clock::now();
         if self.now.saturating_sub(self.last_tick) > PAUSE_THRESHOLD {
             self.mesh.hold_rollouts_until(self.now + ROLLOUTS_HELD);
+            self.doubt_coldness();
         }
     }
 
@@ -429,6 +432,7 @@
         self.check_connections();
         self.check_buffers();
         self.check_target();
+        self.check_coldness();
         self.report_load();
         self.check_rollouts();
         self.check_stop();
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -15,6 +15,7 @@
 use crate::admission::RejectReason;
 use crate::admission::WorkId;
 use crate::clock::Time;
+use crate::cold_doubt::ColdDoubt;
 use crate::edge::frame::Failure;
 use crate::edge::frame::Refusal;
 use crate::fingerprint::Fingerprint;
@@ -44,6 +45,7 @@
 pub(crate) struct LocalTarget {
     pub(crate) own: OwnTarget,
     pub(crate) admission: AdmissionQueue,
+    pub(crate) cold_doubt: ColdDoubt,
     pub(crate) work_items: Table<WorkItem>,
     /// Whether the target accepted requests when that was last checked.
     pub(crate) was_open: bool,
@@ -110,6 +112,8 @@
     Call(u64),
     /// A call of another node on a link.
     Link { link: u64, call: u64 },
+    /// None, as it is a health check of this node.
+    HealthCheck,
     /// None, since the request was cancelled.
     Abandoned,
 }
@@ -140,14 +144,14 @@
         self.target.own.is_admitting()
             && !self.target.is_unreachable
             && !self.may_be_evacuated()
+            && !self.lacks_cold_rate()
             && self.are_deregistrations_known()
     }
 
     /// Updates whether the target is cold, and publishes a new record of the node when the target
     /// starts or stops accepting requests.
     pub(super) fn check_target(&mut self) {
-        let is_cold = self.target.own.is_cold(self.now);
-        self.target.admission.set_cold(is_cold);
+        self.update_coldness();
         let is_open = self.accepts_peer_calls();
         if std::mem::replace(&mut self.target.was_open, is_open) != is_open {
             self.record_changed();
@@ -201,7 +205,7 @@
         }
     }
 
-    fn run_work(&mut self, id: WorkId) {
+    pub(super) fn run_work(&mut self, id: WorkId) {
         let Some(work) = self.target.work_items.get(id) else {
             self.target.admission.release();
             return;
@@ -381,6 +385,10 @@
         let WorkState::Running { started, .. } = work.state else {
             return;
         };
+        if work.origin == WorkOrigin::HealthCheck {
+            self.check_answered(id, started, &answer);
+            return;
+        }
         let end = if answer.header(self.header_names.not_run).is_some()
             || answer.status == MISDIRECTED_REQUEST
         {
@@ -418,6 +426,12 @@
         let Some(work) = self.target.work_items.get(id) else {
             return;
         };
+        if work.origin == WorkOrigin::HealthCheck {
+            self.target.admission.release();
+            self.remove_work(id);
+            self.dispatch_work();
+            return;
+        }
         let took = self.now.saturating_sub(started);
         let is_busy = matches!(work.state, WorkState::Running { is_busy: true, .. });
         let timed = work.timed(started, self.now);
@@ -531,7 +545,7 @@
             return;
         };
         match work.origin {
-            WorkOrigin::Abandoned => {}
+            WorkOrigin::Abandoned | WorkOrigin::HealthCheck => {}
             WorkOrigin::Call(call) => self.attempt_ended(call, end),
             WorkOrigin::Link { link, call } => self.answer_link(link, call, &work, end),
         }
@@ -568,6 +582,7 @@
             return;
         }
         self.target.is_unreachable = true;
+        self.doubt_coldness();
         self.log_event(
             "target_lost",
             json!({ "reason": reason, "lost_requests": lost_requests.len() }),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -150,6 +150,24 @@
         self.evacuate_s > 0.0
     }
 
+    /// Returns whether the platform bounds the requests that reach a cold target.
+    #[must_use]
+    pub fn has_cold_rates(&self) -> bool {
+        self.cold_overshoot > 1.0 || self.cold_allowance > 0
+    }
+
+    /// Returns the number of requests that may reach a target with a cold rate in a second; at least 1.
+    #[must_use]
+    pub fn max_cold_requests(&self, per_s: f64) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the product is finite and not negative; a larger one is saturated"
+        )]
+        let max = (per_s * self.cold_overshoot + f64::from(self.cold_allowance)) as usize;
+        max.max(1)
+    }
+
     /// Returns the window of the quotas of client accounts; zero if there are no quotas.
     #[must_use]
     pub fn quota_window(&self) -> Duration {
