--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -3,10 +3,12 @@
 mod abandoned_calls;
 mod callers;
 mod calls;
+mod coldness;
 mod connections;
 mod control;
 mod deferred;
 mod deregistration;
+mod evacuations;
 mod link_calls;
 mod link_selection;
 mod links;
@@ -26,6 +28,7 @@
 mod target_notices;
 mod targets;
 mod transfers;
+mod watcher_heartbeats;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -353,12 +356,14 @@
         self.check_buffers();
     }
 
-    /// Sets the time of the event, and holds rollouts after a process pause: the first events may
-    /// be requests, handled before the updates that arrived meanwhile have been read.
+    /// Sets the time of the event. After a process pause, holds rollouts and treats the target as cold:
+    /// the first events may be requests, handled before the updates that arrived meanwhile have been
+    /// read.
     fn read_clock(&mut self) {
         self.now = clock::now();
         if self.now.saturating_sub(self.last_tick) > PAUSE_THRESHOLD {
             self.mesh.hold_rollouts_until(self.now + ROLLOUTS_HELD);
+            self.doubt_coldness();
         }
     }
 
@@ -427,6 +432,7 @@
         self.check_connections();
         self.check_buffers();
         self.check_target();
+        self.check_coldness();
         self.report_load();
         self.check_rollouts();
         self.check_stop();
