Directory of client accounts; changes of accounts by a merge

Cause: a node finds the account of a presented key in each request, and changes of accounts between configurations took a time that grows with the square of their number, with a copy of each account. AccountsDelta merges the sorted lists.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! Most modules decide without access to sockets or clocks. [`node`] connects them with the
 //! sockets of [`edge`], and [`platform`] is the interface to the platform's adapter.
 
+pub mod accounts;
 pub mod admission;
 pub mod attempts;
 pub mod balance;
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -196,37 +196,43 @@
 }
 
 impl AccountsDelta {
+    /// Returns the changes between two lists that are sorted by name.
     fn between(base: &[ClientAccount], later: &[ClientAccount]) -> Self {
-        let find = |accounts: &[ClientAccount], name: &AccountName| {
-            let index = accounts.binary_search_by(|account| account.name.cmp(name));
-            index.ok().map(|index| accounts[index].clone())
-        };
-        Self {
-            changed: later
-                .iter()
-                .filter(|account| find(base, &account.name).as_ref() != Some(*account))
-                .cloned()
-                .collect(),
-            removed: base
-                .iter()
-                .filter(|account| find(later, &account.name).is_none())
-                .map(|account| account.name.clone())
-                .collect(),
+        let mut delta = Self::default();
+        let mut base = base.iter().peekable();
+        for account in later {
+            while let Some(removed) = base.next_if(|before| before.name < account.name) {
+                delta.removed.push(removed.name.clone());
+            }
+            let before = base.next_if(|before| before.name == account.name);
+            if before != Some(account) {
+                delta.changed.push(account.clone());
+            }
         }
+        delta
+            .removed
+            .extend(base.map(|removed| removed.name.clone()));
+        delta
     }
 
     /// Returns the accounts that the delta leads to, sorted by name.
-    fn apply(self, base: &[ClientAccount]) -> Vec<ClientAccount> {
-        let is_kept = |account: &&ClientAccount| {
-            !self.removed.contains(&account.name)
-                && !self
-                    .changed
-                    .iter()
-                    .any(|changed| changed.name == account.name)
-        };
-        let mut accounts: Vec<ClientAccount> = base.iter().filter(is_kept).cloned().collect();
-        accounts.extend(self.changed);
-        accounts.sort_by(|a, b| a.name.cmp(&b.name));
+    fn apply(mut self, base: &[ClientAccount]) -> Vec<ClientAccount> {
+        // Both lists come from another node; a merge of unsorted lists would keep removed accounts.
+        self.changed.sort_by(|a, b| a.name.cmp(&b.name));
+        self.removed.sort_unstable();
+        let mut accounts = Vec::with_capacity(base.len() + self.changed.len());
+        let mut changed = self.changed.into_iter().peekable();
+        for account in base {
+            while let Some(new) = changed.next_if(|new| new.name < account.name) {
+                accounts.push(new);
+            }
+            if let Some(renewed) = changed.next_if(|new| new.name == account.name) {
+                accounts.push(renewed);
+            } else if self.removed.binary_search(&account.name).is_err() {
+                accounts.push(account.clone());
+            }
+        }
+        accounts.extend(changed);
         accounts
     }
 }
