Check the key of requests at the node of the caller, before each attempt

Cause: a configuration with client accounts had no effect. The key is looked up again before an attempt if the configuration has changed: 401 if nothing has run, otherwise 502. A node that knows of a newer configuration defers a request with an unknown key as it defers one that arrives before the first configuration. A target's node removes the key header as well, since the caller's node may hold a configuration without accounts.

--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -25,12 +25,15 @@
 use crate::fingerprint::Fingerprint;
 use crate::log::LogCategory;
 use crate::model::AccountName;
+use crate::model::ConfigVersion;
 use crate::model::Idempotency;
+use crate::model::KeyDigest;
 use crate::model::MAX_REQUEST_ID_BYTES;
 use crate::model::RequestId;
 use crate::model::Route;
 use crate::node::Node;
 use crate::node::Timer;
+use crate::node::caller_accounts::CallerIdentity;
 use crate::node::callers::own_answer;
 use crate::node::mesh::VersionRule;
 use crate::node::ms;
@@ -68,6 +71,10 @@
     pub(crate) account: Option<AccountName>,
     /// Priority of the client account, otherwise that of the route.
     pub(crate) priority: u8,
+    /// Digest of the key by which `account` was found.
+    pub(super) key: Option<KeyDigest>,
+    /// Version of the configuration in which the key was last looked up.
+    pub(super) account_version: ConfigVersion,
     pub(crate) version: VersionRule,
     canary_use: CanaryUse,
     fingerprint: Fingerprint,
@@ -116,7 +123,7 @@
         &mut self,
         caller: u64,
         token: u64,
-        request: HttpRequest,
+        mut request: HttpRequest,
         arrived: Time,
     ) {
         let request_id = self.request_id(&request);
@@ -132,14 +139,19 @@
             }
             return;
         };
-        let version = config.version;
+        let account_version = config.version;
         let host = request.header("host").unwrap_or_default().to_owned();
         let Some(route) = self.mesh.router.select(&host, request.path()) else {
-            self.log_unrouted(&request_id, &host, request.path(), version);
+            self.log_unrouted(&request_id, &host, request.path(), account_version);
             let answer = own_answer(404, CODE_NO_ROUTE, None);
             self.answer_caller(caller, token, answer);
             return;
         };
+        let identity = self.identify_caller(&request, &route);
+        if identity == CallerIdentity::Refused {
+            self.refuse_unknown_caller(caller, token, request, arrived);
+            return;
+        }
         let caller_timeout = self.caller_timeout(&request).unwrap_or(route.timeout);
         let deadline = arrived + caller_timeout.min(route.timeout);
         if !self.may_start(deadline) {
@@ -150,6 +162,7 @@
             self.defer_request(caller, token, request, arrived);
             return;
         }
+        self.replace_account_headers(&mut request, &identity);
         let Some(service) = self.mesh.router.choose_service(&route) else {
             self.refuse_request(caller, token, &request_id, 503, CODE_NO_TARGET);
             return;
@@ -186,8 +199,10 @@
             request: Rc::new(request),
             request_id,
             service,
-            account: None,
-            priority: route.priority,
+            account: identity.account().map(|account| account.name.clone()),
+            priority: identity.priority(&route),
+            key: identity.account().map(|account| account.key),
+            account_version,
             version,
             canary_use,
             fingerprint,
@@ -267,6 +282,9 @@
             self.no_candidate(id, Refusal::NoTarget, None);
             return;
         }
+        if !self.recheck_account(id) {
+            return;
+        }
         let now = self.now;
         let Some(call) = self.calls.get(id) else {
             return;
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -116,11 +116,14 @@
             names.expected_instance,
             names.caller_service,
         ];
+        // The node of the caller may not hold the first configuration with accounts yet.
+        let removed = self.mesh.accounts().map(|_| names.account_key);
         let time_left = work.deadline.saturating_sub(self.now);
         let mut request = (*work.request).clone();
         request.headers.retain(|header| {
             !replaced
                 .iter()
+                .chain(&removed)
                 .any(|name| header.name.eq_ignore_ascii_case(name))
         });
         let extra = [
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use serde_json::json;
 
+use crate::accounts::Directory;
 use crate::clock::Time;
 use crate::edge::frame;
 use crate::edge::frame::Frame;
@@ -92,6 +93,8 @@
     /// The configuration in force as an encoded frame, once another node has requested it.
     encoded_config: Option<Rc<Vec<u8>>>,
     pub(super) router: Router,
+    /// Client accounts of the configuration, if it has any.
+    accounts: Option<Directory>,
     /// Sorted by service.
     pub(super) rollouts: Vec<TrackedRollout>,
     /// Rollouts that the store lost when it came back from an older copy, and when. The operator
@@ -184,6 +187,16 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
+    /// Returns the client accounts; `None` if requests need no key.
+    pub(super) fn accounts(&self) -> Option<&Directory> {
+        self.accounts.as_ref()
+    }
+
+    /// Returns whether a newer configuration than the one in force was announced.
+    pub(super) fn is_behind(&self) -> bool {
+        self.newest_announced > self.config_version()
+    }
+
     pub(super) fn config_age(&self, now: Time) -> Duration {
         now.saturating_sub(self.config_adopted_at)
     }
@@ -371,6 +384,7 @@
         );
         self.mesh.router.load(&config);
         let config = Rc::new(config);
+        self.mesh.accounts = Directory::new(&config);
         self.mesh.config = Some(Rc::clone(&config));
         self.mesh.config_adopted_at = self.now;
         self.mesh.encoded_config = None;
@@ -378,8 +392,8 @@
             self.broadcast_config_change(config.delta_from(&before), source);
         } else {
             self.announce_first_config();
-            self.begin_deferred();
         }
+        self.begin_deferred();
     }
 
     /// Notifies a few nodes of the data centre that this node has a configuration. All nodes may
@@ -430,9 +444,7 @@
 
     /// Requests the configuration again as long as this node lacks one or knows of a newer one.
     pub(super) fn check_config(&mut self) {
-        let is_behind =
-            self.mesh.config().is_none() || self.mesh.newest_announced > self.mesh.config_version();
-        if !is_behind {
+        if self.mesh.config().is_some() && !self.mesh.is_behind() {
             return;
         }
         // The whole data centre may lack the configuration. Other data centres are asked later,
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The running node: one actor that owns all sockets and timers and calls the decision modules.
 
 mod abandoned_calls;
+mod caller_accounts;
 mod callers;
 mod calls;
 mod connections;
