Test client accounts with real processes

Cause: revoked keys, headers at targets and keys in logs were tested without processes only. Tests: headers with and without accounts, a key revoked on an open connection and between two attempts, a node that was cut off, a restart after the store came back from an older copy, and keys in logs and on metrics pages.

--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -1,5 +1,6 @@
 //! Small meshes of real nodes in situations that violated a guarantee before.
 
+mod accounts;
 mod batches;
 mod connections;
 mod deregistration;
