--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Benches: each prints its figures as one JSON object on the last line.
 
+mod accounts;
 mod calls;
 mod distribute;
 mod moves;
@@ -27,6 +28,8 @@
     Distribute(distribute::Arguments),
     #[options(help = "many seeded moves, good and bad, on simulated time")]
     Moves(moves::Arguments),
+    #[options(help = "lookup time and memory of client accounts")]
+    Accounts(accounts::Arguments),
 }
 
 /// Runs the selected bench.
@@ -40,6 +43,7 @@
         Some(Command::Proxy(arguments)) => calls::proxy::run(arguments),
         Some(Command::Distribute(arguments)) => distribute::run(arguments),
         Some(Command::Moves(arguments)) => moves::run(arguments),
+        Some(Command::Accounts(arguments)) => accounts::run(arguments),
         None => Err(Arguments::usage().to_owned()),
     }
 }
