--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod proxy;
 pub mod testbed;
+pub mod vm_settings;
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -105,6 +106,7 @@
         slots: SLOTS,
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
+        has_two_regions: false,
         directory,
     };
     // The start is tried twice: another program may take a port between its choice and its use.
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -39,6 +39,9 @@
 use crate::soak::ledger::Ledger;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
+use crate::soak::vm_settings::Addresses;
+use crate::soak::vm_settings::Site;
+use crate::soak::vm_settings::write_settings;
 
 /// Services of the mesh, assigned to the targets in turn.
 pub const SERVICES: [&str; 2] = ["desk", "feed"];
@@ -75,6 +78,8 @@
     pub connection_behaviour: ConnectionBehaviour,
     /// Limit of the node's open file descriptors; `None` for the limit of this process.
     pub descriptors: Option<u32>,
+    /// Whether each two VMs are in another region, and the platform has evacuations and cold rates.
+    pub has_two_regions: bool,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -86,6 +91,8 @@
     pub name: String,
     /// Service of the target.
     pub service: &'static str,
+    /// Data centre and region, and settings of the platform.
+    pub site: Site,
     /// Whether the VM starts for the first time.
     pub is_first_start: bool,
     /// Time of a run at the target.
@@ -231,6 +238,10 @@
         let options = VmOptions {
             name: name.to_owned(),
             service,
+            site: Site::of(
+                self.vms.len() / SERVICES.len(),
+                self.options.has_two_regions,
+            ),
             is_first_start,
             run_time: self.options.run_time,
             slots: self.options.slots,
@@ -520,45 +531,6 @@
     }
 }
 
-struct Addresses {
-    callers: SocketAddr,
-    peers: SocketAddr,
-    advertised: SocketAddr,
-    ready: SocketAddr,
-    control: SocketAddr,
-    metrics: SocketAddr,
-    target: SocketAddr,
-    announced: SocketAddr,
-    store: SocketAddr,
-}
-
-impl Addresses {
-    fn choose() -> Result<Self> {
-        Ok(Self {
-            callers: ports::free_address()?,
-            peers: ports::free_address()?,
-            advertised: ports::free_address()?,
-            ready: ports::free_address()?,
-            control: ports::free_address()?,
-            metrics: ports::free_address()?,
-            target: ports::free_address()?,
-            announced: ports::free_address()?,
-            store: ports::free_address()?,
-        })
-    }
-
-    /// Returns the address that the target announces. With `ConnectionBehaviour::End`, an answer and
-    /// the end of its connection have to arrive together. The proxy would forward them separately,
-    /// so the node connects to the target directly.
-    fn announced(&self, options: &VmOptions) -> SocketAddr {
-        if options.connection_behaviour == ConnectionBehaviour::End {
-            self.target
-        } else {
-            self.announced
-        }
-    }
-}
-
 fn start_node(options: &VmOptions, addresses: &Addresses, program: &Path) -> Result<Process> {
     let settings = write_settings(options, addresses)?;
     let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
@@ -572,28 +544,3 @@
     command.extend(arguments);
     Process::start(&options.name, Path::new("/bin/sh"), command, directory)
 }
-
-fn write_settings(options: &VmOptions, addresses: &Addresses) -> Result<PathBuf> {
-    let (name, service) = (&options.name, options.service);
-    let text = format!(
-        "[sidecar]\nname = \"{name}\"\nservice = \"{service}\"\ndata_centre = \"a\"\n\
-         region = \"west\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
-         advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
-         metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
-         heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n\
-         memory_mb = {MEMORY_MB}\n",
-        addresses.callers,
-        addresses.peers,
-        addresses.advertised,
-        addresses.ready,
-        addresses.control,
-        addresses.metrics,
-        addresses.announced(options),
-        addresses.store,
-        options.is_first_start,
-    );
-    let path = options.directory.join(format!("{name}.toml"));
-    std::fs::write(&path, text)
-        .map_err(|error| Error::resource(path.display().to_string(), error))?;
-    Ok(path)
-}
--- a/xtask/tests/mesh/setup.rs
+++ b/xtask/tests/mesh/setup.rs
@@ -33,6 +33,7 @@
         slots: 8,
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
+        has_two_regions: false,
         directory,
     }
 }
