--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod model;
 pub mod node;
+pub mod order;
 pub mod overlay;
 pub mod platform;
 pub mod rate_limit;
