Plan waiting requests by rank, and compare accounts with their usual demand

Cause: a full target keeps requests by due time alone. One long request can cost several short ones, calls of running requests are refused like others, and an account that sends many times its usual load takes the slots of the others.

Change: `order::plan` plans the ranks one after the other and maximizes the requests in time within each (Moore-Hodgson on the expected times of the slots). `order::shares` tells which accounts are far above their usual demand or served too rarely. Nothing uses them yet.

--- a/crates/sidecar/src/order/mod.rs
+++ b/crates/sidecar/src/order/mod.rs
@@ -5,7 +5,9 @@
 //! with their usual one, [`reservation`] determines the slots that less urgent requests leave free,
 //! and [`returns`] spreads the times at which refused callers come back.
 
+pub mod plan;
 pub mod returns;
+pub mod shares;
 
 use std::time::Duration;
 
@@ -124,3 +126,23 @@
         }
     }
 }
+
+/// Sum of events whose weight decays exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Decaying {
+    value: f64,
+    at: Time,
+}
+
+impl Decaying {
+    /// Returns the sum at a time; `period` is the time in which a weight decays to 1/e.
+    pub(crate) fn value(&self, period: Duration, now: Time) -> f64 {
+        let age = now.saturating_sub(self.at);
+        self.value * (-age.as_secs_f64() / period.as_secs_f64()).exp()
+    }
+
+    pub(crate) fn add(&mut self, amount: f64, period: Duration, now: Time) {
+        self.value = self.value(period, now) + amount;
+        self.at = now;
+    }
+}
