Reserve slots for more urgent requests that were turned away

Cause: long, less urgent requests take every slot that becomes free before the next urgent request arrives, which can then only wait.

Change: `order::reservation` counts demand and refusals by priority. Less urgent requests leave the slots free that more urgent ones have needed, in so far as these were turned away; a quarter of the slots is always open to them. Nothing uses it yet.

--- a/crates/sidecar/src/order/mod.rs
+++ b/crates/sidecar/src/order/mod.rs
@@ -6,6 +6,7 @@
 //! and [`returns`] spreads the times at which refused callers come back.
 
 pub mod plan;
+pub mod reservation;
 pub mod returns;
 pub mod shares;
 
