Order requests at a full target by what callers lose

Change: the setting `order` ("arrival", the default, or "cost") selects the order. With "cost", `admission::by_cost` plans the queue at each request, leaves reserved slots free and gives refused callers a Retry-After of their own. `node/ordering.rs` determines the standing of a request, counts and logs what is given up, and asks one node although all are reported to be full if less urgent requests of the service exist, as reports of the load do not tell which requests wait.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -3,7 +3,10 @@
 //! All requests reach the target through this node, so it has an exact count of the slots in use.
 //! Requests beyond the slots wait in the order of priority and due time while an answer in time can
 //! be expected. All others are rejected at once and have not run. A target may also limit the rate of
-//! its requests, see [`crate::rate_limit`].
+//! its requests, see [`crate::rate_limit`]. With the order by cost, `by_cost` decides which requests
+//! wait, run and are rejected, see [`crate::order`].
+
+pub mod by_cost;
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -13,6 +16,8 @@
 use crate::clock::Time;
 use crate::model::LoadReport;
 use crate::model::RateLimitReport;
+use crate::order::Order;
+use crate::order::Standing;
 use crate::rate_limit;
 use crate::rate_limit::RateLimiter;
 
@@ -70,7 +75,7 @@
 
 impl UplinkDemand {
     /// Returns the time at which the answer of a run that ends at `run_end` has been sent.
-    fn arrival(self, run_end: Time) -> Time {
+    pub(crate) fn arrival(self, run_end: Time) -> Time {
         if self.send.is_zero() {
             return run_end;
         }
@@ -136,13 +141,23 @@
     }
 }
 
+/// Request in the queue.
+#[derive(Debug)]
+struct Waiting {
+    request: AdmissionRequest,
+    standing: Standing,
+    since: Time,
+}
+
 /// Slots of the target and the queue of requests that wait for one.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
     slots: usize,
     running: usize,
-    /// Sorted by priority, then due time.
-    waiting: Vec<AdmissionRequest>,
+    order: Order,
+    /// Sorted by priority, then due time; with the order by cost, in the order of the newest plan.
+    waiting: Vec<Waiting>,
+    cost: by_cost::CostState,
     /// Whether the target has just started and is still slow.
     is_cold: bool,
     rate: RateLimiter,
@@ -216,12 +231,32 @@
 
     /// Gives a request a slot, queues it or rejects it.
     pub fn admit(&mut self, request: AdmissionRequest, now: Time) -> AdmissionDecision {
+        self.admit_with(request, Standing::default(), now)
+    }
+
+    /// Gives a request of a known standing a slot, queues it or rejects it.
+    pub fn admit_with(
+        &mut self,
+        request: AdmissionRequest,
+        standing: Standing,
+        now: Time,
+    ) -> AdmissionDecision {
+        match self.order {
+            Order::Arrival => self.admit_by_arrival(request, standing, now),
+            Order::Cost => self.admit_by_cost(request, standing, now),
+        }
+    }
+
+    fn admit_by_arrival(
+        &mut self,
+        request: AdmissionRequest,
+        standing: Standing,
+        now: Time,
+    ) -> AdmissionDecision {
         let run = self.expected_run(&request.route, request.target_latency);
         if self.running < self.slots && self.waiting.is_empty() && self.rate.wait(0, now).is_zero()
         {
-            let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
-                && request.uplink.arrival(now + run) > latest_answer(&request);
-            if now >= request.deadline || is_late_on_uplink {
+            if is_hopeless(&request, run, now) {
                 return self.reject(RejectReason::TooLate, &request, now);
             }
             if self.rate.take(now) {
@@ -243,7 +278,12 @@
             };
             return self.reject(reason, &request, now);
         }
-        self.waiting.insert(index, request);
+        let waiting = Waiting {
+            request,
+            standing,
+            since: now,
+        };
+        self.waiting.insert(index, waiting);
         let displaced = self.displace(index + 1, now);
         AdmissionDecision::Wait { displaced }
     }
@@ -286,24 +326,31 @@
     /// Removes a request from the queue and returns whether it was waiting.
     pub fn cancel(&mut self, id: WorkId) -> bool {
         let before = self.waiting.len();
-        self.waiting.retain(|request| request.id != id);
+        self.waiting.retain(|waiting| waiting.request.id != id);
         self.waiting.len() < before
     }
 
     /// Gives free slots to waiting requests and removes those that cannot be answered in time.
     pub fn dispatch(&mut self, now: Time) -> Dispatch {
+        match self.order {
+            Order::Arrival => self.dispatch_by_arrival(now),
+            Order::Cost => self.dispatch_by_cost(now),
+        }
+    }
+
+    fn dispatch_by_arrival(&mut self, now: Time) -> Dispatch {
         let mut dispatch = Dispatch::default();
         while self.running < self.slots && !self.waiting.is_empty() {
-            let request = &self.waiting[0];
+            let request = &self.waiting[0].request;
             let run = self.expected_run(&request.route, request.target_latency);
             if now + run / 2 + request.uplink.send > latest_answer(request) {
-                dispatch.expired.push(self.waiting.remove(0).id);
+                dispatch.expired.push(self.waiting.remove(0).request.id);
                 continue;
             }
             if !self.rate.take(now) {
                 break;
             }
-            let request = self.waiting.remove(0);
+            let request = self.waiting.remove(0).request;
             self.running += 1;
             dispatch.run.push(request.id);
         }
@@ -311,16 +358,20 @@
     }
 
     /// Returns when a waiting request may be sent that has a free slot but no permit of the rate
-    /// limit.
+    /// limit, or leaves its slot to more urgent requests.
     #[must_use]
     pub fn next_permit_at(&self, now: Time) -> Option<Time> {
         let is_limited = self.running < self.slots && !self.waiting.is_empty();
-        is_limited.then(|| now + self.rate.wait(0, now))
+        let wait = || self.rate.wait(0, now).max(self.reservation_wait(now));
+        is_limited.then(|| now + wait())
     }
 
     /// Empties the queue when the target admits no more requests.
     pub fn drain(&mut self) -> Vec<WorkId> {
-        self.waiting.drain(..).map(|request| request.id).collect()
+        self.waiting
+            .drain(..)
+            .map(|waiting| waiting.request.id)
+            .collect()
     }
 
     /// Returns whether at least `BUSY_PERCENT` of the slots are in use.
@@ -374,8 +425,10 @@
     }
 
     fn queue_position(&self, request: &AdmissionRequest) -> usize {
-        self.waiting
-            .partition_point(|other| (other.priority, other.due) <= (request.priority, request.due))
+        self.waiting.partition_point(|waiting| {
+            let other = &waiting.request;
+            (other.priority, other.due) <= (request.priority, request.due)
+        })
     }
 
     /// Returns the expected time until a request at a position of the queue is sent.
@@ -391,6 +444,7 @@
         }
         let ahead_ms: f64 = self.waiting[..index]
             .iter()
+            .map(|waiting| &waiting.request)
             .map(|request| self.run_ms(&request.route, request.target_latency))
             .sum();
         let slots = f64::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
@@ -402,11 +456,12 @@
     fn displace(&mut self, from: usize, now: Time) -> Vec<WorkId> {
         let mut displaced = Vec::new();
         let mut index = from;
-        while let Some(request) = self.waiting.get(index) {
+        while let Some(waiting) = self.waiting.get(index) {
+            let request = &waiting.request;
             let run = self.expected_run(&request.route, request.target_latency);
             let run_end = now + self.expected_wait(index, now) + run;
             if request.uplink.arrival(run_end) > latest_answer(request) {
-                displaced.push(self.waiting.remove(index).id);
+                displaced.push(self.waiting.remove(index).request.id);
             } else {
                 index += 1;
             }
@@ -451,6 +506,14 @@
     request.due.min(request.deadline).saturating_sub(margin)
 }
 
+/// Returns whether a request is rejected although a slot is free: its deadline has passed, or its
+/// answer would wait for the uplink until it is late.
+fn is_hopeless(request: &AdmissionRequest, run: Duration, now: Time) -> bool {
+    let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
+        && request.uplink.arrival(now + run) > latest_answer(request);
+    now >= request.deadline || is_late_on_uplink
+}
+
 fn moving_average(mean: f64, value: f64, weight: f64) -> f64 {
     if mean == 0.0 {
         return value;
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -7,6 +7,7 @@
 use hemlockfall_core::ids::VersionName;
 use hemlockfall_http::http::HttpAnswer;
 use hemlockfall_http::http::HttpRequest;
+use rand::RngExt;
 use serde_json::json;
 
 use crate::admission::WorkId;
@@ -38,6 +39,10 @@
 use crate::node::targets::WorkItem;
 use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
+use crate::order::Order;
+use crate::order::returns;
+use crate::order::returns::MAX_RETRY_AFTER;
+use crate::order::returns::MIN_RETRY_AFTER;
 
 const CODE_NO_CONFIG: &str = "HF-3701";
 const CODE_NO_ROUTE: &str = "HF-3702";
@@ -48,9 +53,6 @@
 const CODE_LONG_ID: &str = "HF-3710";
 /// `Retry-After` when no configuration or target is available to estimate a wait from.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Bounds of the `Retry-After` that a caller gets when no target could run its request.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time for which additional links are kept for a service that had no free target.
 const FULL_SERVICE_RETENTION: Duration = Duration::from_secs(10);
 /// Lowest HTTP status after which a caller may send its request again.
@@ -290,7 +292,7 @@
             }
             _ => balance::choose(&candidates, &demand, now, &mut self.random),
         };
-        let Some(node) = choice else {
+        let Some(node) = choice.or_else(|| self.full_node_to_ask(id, &candidates)) else {
             if self.leave_canary(id) {
                 self.attempt(id);
                 return;
@@ -355,6 +357,10 @@
         let wait = wait_ms.map_or(RETRY_AFTER, |wait_ms| {
             Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
         });
+        let wait = match self.settings.order {
+            Order::Arrival => wait,
+            Order::Cost => returns::spread(wait, call.priority, self.random.random()),
+        };
         call.retry_after = call.retry_after.max(wait);
         let outcome = if call.last_answer.is_some() {
             FinalOutcome::Deliver
@@ -484,7 +490,14 @@
                 (own_answer(502, CODE_UNKNOWN, None), "unknown")
             }
             (FinalOutcome::NotRun, _) => {
-                let wait = call.retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                let max = match self.settings.order {
+                    Order::Arrival => MAX_RETRY_AFTER,
+                    Order::Cost => {
+                        let left = call.caller_deadline.saturating_sub(self.now);
+                        returns::max_retry_after(left)
+                    }
+                };
+                let wait = call.retry_after.clamp(MIN_RETRY_AFTER, max);
                 (own_answer(503, CODE_NO_TARGET, Some(wait)), "not_run")
             }
         };
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod members;
 mod memory;
 mod mesh;
+mod ordering;
 mod peers;
 mod rollouts;
 mod run;
@@ -282,6 +283,7 @@
             settings_file: params.settings_file,
             settings,
         };
+        node.target.admission.set_order(node.settings.order);
         if let Err(error) = node.open() {
             cx.fail(error);
             return None;
@@ -427,6 +429,7 @@
         self.check_connections();
         self.check_buffers();
         self.check_target();
+        self.report_reserved_slots();
         self.report_load();
         self.check_rollouts();
         self.check_stop();
@@ -501,6 +504,7 @@
         match SidecarSettings::parse(&file, &text) {
             Ok(settings) => {
                 self.budget.set_limits(settings.budget());
+                self.target.admission.set_order(settings.order);
                 self.settings = settings;
                 self.log_event("settings_reloaded", json!({ "trigger": trigger }));
             }
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -26,6 +26,7 @@
 use crate::node::Timer;
 use crate::node::calls::AttemptEnd;
 use crate::node::ms;
+use crate::node::ordering::retry_after_of;
 use crate::table::Table;
 use crate::target::OwnTarget;
 
@@ -177,13 +178,19 @@
             uplink,
         };
         self.uplink.add_expected(work.answer_bytes);
-        match self.target.admission.admit(request, self.now) {
+        let standing = self.standing(id);
+        let admission = &mut self.target.admission;
+        let decision = admission.admit_with(request, standing, self.now);
+        let given_up = self.record_given_up();
+        match decision {
             AdmissionDecision::Run => self.run_work(id),
             AdmissionDecision::Wait { displaced } => {
                 self.set_timer(deadline, Timer::Work(id));
                 for work in displaced {
-                    self.reject_work(work, Refusal::TooLate, Duration::ZERO);
+                    let retry_after = retry_after_of(&given_up, work);
+                    self.reject_work(work, Refusal::TooLate, retry_after);
                 }
+                self.dispatch_newly_planned();
                 self.schedule_permit();
             }
             AdmissionDecision::Reject {
@@ -202,6 +209,7 @@
 
     fn run_work(&mut self, id: WorkId) {
         let Some(work) = self.target.work_items.get(id) else {
+            self.target.admission.ended(id);
             self.target.admission.release();
             return;
         };
@@ -227,6 +235,7 @@
             }
             Err(error) => {
                 self.log_event("target_unreachable", json!({ "reason": error.to_string() }));
+                self.target.admission.ended(id);
                 self.target.admission.release();
                 self.reject_work(id, Refusal::NoTarget, Duration::ZERO);
             }
@@ -261,8 +270,10 @@
     /// Runs waiting requests in free slots.
     pub(super) fn dispatch_work(&mut self) {
         let dispatch = self.target.admission.dispatch(self.now);
+        let given_up = self.record_given_up();
         for id in dispatch.expired {
-            self.reject_work(id, Refusal::TooLate, Duration::ZERO);
+            let retry_after = retry_after_of(&given_up, id);
+            self.reject_work(id, Refusal::TooLate, retry_after);
         }
         for id in dispatch.run {
             self.run_work(id);
@@ -364,6 +375,7 @@
                 let (route, timed) = (work.route.clone(), work.timed(started, self.now));
                 self.tally_overdue(&route, is_busy, timed);
                 self.remove_work(id);
+                self.target.admission.ended(id);
                 self.target.admission.release();
                 self.drop_connection(connection);
                 self.dispatch_work();
@@ -426,6 +438,7 @@
             AttemptEnd::Answered(answer) => answer.status >= 500,
             AttemptEnd::NotRun { .. } | AttemptEnd::Failed(_) => true,
         };
+        self.target.admission.ended(id);
         match &end {
             AttemptEnd::NotRun {
                 refusal: Refusal::ByTarget,
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -177,6 +177,12 @@
                 "0",
                 "requests of a window allowed beyond that, for all nodes together",
             ),
+            optional(
+                "order",
+                SettingKind::Choice(&["arrival", "cost"]),
+                "\"arrival\"",
+                "order of the requests at a full target: by due time, or by what callers lose",
+            ),
         ],
         codes: &[
             code(3701, "no configuration is known yet; wait until the node has read the store"),
@@ -202,6 +208,8 @@
             counter("hemlockfall_sidecar_inputs_cut_total", "connections closed because messages being read used too much memory, by peer"),
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
             counter("hemlockfall_sidecar_target_requests_total", "requests sent to the node's target"),
+            counter("hemlockfall_sidecar_given_up_total", "requests refused by the order by cost, by reason and priority"),
+            gauge("hemlockfall_sidecar_slots_reserved", "slots that the least urgent requests leave free for more urgent ones"),
             gauge("hemlockfall_sidecar_target_limit_per_s", "requests per second to which the target limits all nodes together; -1 when it names no limit"),
             counter("hemlockfall_sidecar_store_calls_total", "calls to the platform's store by result"),
             counter("hemlockfall_sidecar_objects_refused_total", "objects of the store that cannot be read; what was known before stays in force"),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 
 use crate::budget::BudgetLimits;
+use crate::order::Order;
 
 /// Name of the settings section.
 pub const SECTION: &str = "sidecar";
@@ -80,6 +81,8 @@
     pub quota_overshoot: f64,
     /// Requests of a window beyond a quota that are allowed in addition.
     pub quota_allowance: u32,
+    /// Rule by which requests at the target are ordered and given up.
+    pub order: Order,
 }
 
 impl SidecarSettings {
