--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod members;
 mod memory;
 mod mesh;
+mod ordering;
 mod peers;
 mod rollouts;
 mod run;
@@ -286,6 +287,7 @@
             settings_file: params.settings_file,
             settings,
         };
+        node.target.admission.set_order(node.settings.order);
         if let Err(error) = node.open() {
             cx.fail(error);
             return None;
@@ -434,6 +436,7 @@
         self.check_buffers();
         self.check_target();
         self.check_coldness();
+        self.report_reserved_slots();
         self.report_load();
         self.check_rollouts();
         self.check_stop();
@@ -508,6 +511,7 @@
         match SidecarSettings::parse(&file, &text) {
             Ok(settings) => {
                 self.budget.set_limits(settings.budget());
+                self.target.admission.set_order(settings.order);
                 self.settings = settings;
                 self.log_event("settings_reloaded", json!({ "trigger": trigger }));
             }
