--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod drill;
 mod faults;
 pub mod ledger;
+mod node_process;
 pub mod proxy;
 pub mod testbed;
 
@@ -105,6 +106,7 @@
         slots: SLOTS,
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
+        memory_mb: testbed::MEMORY_MB,
         directory,
     };
     // The start is tried twice: another program may take a port between its choice and its use.
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -1,8 +1,6 @@
 //! Testbed of one run: node processes, targets, store and callers on loopback.
 
-use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -37,6 +35,8 @@
 use crate::soak::caller::Disruptions;
 use crate::soak::caller::HOST;
 use crate::soak::ledger::Ledger;
+use crate::soak::node_process::Addresses;
+use crate::soak::node_process::start_node;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
 
@@ -75,6 +75,8 @@
     pub connection_behaviour: ConnectionBehaviour,
     /// Limit of the node's open file descriptors; `None` for the limit of this process.
     pub descriptors: Option<u32>,
+    /// Memory of the VM that the node's settings state, in MB.
+    pub memory_mb: u64,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -96,6 +98,8 @@
     pub connection_behaviour: ConnectionBehaviour,
     /// Limit of the node's open file descriptors; `None` for the limit of this process.
     pub descriptors: Option<u32>,
+    /// Memory of the VM that the node's settings state, in MB.
+    pub memory_mb: u64,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -236,6 +240,7 @@
             slots: self.options.slots,
             connection_behaviour: self.options.connection_behaviour,
             descriptors: self.options.descriptors,
+            memory_mb: self.options.memory_mb,
             directory: self.options.directory.clone(),
         };
         let store = self.store.address();
@@ -519,81 +524,3 @@
         }
     }
 }
-
-struct Addresses {
-    callers: SocketAddr,
-    peers: SocketAddr,
-    advertised: SocketAddr,
-    ready: SocketAddr,
-    control: SocketAddr,
-    metrics: SocketAddr,
-    target: SocketAddr,
-    announced: SocketAddr,
-    store: SocketAddr,
-}
-
-impl Addresses {
-    fn choose() -> Result<Self> {
-        Ok(Self {
-            callers: ports::free_address()?,
-            peers: ports::free_address()?,
-            advertised: ports::free_address()?,
-            ready: ports::free_address()?,
-            control: ports::free_address()?,
-            metrics: ports::free_address()?,
-            target: ports::free_address()?,
-            announced: ports::free_address()?,
-            store: ports::free_address()?,
-        })
-    }
-
-    /// Returns the address that the target announces. With `ConnectionBehaviour::End`, an answer and
-    /// the end of its connection have to arrive together. The proxy would forward them separately,
-    /// so the node connects to the target directly.
-    fn announced(&self, options: &VmOptions) -> SocketAddr {
-        if options.connection_behaviour == ConnectionBehaviour::End {
-            self.target
-        } else {
-            self.announced
-        }
-    }
-}
-
-fn start_node(options: &VmOptions, addresses: &Addresses, program: &Path) -> Result<Process> {
-    let settings = write_settings(options, addresses)?;
-    let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
-    let directory = &options.directory;
-    let Some(limit) = options.descriptors else {
-        return Process::start(&options.name, program, arguments, directory);
-    };
-    // The shell lowers its own limit of descriptors and replaces itself by the node.
-    let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
-    let mut command: Vec<OsString> = vec!["-c".into(), script.into(), program.into()];
-    command.extend(arguments);
-    Process::start(&options.name, Path::new("/bin/sh"), command, directory)
-}
-
-fn write_settings(options: &VmOptions, addresses: &Addresses) -> Result<PathBuf> {
-    let (name, service) = (&options.name, options.service);
-    let text = format!(
-        "[sidecar]\nname = \"{name}\"\nservice = \"{service}\"\ndata_centre = \"a\"\n\
-         region = \"west\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
-         advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
-         metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
-         heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n\
-         memory_mb = {MEMORY_MB}\n",
-        addresses.callers,
-        addresses.peers,
-        addresses.advertised,
-        addresses.ready,
-        addresses.control,
-        addresses.metrics,
-        addresses.announced(options),
-        addresses.store,
-        options.is_first_start,
-    );
-    let path = options.directory.join(format!("{name}.toml"));
-    std::fs::write(&path, text)
-        .map_err(|error| Error::resource(path.display().to_string(), error))?;
-    Ok(path)
-}
--- a/xtask/tests/mesh/setup.rs
+++ b/xtask/tests/mesh/setup.rs
@@ -10,6 +10,7 @@
 use hemlockfall_standins::caller::Connection;
 use hemlockfall_standins::caller::Outcome;
 use hemlockfall_standins::target::ConnectionBehaviour;
+use xtask::soak::testbed::MEMORY_MB;
 use xtask::soak::testbed::Testbed;
 use xtask::soak::testbed::TestbedOptions;
 
@@ -33,6 +34,7 @@
         slots: 8,
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
+        memory_mb: MEMORY_MB,
         directory,
     }
 }
