Refuse responses with an invalid status line or ambiguous framing

A target answered with status 000, which reached the caller. The reader of responses takes only statuses from 100 to 599, at most 16 interim responses, and checks the framing headers of responses without a body too. Bodies grow no further than their announced length. Fields and answers can be checked where they come from another node.

--- a/crates/hemlockfall/tests/edge/http_readers.rs
+++ b/crates/hemlockfall/tests/edge/http_readers.rs
@@ -252,3 +252,82 @@
 
     assert!(reader.finish_at_end().is_none());
 }
+
+/// Returns whether a response with a status line and header lines is refused.
+fn is_refused(status_line: &str, header_lines: &str) -> bool {
+    let text = format!("{status_line}\r\n{header_lines}content-length: 0\r\n\r\n");
+    read_response(&[text.as_bytes()]).1.is_some()
+}
+
+/// Guards against a status line that is passed on although it is none: a target answered with status
+/// 000, and its caller got that.
+#[test]
+fn invalid_status_lines_are_refused() {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 -20 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 200 O\u{1}K",
+        "HTTP/1.1 200 O\u{0}K",
+        "HTTP/1.1 200 O\rK",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTQ/1.1 200 OK",
+    ];
+
+    let accepted: Vec<&str> = lines
+        .into_iter()
+        .filter(|line| !is_refused(line, ""))
+        .collect();
+
+    assert!(accepted.is_empty(), "{accepted:?}");
+    for line in ["HTTP/1.0 200 OK", "HTTP/1.1 599 ", "HTTP/1.1 204"] {
+        assert!(!is_refused(line, ""), "{line}");
+    }
+}
+
+/// Guards against header fields that split the response towards the caller, and against lengths that
+/// two readers take differently; also in a response without a body.
+#[test]
+fn invalid_response_headers_are_refused() {
+    let fields = [
+        "x-a: b\rx-c: d\r\n",
+        "x-a: b\u{0}\r\n",
+        "x-a\u{0}: b\r\n",
+        "x a: b\r\n",
+        "x-a : b\r\n",
+        "content-length: -1\r\n",
+        "content-length: 1\r\n",
+        "transfer-encoding: chunked\r\n",
+    ];
+    let lines = ["HTTP/1.1 200 OK", "HTTP/1.1 304 Not Modified"];
+
+    let accepted: Vec<_> = lines
+        .iter()
+        .flat_map(|line| fields.map(|field| (line, field)))
+        .filter(|(line, field)| !is_refused(line, field))
+        .collect();
+
+    assert!(accepted.is_empty(), "{accepted:?}");
+}
+
+/// Guards against interim responses without end that each are small.
+#[test]
+fn interim_responses_are_bounded_in_number() {
+    let response = |interim: usize| {
+        let text = "HTTP/1.1 100 \r\n\r\n".repeat(interim);
+        format!("{text}HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    };
+
+    let few = read_response(&[response(3).as_bytes()]);
+    let many = read_response(&[response(17).as_bytes()]);
+
+    assert_eq!(few.0.len(), 1);
+    assert!(many.1.is_some());
+}
--- a/crates/http/src/http.rs
+++ b/crates/http/src/http.rs
@@ -44,6 +44,20 @@
 }
 
 impl Header {
+    /// Returns whether the field can be written without being taken for something else: the name is
+    /// a token of RFC 9110, and the value has no control characters but tabs.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let is_token =
+            |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+        !self.name.is_empty()
+            && self.name.bytes().all(is_token)
+            && !self
+                .value
+                .bytes()
+                .any(|byte| byte.is_ascii_control() && byte != b'\t')
+    }
+
     /// Creates a header field.
     pub fn new(name: impl Into<SmolStr>, value: impl Into<SmolStr>) -> Self {
         Self {
@@ -104,6 +118,13 @@
 }
 
 impl HttpAnswer {
+    /// Returns whether the answer can be passed on to a caller: its status is that of a final answer
+    /// and its header fields are valid.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        is_final_status(self.status) && self.headers.iter().all(Header::is_valid)
+    }
+
     /// Creates an answer with the digest of its body.
     #[must_use]
     pub fn new(status: u16, headers: Vec<Header>, body: Vec<u8>) -> Self {
@@ -136,6 +157,18 @@
     }
 }
 
+/// Returns whether a status lies in one of the five classes of RFC 9110.
+#[must_use]
+pub fn is_status(status: u16) -> bool {
+    (100..=599).contains(&status)
+}
+
+/// Returns whether a status is that of a final answer, which ends a request.
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// Returns whether a header field is forwarded. Hop-by-hop fields and the fields named in the
 /// message's `connection` field are not.
 #[must_use]
--- a/crates/http/src/http1/body.rs
+++ b/crates/http/src/http1/body.rs
@@ -9,6 +9,8 @@
 /// Size of the chunk lines that a body may have beyond the size of its data. Chunks that are mostly
 /// framing cost much time and carry little.
 const FRAMING_ALLOWANCE_BYTES: usize = 64 * 1024;
+/// Smallest step by which a body grows.
+const MIN_GROWTH_BYTES: usize = 16 * 1024;
 const CRLF: &[u8] = b"\r\n";
 
 /// Framing of a body, which determines where the body ends.
@@ -81,6 +83,16 @@
     Ok(())
 }
 
+/// Appends to a body of which at least `wanted` bytes are missing. Its memory grows by doubling, but
+/// not beyond what is missing.
+pub fn append_to_body(body: &mut Vec<u8>, bytes: &[u8], wanted: usize) {
+    if body.capacity() - body.len() < bytes.len() {
+        let growth = wanted.min(body.len().max(MIN_GROWTH_BYTES));
+        body.reserve_exact(growth.max(bytes.len()));
+    }
+    body.extend_from_slice(bytes);
+}
+
 /// Incremental reader of one body.
 #[derive(Debug)]
 pub struct BodyReader {
@@ -210,7 +222,7 @@
         if self.body.len() + appended > self.limit_bytes {
             return Err(HttpError::BodyTooLarge);
         }
-        self.body.extend_from_slice(&input[..appended]);
+        append_to_body(&mut self.body, &input[..appended], wanted);
         Ok(appended)
     }
 
--- a/crates/http/src/http1/response.rs
+++ b/crates/http/src/http1/response.rs
@@ -19,6 +19,9 @@
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// Interim responses that are skipped before a final one. Servers send one or two; more keep a reader
+/// busy without an end.
+const MAX_INTERIM: usize = 16;
 
 /// Reader of the response to one request.
 #[derive(Debug)]
@@ -29,6 +32,8 @@
     allow_unframed: bool,
     /// Size of the interim responses read so far.
     interim_bytes: usize,
+    /// Number of the interim responses read so far.
+    interim_count: usize,
     current: Option<PartialResponse>,
 }
 
@@ -62,6 +67,7 @@
             is_head: method == "HEAD",
             allow_unframed: false,
             interim_bytes: 0,
+            interim_count: 0,
             current: None,
         }
     }
@@ -112,6 +118,10 @@
             // Interim responses are skipped; the final response follows.
             if partial.is_none() {
                 self.interim_bytes += head_bytes;
+                self.interim_count += 1;
+            }
+            if self.interim_count > MAX_INTERIM {
+                return Err(HttpError::Malformed("too many interim responses"));
             }
             if self.interim_bytes > self.limits.max_head_bytes {
                 return Err(HttpError::HeadTooLarge);
@@ -147,7 +157,10 @@
         if status == SWITCHING_PROTOCOLS {
             return Err(HttpError::Malformed("the target switched protocols"));
         }
-        if (100..200).contains(&status) {
+        if !http::is_status(status) {
+            return Err(HttpError::Malformed("the status is not valid"));
+        }
+        if !http::is_final_status(status) {
             return Ok(Some((None, head_bytes)));
         }
         let headers = convert_headers(parsed.headers)?;
@@ -174,10 +187,12 @@
     }
 
     fn framing(&self, status: u16, headers: &[Header]) -> Result<Framing> {
+        // Checked also without a body, since a length is passed on to the caller.
+        let framing = body::framing(headers)?;
         if self.is_head || status == NO_CONTENT || status == NOT_MODIFIED {
             return Ok(Framing::Absent);
         }
-        match body::framing(headers)? {
+        match framing {
             Framing::Absent if self.allow_unframed => Ok(Framing::CloseDelimited),
             Framing::Absent => Err(HttpError::Malformed("the response has no length")),
             framing => Ok(framing),
@@ -226,6 +241,18 @@
 
 /// Appends a response in HTTP/1.1 form.
 pub fn write_response(out: &mut Vec<u8>, answer: &HttpAnswer, is_head: bool, keep_alive: bool) {
+    if write_response_head(out, answer, is_head, keep_alive) {
+        out.extend_from_slice(&answer.body);
+    }
+}
+
+/// Appends the head of a response in HTTP/1.1 form, and returns whether the body follows.
+pub fn write_response_head(
+    out: &mut Vec<u8>,
+    answer: &HttpAnswer,
+    is_head: bool,
+    keep_alive: bool,
+) -> bool {
     let reason = reason_phrase(answer.status);
     out.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", answer.status).as_bytes());
     let has_no_body = is_head || matches!(answer.status, NO_CONTENT | NOT_MODIFIED);
@@ -242,9 +269,7 @@
         out.extend_from_slice(b"connection: close\r\n");
     }
     out.extend_from_slice(b"\r\n");
-    if !has_no_body {
-        out.extend_from_slice(&answer.body);
-    }
+    !has_no_body
 }
 
 fn write_headers(out: &mut Vec<u8>, headers: &[Header]) {
