Bound all that a node holds by one budget, and callers' connections by the descriptors

Unsent answers were not counted, so callers that did not read ended the process. Output, answers in chunks and requests in progress now count with the input; over 40 percent of memory_mb the callers that would take longest to read are disconnected, and long requests are refused with 503 before they run. Chunks follow the link's drain, bodies are moved and not copied, written parts are released, and a caller with 256 KiB of unsent answers begins no further request. From 512 MB on an answer may have 64 MiB. A quarter of the descriptors, 48 at least, is kept from callers. Answer frames with an invalid status or header fields fail the attempt.

--- a/crates/sidecar/src/buffers.rs
+++ b/crates/sidecar/src/buffers.rs
@@ -1,16 +1,29 @@
-//! Limit on the memory of messages that are being read.
+//! Limits on the memory of messages that are being read, in progress or not sent yet.
 //!
 //! A peer in trouble may send bytes without end. Each message has a limit of its own, but a VM has
 //! little memory, and several large messages at once could exceed it. So all connections share one
 //! budget; when it is exceeded, the connections that hold the most are closed.
+//!
+//! A larger budget bounds all that the process holds, also unsent answers. Over it, the callers that
+//! would take longest to read what is unsent are disconnected.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 /// Share of the process's memory that messages being read may use, in percent. Vectors that grow
 /// hold up to twice their content for a moment, and complete messages are copied when forwarded.
 const BUDGET_PERCENT: usize = 12;
+/// Memory from which the largest answer is accepted: the budget then holds two of them.
+const LARGE_MEMORY_BYTES: usize = 512 * MEGABYTE;
+/// Share of the process's memory that all messages may use, in percent. The rest is for the node's
+/// own state, for copies of messages that are being forwarded, and for freed memory that the
+/// allocator keeps.
+const HELD_PERCENT: usize = 40;
+/// Share of that budget beyond which no further long work is begun, in percent.
+const LONG_WORK_PERCENT: usize = 75;
 /// Budget when the memory of the process is unknown.
 const DEFAULT_BUDGET_BYTES: usize = 256 * MEGABYTE;
+const DEFAULT_HELD_BYTES: usize = 1024 * MEGABYTE;
 /// Largest body of an answer, however large the budget is.
 const MAX_ANSWER_BYTES: usize = 64 * MEGABYTE;
 /// Share of the budget that one answer may use, in percent.
@@ -24,6 +37,27 @@
     pub budget_bytes: usize,
     /// Largest body of one answer, in bytes.
     pub answer_bytes: usize,
+    /// Largest memory of all messages, in bytes.
+    pub held_bytes: usize,
+}
+
+/// Unsent output of a caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnsentOutput<K> {
+    /// The connection.
+    pub connection: K,
+    /// Unsent bytes.
+    pub bytes: usize,
+    /// Bytes that the caller has recently taken in one second.
+    pub bytes_per_s: usize,
+}
+
+impl<K> UnsentOutput<K> {
+    /// Returns the time until the caller will have taken all.
+    fn drain_time(&self) -> Duration {
+        let ms = self.bytes.saturating_mul(1000) / self.bytes_per_s.max(1);
+        Duration::from_millis(u64::try_from(ms).unwrap_or(u64::MAX))
+    }
 }
 
 impl BufferLimits {
@@ -32,13 +66,27 @@
     pub fn for_memory(memory_bytes: usize) -> Self {
         let budget_bytes = match memory_bytes {
             0 => DEFAULT_BUDGET_BYTES,
+            LARGE_MEMORY_BYTES.. => (2 * MAX_ANSWER_BYTES).max(memory_bytes / 100 * BUDGET_PERCENT),
             bytes => bytes / 100 * BUDGET_PERCENT,
         };
+        let held_bytes = match memory_bytes {
+            0 => DEFAULT_HELD_BYTES,
+            bytes => bytes / 100 * HELD_PERCENT,
+        };
         Self {
             budget_bytes,
-            answer_bytes: MAX_ANSWER_BYTES.min(budget_bytes / 100 * ANSWER_PERCENT),
+            answer_bytes: MAX_ANSWER_BYTES.min(budget_bytes * ANSWER_PERCENT / 100),
+            held_bytes,
         }
     }
+
+    /// Returns whether long work may begin that needs `more_bytes` beyond what is held or expected.
+    #[must_use]
+    pub fn allows_long_work(&self, held_bytes: usize, more_bytes: usize) -> bool {
+        // A single message within the limits is served however large it is.
+        let budget_bytes = self.held_bytes / 100 * LONG_WORK_PERCENT;
+        held_bytes <= budget_bytes / 2 || held_bytes + more_bytes <= budget_bytes
+    }
 }
 
 /// Returns the connections to close, largest first, so that the others keep to the budget. A holder
@@ -62,3 +110,26 @@
         })
         .collect()
 }
+
+/// Returns the callers' connections to close, the slowest first, so that what is held keeps to the
+/// budget. Nothing is freed by closing connections without unsent output.
+#[must_use]
+pub fn slow_readers_to_close<K: Copy>(
+    mut outputs: Vec<UnsentOutput<K>>,
+    mut held_bytes: usize,
+    budget_bytes: usize,
+) -> Vec<UnsentOutput<K>> {
+    if held_bytes <= budget_bytes {
+        return Vec::new();
+    }
+    outputs.retain(|output| output.bytes > 0);
+    outputs.sort_by_key(|output| Reverse((output.drain_time(), output.bytes)));
+    outputs
+        .into_iter()
+        .take_while(|output| {
+            let is_exceeded = held_bytes > budget_bytes;
+            held_bytes = held_bytes.saturating_sub(output.bytes);
+            is_exceeded
+        })
+        .collect()
+}
--- a/crates/sidecar/src/edge/stream.rs
+++ b/crates/sidecar/src/edge/stream.rs
@@ -1,5 +1,6 @@
 //! Non-blocking TCP connection with an output buffer.
 
+use std::collections::VecDeque;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -29,6 +30,12 @@
 /// Largest unsent output; with more, the connection counts as stalled.
 const MAX_PENDING_BYTES: usize = 64 * 1024 * 1024;
 
+/// Size up to which output is copied behind other unsent output, so that small messages share a
+/// piece and a write.
+const MAX_SHARED_BYTES: usize = 16 * 1024;
+/// Smallest written part of a piece whose memory is released before the rest is written.
+const RELEASED_BYTES: usize = 256 * 1024;
+
 /// State of a connection after the available input was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
@@ -64,8 +71,14 @@
 /// TCP connection.
 pub struct Stream {
     source: MioSource<TcpStream>,
-    output: Vec<u8>,
+    /// Unsent output in pieces, none of them empty.
+    output: VecDeque<Vec<u8>>,
+    /// Part of the first piece that has been written.
     written: usize,
+    /// Unsent bytes.
+    unsent_bytes: usize,
+    /// Bytes written since the connection was opened.
+    total_written_bytes: u64,
     is_connected: bool,
     /// Whether reading waits for [`Stream::resume`], as much input was read at once.
     is_paused: bool,
@@ -100,8 +113,10 @@
         let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
         Ok(Self {
             source,
-            output: Vec::new(),
+            output: VecDeque::new(),
             written: 0,
+            unsent_bytes: 0,
+            total_written_bytes: 0,
             is_connected,
             is_paused: false,
         })
@@ -116,7 +131,25 @@
     /// Returns whether buffered output is still to be written.
     #[must_use]
     pub fn has_output(&self) -> bool {
-        self.written < self.output.len()
+        self.unsent_bytes > 0
+    }
+
+    /// Returns the size of the unsent output.
+    #[must_use]
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent_bytes
+    }
+
+    /// Returns the memory of the output, which includes written parts that are not released yet.
+    #[must_use]
+    pub fn output_bytes(&self) -> usize {
+        self.output.iter().map(Vec::capacity).sum()
+    }
+
+    /// Returns the number of bytes written since the connection was opened.
+    #[must_use]
+    pub fn total_written_bytes(&self) -> u64 {
+        self.total_written_bytes
     }
 
     /// Handles a writable socket: completes the connection attempt and writes buffered output.
@@ -174,10 +207,42 @@
     /// The connection has failed, or more than `MAX_PENDING_BYTES` would be unsent, as the peer
     /// does not read.
     pub fn send(&mut self, bytes: &[u8]) -> Result<()> {
-        if self.output.len() - self.written + bytes.len() > MAX_PENDING_BYTES {
+        self.reserve(bytes.len())?;
+        match self.output.back_mut() {
+            Some(last) if last.len() + bytes.len() <= MAX_SHARED_BYTES => {
+                last.extend_from_slice(bytes);
+            }
+            _ if bytes.is_empty() => {}
+            _ => self.output.push_back(bytes.to_vec()),
+        }
+        self.flush_if_connected()
+    }
+
+    /// Does the same without a copy of the bytes.
+    ///
+    /// # Errors
+    /// As for [`Stream::send`].
+    pub fn send_vec(&mut self, bytes: Vec<u8>) -> Result<()> {
+        self.reserve(bytes.len())?;
+        if !bytes.is_empty() {
+            self.output.push_back(bytes);
+        }
+        self.flush_if_connected()
+    }
+
+    /// Counts output that is about to be added.
+    fn reserve(&mut self, bytes: usize) -> Result<()> {
+        // A single message of the largest size is accepted behind a small rest of another one.
+        let is_stalled =
+            self.unsent_bytes + bytes > MAX_PENDING_BYTES && self.unsent_bytes > MAX_SHARED_BYTES;
+        if is_stalled {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        self.output.extend_from_slice(bytes);
+        self.unsent_bytes += bytes;
+        Ok(())
+    }
+
+    fn flush_if_connected(&mut self) -> Result<()> {
         if self.is_connected {
             return self.flush();
         }
@@ -193,18 +258,34 @@
     }
 
     fn flush(&mut self) -> Result<()> {
-        while self.written < self.output.len() {
-            match self.source.write(&self.output[self.written..]) {
+        while let Some(first) = self.output.front() {
+            match self.source.write(&first[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => self.written += count,
+                Ok(count) => self.written(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
-        self.output.clear();
-        self.output.shrink_to(READ_BYTES);
-        self.written = 0;
         Ok(())
     }
+
+    /// Counts written bytes and releases the memory of pieces that have been written. Of a large piece
+    /// half is released at a time, so that moving the rest costs no more than writing it.
+    fn written(&mut self, count: usize) {
+        self.written += count;
+        self.unsent_bytes -= count;
+        self.total_written_bytes += u64::try_from(count).unwrap_or(u64::MAX);
+        let Some(first) = self.output.front_mut() else {
+            return;
+        };
+        if self.written == first.len() {
+            self.output.pop_front();
+            self.written = 0;
+        } else if self.written >= RELEASED_BYTES && self.written * 2 >= first.len() {
+            first.drain(..self.written);
+            first.shrink_to_fit();
+            self.written = 0;
+        }
+    }
 }
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -29,6 +29,7 @@
 use crate::node::Node;
 use crate::node::Port;
 use crate::node::Socket;
+use crate::node::held_memory::DrainRate;
 
 const LISTENER_PRIORITY: u32 = 1;
 /// Connections that may wait in the kernel to be accepted.
@@ -37,6 +38,10 @@
 const MAX_PIPELINED: usize = 16;
 /// Buffered input of a connection above which no more is read; the rest stays in the socket.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Unsent output of a connection above which no further request of it is begun.
+const MAX_UNSENT_BYTES: usize = 256 * 1024;
+/// Size up to which a body is sent in one piece with its head.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Time that a caller has to close its side of the connection after the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 /// Limits and timeouts that apply until a configuration is in force.
@@ -48,7 +53,7 @@
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Code of a request whose body found no memory.
-const CODE_NO_MEMORY: &str = "HF-3709";
+pub(super) const CODE_NO_MEMORY: &str = "HF-3709";
 /// `Retry-After` of such a request.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -68,6 +73,7 @@
     is_last: bool,
     last_activity: Time,
     request_started: Option<Time>,
+    pub(super) drain_rate: DrainRate,
 }
 
 struct Pending {
@@ -103,6 +109,28 @@
         self.input.capacity() + self.reader.held_bytes()
     }
 
+    /// Returns the memory of answers that have not been sent.
+    pub(super) fn output_bytes(&self) -> usize {
+        let waiting = self.pending.iter().filter_map(|open| open.answer.as_ref());
+        let waiting_bytes: usize = waiting.map(|answer| answer.body.capacity()).sum();
+        self.stream.output_bytes() + waiting_bytes
+    }
+
+    /// Returns the number of bytes written since the connection was opened.
+    pub(super) fn total_written_bytes(&self) -> u64 {
+        self.stream.total_written_bytes()
+    }
+
+    pub(super) fn is_caller(&self) -> bool {
+        self.port == Port::Callers
+    }
+
+    /// Returns how long the connection has been idle; `None` while it is in use.
+    pub(super) fn idle_time(&self, now: Time) -> Option<Duration> {
+        self.is_idle()
+            .then(|| now.saturating_sub(self.last_activity))
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty()
             && self.reader.is_idle()
@@ -114,6 +142,10 @@
 impl Node {
     pub(super) fn accept(&mut self, port: Port) {
         loop {
+            if port == Port::Callers && !self.has_room_for_caller() {
+                self.accept_is_due = true;
+                return;
+            }
             let Some((_, listener)) = self.listeners.iter().find(|(open, _)| *open == port) else {
                 return;
             };
@@ -171,6 +203,7 @@
             is_last: false,
             last_activity: self.now,
             request_started: None,
+            drain_rate: DrainRate::default(),
         });
     }
 
@@ -188,9 +221,16 @@
         let Some(caller) = self.callers.get_mut(id) else {
             return;
         };
-        if ready.is_writable() && caller.stream.writable().is_err() {
-            self.close_caller(id);
-            return;
+        if ready.is_writable() {
+            let unsent_bytes = caller.stream.unsent_bytes();
+            if caller.stream.writable().is_err() {
+                self.close_caller(id);
+                return;
+            }
+            // A caller that reads slowly is not idle.
+            if caller.stream.unsent_bytes() < unsent_bytes {
+                caller.last_activity = self.now;
+            }
         }
         self.read_caller(id);
     }
@@ -249,6 +289,7 @@
             // Requests behind a non-idempotent one stay unread until its answer, so that they
             // have not been started if that answer closes the connection.
             let is_blocked = caller.pending.len() >= MAX_PIPELINED
+                || caller.stream.unsent_bytes() > MAX_UNSENT_BYTES
                 || caller.pending.iter().any(|pending| !pending.is_idempotent);
             if caller.is_last || is_blocked || caller.input.is_empty() {
                 return;
@@ -355,7 +396,8 @@
         if let Some(pending) = caller.pending.iter_mut().find(|open| open.token == token) {
             pending.answer = Some(answer);
         }
-        let mut output = Vec::new();
+        let mut has_failed = false;
+        let mut output_bytes = 0;
         while let Some(answer) = caller
             .pending
             .front_mut()
@@ -365,13 +407,14 @@
                 break;
             };
             let ends = !pending.keep_alive || (is_stopping && caller.pending.is_empty());
-            response::write_response(&mut output, &answer, pending.is_head, !ends);
+            output_bytes += answer.body.len();
+            has_failed |= write_answer(&mut caller.stream, answer, pending.is_head, !ends).is_err();
             if ends {
                 caller.closing_since = Some(now);
             }
         }
         caller.last_activity = now;
-        if !output.is_empty() && caller.stream.send(&output).is_err() {
+        if has_failed {
             self.close_caller(id);
             return;
         }
@@ -380,6 +423,9 @@
             let _ = caller.stream.finish();
         }
         self.answered_callers.push_back(id);
+        if output_bytes > MAX_COPIED_BYTES {
+            self.check_held_memory();
+        }
     }
 
     /// Starts the requests that wait behind answered ones on their connections. Many of them may be
@@ -390,7 +436,7 @@
         }
     }
 
-    fn close_caller(&mut self, id: u64) {
+    pub(super) fn close_caller(&mut self, id: u64) {
         let Some(caller) = self.callers.remove(id) else {
             return;
         };
@@ -484,6 +530,26 @@
     }
 }
 
+/// Writes an answer; a large body is not copied.
+fn write_answer(
+    stream: &mut Stream,
+    answer: HttpAnswer,
+    is_head: bool,
+    keep_alive: bool,
+) -> io::Result<()> {
+    let mut head = Vec::new();
+    let has_body = response::write_response_head(&mut head, &answer, is_head, keep_alive);
+    if !has_body {
+        return stream.send(&head);
+    }
+    if answer.body.len() <= MAX_COPIED_BYTES {
+        head.extend_from_slice(&answer.body);
+        return stream.send(&head);
+    }
+    stream.send(&head)?;
+    stream.send_vec(answer.body)
+}
+
 /// Builds an answer that comes from the node itself, not from a target.
 pub(super) fn own_answer(status: u16, code: &str, retry_after: Option<Duration>) -> HttpAnswer {
     let mut headers = Vec::new();
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -31,6 +31,7 @@
 use crate::model::Route;
 use crate::node::Node;
 use crate::node::Timer;
+use crate::node::callers::CODE_NO_MEMORY;
 use crate::node::callers::own_answer;
 use crate::node::mesh::VersionRule;
 use crate::node::ms;
@@ -90,6 +91,14 @@
     pub(super) trace: Vec<String>,
 }
 
+impl Call {
+    /// Returns the memory of the request and of an answer that may still be replaced.
+    pub(super) fn held_bytes(&self) -> usize {
+        let answer = self.last_answer.as_ref();
+        self.request.body.capacity() + answer.map_or(0, |answer| answer.body.capacity())
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptLocation {
     /// No attempt is in progress.
@@ -150,6 +159,10 @@
             self.defer_request(caller, token, request, arrived);
             return;
         }
+        if !self.has_memory_for(&route.name, request.body.len()) {
+            self.refuse_request(caller, token, &request_id, 503, CODE_NO_MEMORY);
+            return;
+        }
         let Some(service) = self.mesh.router.choose_service(&route) else {
             self.refuse_request(caller, token, &request_id, 503, CODE_NO_TARGET);
             return;
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -85,6 +85,11 @@
         self.input.capacity() + reader_bytes
     }
 
+    /// Returns the memory of the output.
+    pub(super) fn output_bytes(&self) -> usize {
+        self.stream.output_bytes()
+    }
+
     /// Returns the request in progress on the connection.
     pub(super) fn work(&self) -> Option<WorkId> {
         self.work
@@ -141,7 +146,7 @@
         open.work = Some(id);
         open.stray_answers = 0;
         open.reader = Some(ResponseReader::new(&method, limits).allow_unframed());
-        if let Err(error) = open.stream.send(&output) {
+        if let Err(error) = open.stream.send_vec(output) {
             // The target may have received part of the request. The end of the connection, which
             // follows as an event, ends the run.
             let reason = error.to_string();
--- /dev/null
+++ b/crates/sidecar/src/node/held_memory.rs
@@ -0,0 +1,204 @@
+//! Bounds what callers that read slowly or not at all, or that open many connections, hold of the
+//! process: unsent answers count against one budget together with everything else, and the callers'
+//! connections leave descriptors for links, the store and the target.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::buffers;
+use crate::buffers::UnsentOutput;
+use crate::clock::Time;
+use crate::log::LogCategory;
+use crate::node::Node;
+
+/// Time over which the rate is measured at which a caller takes its answers.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Size from which a request or its expected answer counts as long.
+const LONG_BYTES: usize = 64 * 1024;
+/// File that names the limit of descriptors, and the start of its line.
+const LIMITS_FILE: &str = "/proc/self/limits";
+const DESCRIPTORS_LINE: &str = "Max open files";
+/// Limit of descriptors that is assumed when it cannot be read.
+const DEFAULT_DESCRIPTORS: usize = 1024;
+/// Part of the descriptors that callers leave free for links, the store and the target, and the
+/// least number of them.
+const RESERVED_PART: usize = 4;
+const MIN_RESERVED: usize = 48;
+/// Least number of connections that callers may open.
+const MIN_CALLERS: usize = 8;
+/// Idle time after which a caller's connection is closed to make room for another one.
+const EVICTABLE_IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// Rate at which a caller takes its answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DrainRate {
+    /// Start of the window, and what had been written by then.
+    since: Time,
+    written_bytes: u64,
+    /// Rate in the window before.
+    bytes_per_s: usize,
+}
+
+impl DrainRate {
+    /// Begins a new window if the current one is over.
+    fn update(&mut self, total_written_bytes: u64, now: Time) {
+        if now.saturating_sub(self.since) < RATE_WINDOW {
+            return;
+        }
+        self.bytes_per_s = self.recent(total_written_bytes);
+        self.since = now;
+        self.written_bytes = total_written_bytes;
+    }
+
+    fn recent(&self, total_written_bytes: u64) -> usize {
+        usize::try_from(total_written_bytes - self.written_bytes).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the higher one of the rates in the last window and in the current one.
+    fn bytes_per_s(&self, total_written_bytes: u64) -> usize {
+        self.bytes_per_s.max(self.recent(total_written_bytes))
+    }
+}
+
+/// Returns how many connections callers may open, by the process's limit of descriptors.
+pub(super) fn max_callers() -> usize {
+    let text = std::fs::read_to_string(LIMITS_FILE).unwrap_or_default();
+    let limit = text
+        .lines()
+        .find_map(|line| line.strip_prefix(DESCRIPTORS_LINE))
+        .and_then(|values| values.split_whitespace().next()?.parse().ok())
+        .unwrap_or(DEFAULT_DESCRIPTORS);
+    let reserved = MIN_RESERVED.max(limit / RESERVED_PART);
+    limit.saturating_sub(reserved).max(MIN_CALLERS)
+}
+
+impl Node {
+    /// Returns the memory of all messages: read, in progress or unsent.
+    fn held_memory(&self) -> usize {
+        let callers = self.callers.iter();
+        let targets = self.connections.iter();
+        let links = self.links.iter();
+        let transfers = self.transfers.iter();
+        let calls = self.calls.iter().map(|(_, call)| call.held_bytes());
+        let work_items = self.target.work_items.iter();
+        let store = self.store.held_bytes();
+        callers
+            .map(|(_, caller)| caller.held_bytes() + caller.output_bytes())
+            .chain(targets.map(|(_, open)| open.held_bytes() + open.output_bytes()))
+            .chain(links.map(|(_, link)| link.held_bytes() + link.output_bytes()))
+            .chain(transfers.map(|(_, outgoing)| outgoing.held_bytes()))
+            .chain(calls)
+            .chain(work_items.map(|(_, work)| work.held_bytes()))
+            .chain(store.map(|(_, bytes)| bytes))
+            .sum()
+    }
+
+    /// Returns the expected size of an answer of a route if it is long, otherwise 0.
+    fn long_answer_bytes(&self, route: &str) -> usize {
+        let kib = self.answer_sizes.kib(route).unwrap_or_default();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a mean of sizes of bodies in memory"
+        )]
+        let bytes = (kib * 1024.0) as usize;
+        if bytes >= LONG_BYTES { bytes } else { 0 }
+    }
+
+    /// Returns whether a request of a route may begin: long work may not while the memory is nearly
+    /// used up by what is held and by the expected answers of the requests in progress.
+    pub(super) fn has_memory_for(&self, route: &str, body_bytes: usize) -> bool {
+        let answer_bytes = self.long_answer_bytes(route);
+        if answer_bytes == 0 && body_bytes < LONG_BYTES {
+            return true;
+        }
+        let calls = self.calls.iter().map(|(_, call)| &call.route.name);
+        let work_items = self.target.work_items.iter();
+        let expected_bytes: usize = calls
+            .chain(
+                work_items
+                    .filter(|(_, work)| work.is_of_link())
+                    .map(|(_, work)| &work.route),
+            )
+            .map(|route| self.long_answer_bytes(route))
+            .sum();
+        self.buffer_limits().allows_long_work(
+            self.held_memory() + expected_bytes,
+            answer_bytes + body_bytes,
+        )
+    }
+
+    /// Measures how fast the callers take their answers.
+    pub(super) fn measure_drain_rates(&mut self) {
+        let now = self.now;
+        for (_, caller) in self.callers.iter_mut() {
+            let written_bytes = caller.total_written_bytes();
+            caller.drain_rate.update(written_bytes, now);
+        }
+    }
+
+    /// Closes the connections of the callers that read slowest if all that is held exceeds the budget.
+    pub(super) fn check_held_memory(&mut self) {
+        let budget_bytes = self.buffer_limits().held_bytes;
+        let held_bytes = self.held_memory();
+        if held_bytes <= budget_bytes {
+            return;
+        }
+        let outputs = self
+            .callers
+            .iter()
+            .map(|(id, caller)| UnsentOutput {
+                connection: id,
+                bytes: caller.output_bytes(),
+                bytes_per_s: caller.drain_rate.bytes_per_s(caller.total_written_bytes()),
+            })
+            .collect();
+        for output in buffers::slow_readers_to_close(outputs, held_bytes, budget_bytes) {
+            metrics::counter!("hemlockfall_sidecar_slow_readers_closed_total").increment(1);
+            if self.log.admits(LogCategory::Failure, self.now) {
+                self.log.write(
+                    "slow_reader_closed",
+                    json!({
+                        "unsent_bytes": output.bytes, "bytes_per_s": output.bytes_per_s,
+                        "held_bytes": held_bytes, "budget_bytes": budget_bytes,
+                    }),
+                );
+            }
+            self.close_caller(output.connection);
+        }
+    }
+
+    /// Returns whether a connection of a caller can be accepted. Among too many, the one that has been
+    /// idle for longest is closed.
+    pub(super) fn has_room_for_caller(&mut self) -> bool {
+        let open = self.callers.iter().filter(|(_, caller)| caller.is_caller());
+        if open.count() < self.max_callers {
+            return true;
+        }
+        let now = self.now;
+        let idle = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.is_caller())
+            .filter_map(|(id, caller)| Some((caller.idle_time(now)?, id)))
+            .max();
+        let Some((idle_time, id)) = idle else {
+            return false;
+        };
+        if idle_time < EVICTABLE_IDLE_TIME {
+            return false;
+        }
+        metrics::counter!("hemlockfall_sidecar_idle_callers_closed_total").increment(1);
+        // A request may have arrived that has not been read yet.
+        self.resume_caller(id);
+        let is_idle = self
+            .callers
+            .get(id)
+            .is_none_or(|caller| caller.idle_time(now).is_some());
+        if is_idle {
+            self.close_caller(id);
+        }
+        is_idle
+    }
+}
--- a/crates/sidecar/src/node/link_calls.rs
+++ b/crates/sidecar/src/node/link_calls.rs
@@ -11,6 +11,7 @@
 use crate::edge::frame;
 use crate::edge::frame::AnswerFrame;
 use crate::edge::frame::CallFrame;
+use crate::edge::frame::Failure;
 use crate::edge::frame::Frame;
 use crate::edge::frame::Refusal;
 use crate::edge::transit;
@@ -152,6 +153,11 @@
             ));
         }
         let http = HttpAnswer::new(answer.status, headers, answer.body);
+        if !http.is_valid() {
+            let end = AttemptEnd::Failed(Failure::BadAnswer);
+            self.link_call_ended(id, answer.call, end);
+            return Ok(());
+        }
         if answer.chunked_bytes > 0 {
             self.expect_chunks(id, answer.call, http, answer.chunked_bytes);
             return Ok(());
@@ -228,6 +234,8 @@
             Some(Refusal::NoTarget)
         } else if deadline <= now {
             Some(Refusal::TooLate)
+        } else if !self.has_memory_for(&work.route, work.request.body.len()) {
+            Some(Refusal::QueueFull)
         } else {
             None
         };
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -87,6 +87,16 @@
         self.input.capacity() + answers.sum::<usize>()
     }
 
+    /// Returns the size of the unsent output.
+    pub(super) fn unsent_bytes(&self) -> usize {
+        self.stream.unsent_bytes()
+    }
+
+    /// Returns the memory of the output.
+    pub(super) fn output_bytes(&self) -> usize {
+        self.stream.output_bytes()
+    }
+
     /// Returns whether the answer to a ping is overdue.
     pub(super) fn is_stalled(&self, now: Time, distance: Distance) -> bool {
         self.ping_sent
@@ -176,6 +186,9 @@
             self.link_lost(id, &error.to_string());
             return;
         }
+        if ready.is_writable() && !self.transfers.is_empty() {
+            self.drive_uplink();
+        }
         self.read_link(id);
     }
 
@@ -547,21 +560,31 @@
     pub(super) fn send_frame(&mut self, id: u64, frame: &Frame) {
         let mut bytes = Vec::new();
         frame::encode(frame, &mut bytes);
-        self.send_encoded(id, FrameKind::of(frame), &bytes);
+        let kind = FrameKind::of(frame);
+        self.record_frame(id, kind, bytes.len());
+        if let Some(link) = self.links.get_mut(id) {
+            // A failed link is noticed by its next event or by an unanswered ping.
+            let _ = link.stream.send_vec(bytes);
+        }
     }
 
     /// Sends an encoded frame on a link.
     pub(super) fn send_encoded(&mut self, id: u64, kind: FrameKind, bytes: &[u8]) {
-        let Some(link) = self.links.get_mut(id) else {
+        self.record_frame(id, kind, bytes.len());
+        if let Some(link) = self.links.get_mut(id) {
+            let _ = link.stream.send(bytes);
+        }
+    }
+
+    fn record_frame(&mut self, id: u64, kind: FrameKind, bytes: usize) {
+        let Some(link) = self.links.get(id) else {
             return;
         };
         let distance = link
             .peer
             .and_then(|peer| self.peers.get(peer))
             .map_or(Distance::DataCentre, |peer| peer.distance);
-        self.traffic.record(kind, distance, bytes.len());
-        self.uplink.record_sent(bytes.len(), self.now);
-        // A failed link is noticed by its next event or by an unanswered ping.
-        let _ = link.stream.send(bytes);
+        self.traffic.record(kind, distance, bytes);
+        self.uplink.record_sent(bytes, self.now);
     }
 }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod deferred;
 mod deregistration;
+mod held_memory;
 mod link_calls;
 mod link_selection;
 mod links;
@@ -186,6 +187,8 @@
     listeners: Vec<(Port, MioSource<TcpListener>)>,
     /// Whether connections may wait at a listener without a further event for them.
     accept_is_due: bool,
+    /// Largest number of connections of callers.
+    max_callers: usize,
     signals: Option<SignalPipe>,
     callers: Table<Caller>,
     /// Callers' connections on which requests may wait behind one that has been answered.
@@ -247,6 +250,7 @@
             ticks: 0,
             listeners: Vec::new(),
             accept_is_due: false,
+            max_callers: held_memory::max_callers(),
             signals: None,
             callers: Table::default(),
             answered_callers: VecDeque::new(),
@@ -426,6 +430,8 @@
         self.check_members();
         self.check_connections();
         self.check_buffers();
+        self.measure_drain_rates();
+        self.check_held_memory();
         self.check_target();
         self.report_load();
         self.check_rollouts();
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -82,6 +82,19 @@
 }
 
 impl WorkItem {
+    /// Returns whether another node sent the request.
+    pub(super) fn is_of_link(&self) -> bool {
+        matches!(self.origin, WorkOrigin::Link { .. })
+    }
+
+    /// Returns the memory of the request; that of a caller's request is counted with the call.
+    pub(super) fn held_bytes(&self) -> usize {
+        match self.origin {
+            WorkOrigin::Call(_) => 0,
+            WorkOrigin::Link { .. } | WorkOrigin::Abandoned => self.request.body.capacity(),
+        }
+    }
+
     /// Returns the duration of the run so far, with the target latency of its route.
     fn timed(&self, started: Time, now: Time) -> TimedRun {
         TimedRun {
--- a/crates/sidecar/src/node/transfers.rs
+++ b/crates/sidecar/src/node/transfers.rs
@@ -2,6 +2,7 @@
 
 use hemlockfall_core::ids::RouteName;
 use hemlockfall_http::http::HttpAnswer;
+use hemlockfall_http::http1::body;
 
 use crate::admission::UplinkDemand;
 use crate::clock::Time;
@@ -13,9 +14,14 @@
 use crate::node::Node;
 use crate::node::Timer;
 use crate::node::calls::AttemptEnd;
+use crate::node::links::Link;
 use crate::node::ms;
+use crate::table::Table;
 use crate::uplink::Chunk;
 
+/// Unsent output of a link above which no chunk is added to it.
+const MAX_LINK_BACKLOG_BYTES: usize = 256 * 1024;
+
 /// Answer whose body is being sent in chunks.
 pub(crate) struct OutgoingAnswer {
     link: u64,
@@ -31,6 +37,13 @@
     missing_bytes: usize,
 }
 
+impl OutgoingAnswer {
+    /// Returns the size of the body.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.body.capacity()
+    }
+}
+
 impl IncomingAnswer {
     /// Returns the size of the buffer for the body.
     pub(super) fn held_bytes(&self) -> usize {
@@ -54,10 +67,16 @@
 
     /// Sends the chunks that the uplink has room for, and sets a timer for the next one.
     pub(super) fn drive_uplink(&mut self) {
-        while let Some(chunk) = self.uplink.next_chunk(self.now) {
+        loop {
+            let (transfers, links) = (&self.transfers, &self.links);
+            let can_send = |id| has_room(transfers, links, id);
+            let Some(chunk) = self.uplink.next_chunk_of(self.now, can_send) else {
+                break;
+            };
             self.send_chunk(chunk);
         }
-        let Some(next) = self.uplink.next_at() else {
+        let can_send = |id| has_room(&self.transfers, &self.links, id);
+        let Some(next) = self.uplink.next_at_of(can_send) else {
             return;
         };
         if self
@@ -140,11 +159,11 @@
             return Ok(());
         };
         let incoming = &mut link.incoming[index];
-        incoming.missing_bytes = incoming
-            .missing_bytes
+        let wanted_bytes = incoming.missing_bytes;
+        incoming.missing_bytes = wanted_bytes
             .checked_sub(chunk.bytes.len())
             .ok_or(FrameError::Malformed)?;
-        incoming.answer.body.extend_from_slice(&chunk.bytes);
+        body::append_to_body(&mut incoming.answer.body, &chunk.bytes, wanted_bytes);
         if incoming.missing_bytes > 0 {
             return Ok(());
         }
@@ -217,6 +236,15 @@
     }
 }
 
+/// Returns whether the link of a transfer takes another chunk. A transfer without a link is sent to
+/// its end, which goes nowhere.
+fn has_room(transfers: &Table<OutgoingAnswer>, links: &Table<Link>, id: u64) -> bool {
+    transfers
+        .get(id)
+        .and_then(|outgoing| links.get(outgoing.link))
+        .is_none_or(|link| link.unsent_bytes() < MAX_LINK_BACKLOG_BYTES)
+}
+
 fn saturated_ms(duration: std::time::Duration) -> u16 {
     u16::try_from(ms(duration)).unwrap_or(u16::MAX)
 }
--- a/crates/sidecar/src/uplink.rs
+++ b/crates/sidecar/src/uplink.rs
@@ -11,6 +11,8 @@
 
 /// Largest answer that is sent in one piece, without waiting for the uplink.
 pub const MAX_UNCHUNKED_BYTES: usize = 8 * 1024;
+/// The same when the rate of the uplink is unknown. Chunks then only limit what waits on a link.
+const MAX_UNCHUNKED_UNKNOWN_BYTES: usize = 1024 * 1024;
 /// Share of the uplink's rate that large answers may use, in percent. The rest is for small
 /// messages and for the headers of packets.
 const LARGE_ANSWER_PERCENT: u64 = 92;
@@ -46,8 +48,7 @@
 /// Scheduler that decides when the next chunk is sent, and of which answer.
 #[derive(Debug, Default)]
 pub struct Uplink {
-    /// Rate for large answers; 0 when the rate of the uplink is unknown, so that no answer is sent
-    /// in chunks.
+    /// Rate for large answers; 0 when the rate of the uplink is unknown.
     bytes_per_s: u64,
     /// Time at which the uplink will have sent everything handed to it.
     free_at: Time,
@@ -70,7 +71,12 @@
     /// Returns whether an answer of this size is sent in chunks.
     #[must_use]
     pub fn is_large(&self, bytes: usize) -> bool {
-        self.bytes_per_s > 0 && bytes > MAX_UNCHUNKED_BYTES
+        let limit_bytes = if self.bytes_per_s > 0 {
+            MAX_UNCHUNKED_BYTES
+        } else {
+            MAX_UNCHUNKED_UNKNOWN_BYTES
+        };
+        bytes > limit_bytes
     }
 
     /// Counts bytes that were handed to the uplink.
@@ -98,11 +104,24 @@
 
     /// Returns the next chunk if the uplink is free for it, and counts it off its answer.
     pub fn next_chunk(&mut self, now: Time) -> Option<Chunk> {
+        self.next_chunk_of(now, |_| true)
+    }
+
+    /// Does the same for the answers that can be sent at present.
+    pub fn next_chunk_of(
+        &mut self,
+        now: Time,
+        can_send: impl Fn(TransferId) -> bool,
+    ) -> Option<Chunk> {
         if self.free_at > now {
             return None;
         }
         let chunk_bytes = self.chunk_bytes();
-        let first = self.transfers.first_mut()?;
+        let index = self
+            .transfers
+            .iter()
+            .position(|transfer| can_send(transfer.id))?;
+        let first = &mut self.transfers[index];
         let bytes = first.remaining_bytes.min(chunk_bytes);
         first.remaining_bytes -= bytes;
         let chunk = Chunk {
@@ -110,7 +129,7 @@
             bytes,
         };
         if first.remaining_bytes == 0 {
-            self.transfers.remove(0);
+            self.transfers.remove(index);
         }
         Some(chunk)
     }
@@ -118,7 +137,16 @@
     /// Returns the time at which the next chunk may be sent, if there is one.
     #[must_use]
     pub fn next_at(&self) -> Option<Time> {
-        (!self.transfers.is_empty()).then_some(self.free_at)
+        self.next_at_of(|_| true)
+    }
+
+    /// Does the same for the answers that can be sent at present.
+    #[must_use]
+    pub fn next_at_of(&self, can_send: impl Fn(TransferId) -> bool) -> Option<Time> {
+        self.transfers
+            .iter()
+            .any(|transfer| can_send(transfer.id))
+            .then_some(self.free_at)
     }
 
     /// Adds the expected size of the answer of an admitted request.
@@ -153,6 +181,9 @@
     }
 
     fn chunk_bytes(&self) -> usize {
+        if self.bytes_per_s == 0 {
+            return MAX_CHUNK_BYTES;
+        }
         let micros = u64::try_from(CHUNK_TIME.as_micros()).unwrap_or(u64::MAX);
         let bytes = self.bytes_per_s.saturating_mul(micros) / 1_000_000;
         usize::try_from(bytes)
--- a/crates/sidecar/tests/buffers.rs
+++ b/crates/sidecar/tests/buffers.rs
@@ -1,7 +1,9 @@
 //! Tests of the limit on the memory of messages that are being read.
 
 use hemlockfall_sidecar::buffers::BufferLimits;
+use hemlockfall_sidecar::buffers::UnsentOutput;
 use hemlockfall_sidecar::buffers::connections_to_close;
+use hemlockfall_sidecar::buffers::slow_readers_to_close;
 use quickcheck::quickcheck;
 
 /// Load: one peer sends without end while others send messages of usual size. Guards against closing
@@ -34,6 +36,51 @@
     assert_eq!(unknown.answer_bytes, 64 * 1024 * 1024);
 }
 
+fn unsent(connection: &str, bytes: usize, bytes_per_s: usize) -> UnsentOutput<&str> {
+    UnsentOutput {
+        connection,
+        bytes,
+        bytes_per_s,
+    }
+}
+
+/// Load: callers that don't read beside one that reads a larger answer steadily. Guards against
+/// disconnecting the one that reads, and more callers than the budget needs.
+#[test]
+fn callers_that_do_not_read_are_closed_first() {
+    let outputs = vec![
+        unsent("steady", 900, 600),
+        unsent("stalled", 300, 0),
+        unsent("idle", 0, 0),
+        unsent("slow", 400, 10),
+    ];
+
+    let closed = slow_readers_to_close(outputs.clone(), 2_000, 1_800);
+    let more_closed = slow_readers_to_close(outputs.clone(), 2_000, 1_500);
+    let within = slow_readers_to_close(outputs, 1_800, 1_800);
+
+    assert_eq!(closed, [unsent("stalled", 300, 0)]);
+    assert_eq!(
+        more_closed,
+        [unsent("stalled", 300, 0), unsent("slow", 400, 10)]
+    );
+    assert!(within.is_empty());
+}
+
+/// Guards against refusing a single request with the largest body or answer on a VM of 512 MB, and
+/// against beginning long work while the memory is used up.
+#[test]
+fn long_work_is_begun_while_there_is_memory() {
+    let limits = BufferLimits::for_memory(512 * 1024 * 1024);
+    let largest = 64 * 1024 * 1024;
+
+    assert_eq!(limits.answer_bytes, largest);
+    assert!(limits.allows_long_work(0, largest));
+    assert!(limits.allows_long_work(largest, largest));
+    assert!(!limits.allows_long_work(2 * largest, largest));
+    assert!(!limits.allows_long_work(limits.held_bytes, 1));
+}
+
 quickcheck! {
     /// Guards against connections that are kept although the budget is exceeded, and against closing
     /// more of them than that needs.
--- a/crates/sidecar/tests/uplink.rs
+++ b/crates/sidecar/tests/uplink.rs
@@ -217,3 +217,18 @@
         sent == expected
     }
 }
+
+/// Load: the link of the first answer is not drained. Guards against an answer on another link that
+/// waits behind it, and against waking up for an answer that cannot be sent.
+#[test]
+fn a_link_that_is_not_drained_delays_no_other() {
+    let mut uplink = Uplink::new(SLOW_UPLINK_BYTES_PER_S);
+    uplink.begin(1, DOWNLOAD_BYTES, at(100));
+    uplink.begin(2, DOWNLOAD_BYTES, at(200));
+
+    let next = uplink.next_chunk_of(at(0), |id| id != 1);
+    let none = uplink.next_at_of(|_| false);
+
+    assert_eq!(next.map(|chunk| chunk.transfer), Some(2));
+    assert_eq!(none, None);
+}
