--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod drill;
 mod faults;
 pub mod ledger;
+mod node_process;
 pub mod proxy;
 pub mod testbed;
 pub mod vm_settings;
@@ -107,6 +108,7 @@
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
         has_two_regions: false,
+        memory_mb: testbed::MEMORY_MB,
         directory,
     };
     // The start is tried twice: another program may take a port between its choice and its use.
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -1,8 +1,6 @@
 //! Testbed of one run: node processes, targets, store and callers on loopback.
 
-use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -37,11 +35,11 @@
 use crate::soak::caller::Disruptions;
 use crate::soak::caller::HOST;
 use crate::soak::ledger::Ledger;
+use crate::soak::node_process::start_node;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
 use crate::soak::vm_settings::Addresses;
 use crate::soak::vm_settings::Site;
-use crate::soak::vm_settings::write_settings;
 
 /// Services of the mesh, assigned to the targets in turn.
 pub const SERVICES: [&str; 2] = ["desk", "feed"];
@@ -80,6 +78,8 @@
     pub descriptors: Option<u32>,
     /// Whether each two VMs are in another region, and the platform has evacuations and cold rates.
     pub has_two_regions: bool,
+    /// Memory of the VM that the node's settings state, in MB.
+    pub memory_mb: u64,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -103,6 +103,8 @@
     pub connection_behaviour: ConnectionBehaviour,
     /// Limit of the node's open file descriptors; `None` for the limit of this process.
     pub descriptors: Option<u32>,
+    /// Memory of the VM that the node's settings state, in MB.
+    pub memory_mb: u64,
     /// Where settings and logs go.
     pub directory: PathBuf,
 }
@@ -247,6 +249,7 @@
             slots: self.options.slots,
             connection_behaviour: self.options.connection_behaviour,
             descriptors: self.options.descriptors,
+            memory_mb: self.options.memory_mb,
             directory: self.options.directory.clone(),
         };
         let store = self.store.address();
@@ -530,17 +533,3 @@
         }
     }
 }
-
-fn start_node(options: &VmOptions, addresses: &Addresses, program: &Path) -> Result<Process> {
-    let settings = write_settings(options, addresses)?;
-    let arguments = vec!["sidecar".into(), "--settings".into(), settings.into()];
-    let directory = &options.directory;
-    let Some(limit) = options.descriptors else {
-        return Process::start(&options.name, program, arguments, directory);
-    };
-    // The shell lowers its own limit of descriptors and replaces itself by the node.
-    let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
-    let mut command: Vec<OsString> = vec!["-c".into(), script.into(), program.into()];
-    command.extend(arguments);
-    Process::start(&options.name, Path::new("/bin/sh"), command, directory)
-}
--- a/xtask/src/soak/vm_settings.rs
+++ b/xtask/src/soak/vm_settings.rs
@@ -8,7 +8,6 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::harness::ports;
-use crate::soak::testbed::MEMORY_MB;
 use crate::soak::testbed::VmOptions;
 
 /// Data centre of a VM, and settings that its platform names.
@@ -106,7 +105,7 @@
          advertised_address = \"{}\"\nready_address = \"{}\"\ncontrol_address = \"{}\"\n\
          metrics_address = \"{}\"\ntarget_address = \"{}\"\nstore_address = \"{}\"\n\
          heartbeat_s = 0.5\nis_first_start = {}\nlog_lines_per_s = 2000\n\
-         memory_mb = {MEMORY_MB}\n{bounds}",
+         memory_mb = {}\n{bounds}",
         addresses.callers,
         addresses.peers,
         addresses.advertised,
@@ -116,6 +115,7 @@
         addresses.announced(options),
         addresses.store,
         options.is_first_start,
+        options.memory_mb,
     );
     let path = options.directory.join(format!("{name}.toml"));
     std::fs::write(&path, text)
