Put the tests of shared allowances into one program

Cause: two test programs shared the simulated mesh, and each left parts of it unused, which clippy refuses.

Change: one program with the modules bound, use_in_calm and mesh; no check has changed.

--- a/crates/allowance/tests/bound.rs
+++ b/crates/allowance/tests/allowance/bound.rs
@@ -1,18 +1,17 @@
 //! The bound on every window over random faults.
 
-mod common;
-
 use std::time::Duration;
 
-use common::BOUND;
-use common::Mesh;
-use common::ms;
 use hemlockfall_allowance::limits::Bound;
 use hemlockfall_allowance::limits::Limit;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::mesh::BOUND;
+use crate::mesh::Mesh;
+use crate::mesh::ms;
+
 /// Seeds of the random schedules. Add the seed of each schedule that has failed.
 const SEEDS: std::ops::Range<u64> = 0..200;
 const FAILED_SEEDS: [u64; 0] = [];
@@ -108,7 +107,7 @@
             demand = [0.0, 0.5, 1.5, 8.0][schedule.random_range(0..4)];
         }
         #[expect(clippy::cast_precision_loss, reason = "rates are below 2^52")]
-        let per_step = demand * limit.milli_per_s as f64 / 1e3 * common::STEP.as_secs_f64();
+        let per_step = demand * limit.milli_per_s as f64 / 1e3 * crate::mesh::STEP.as_secs_f64();
         due += per_step;
         while due >= 1.0 {
             due -= 1.0;
--- /dev/null
+++ b/crates/allowance/tests/allowance/main.rs
@@ -0,0 +1,5 @@
+//! Spenders and holders of shared allowances on a simulated network.
+
+mod bound;
+mod mesh;
+mod use_in_calm;
--- a/crates/allowance/tests/use_in_calm.rs
+++ b/crates/allowance/tests/allowance/use_in_calm.rs
@@ -1,15 +1,14 @@
 //! Use of an allowance without faults, and its cost.
 
-mod common;
-
 use std::time::Duration;
 
-use common::BOUND;
-use common::Mesh;
-use common::STEP;
 use hemlockfall_allowance::limits::Limit;
 use rand::RngExt;
 
+use crate::mesh::BOUND;
+use crate::mesh::Mesh;
+use crate::mesh::STEP;
+
 /// Time after which the mesh has settled.
 const SETTLED: Duration = Duration::from_secs(10);
 const LENGTH: Duration = Duration::from_secs(40);
@@ -43,7 +42,7 @@
 /// Returns the part of the limit that was used after the mesh had settled, in percent.
 fn used_percent(mesh: &Mesh, limit: Limit) -> u64 {
     let used = mesh.spent.iter().filter(|(at, _)| *at >= SETTLED).count();
-    let time_s = (LENGTH - SETTLED).as_secs();
+    let time_s = LENGTH.saturating_sub(SETTLED).as_secs();
     u64::try_from(used).unwrap_or(u64::MAX) * 100_000 / (limit.milli_per_s * time_s)
 }
 
