Take a token of the account's quota before the first attempt of a request

Cause: quotas of client accounts hold over all nodes together.

Change: a node is spender and, for the slots that it holds, holder of shared allowances. Without quotas in settings and configuration nothing changes.

The overlay test names the new field of LinkNeeds; its checks are unchanged.

--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -4,6 +4,8 @@
 //! shorter. Header names and other short texts that recur on a link are sent once and referred to
 //! by index afterwards, since traffic between data centres is charged by volume.
 
+use hemlockfall_allowance::messages::Ask;
+use hemlockfall_allowance::messages::Grant;
 use hemlockfall_core::ids::DataCentreName;
 use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
@@ -271,6 +273,10 @@
         /// New version.
         version: VersionName,
     },
+    /// Requests for tokens of shared allowances, and support for their holder.
+    AllowanceAsk(Box<Ask>),
+    /// Reply to a [`Frame::AllowanceAsk`].
+    AllowanceGrant(Box<Grant>),
 }
 
 /// Digest of the nodes of a data centre that a node knows.
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -208,7 +208,7 @@
         };
         let id = self.calls.insert(call);
         self.set_timer(deadline, Timer::Call(id));
-        self.attempt(id);
+        self.admit_by_quota(id);
     }
 
     /// Refuses a request whose id is too long to be carried on a link and echoed whole.
@@ -262,7 +262,7 @@
     }
 
     /// Sends the request to the best node that has not been tried yet.
-    fn attempt(&mut self, id: u64) {
+    pub(super) fn attempt(&mut self, id: u64) {
         if self.is_interrupting() {
             self.no_candidate(id, Refusal::NoTarget, None);
             return;
--- a/crates/sidecar/src/node/link_selection.rs
+++ b/crates/sidecar/src/node/link_selection.rs
@@ -87,6 +87,7 @@
             .collect();
         let needs = LinkNeeds {
             evidence_recipients: self.evidence_recipients(),
+            allowance_holders: self.allowance_holder_peers(),
             full_services: self
                 .full_services
                 .iter()
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -308,6 +308,8 @@
                 version,
                 evidence,
             } => self.handle_evidence(&service, &version, evidence),
+            Frame::AllowanceAsk(ask) => self.handle_allowance_ask(id, &ask),
+            Frame::AllowanceGrant(grant) => self.handle_allowance_grant(id, *grant),
             Frame::StopCanary { service, version } => {
                 if self.stop_canary(&service, &version, "told by another node") {
                     self.broadcast(&Frame::StopCanary { service, version }, Some(id));
@@ -473,6 +475,8 @@
         let now = self.now;
         let links = u32::try_from(self.overlay.wanted().len()).unwrap_or(u32::MAX);
         let idle_ping = IDLE_PING_AFTER.max(IDLE_PING_PER_LINK.saturating_mul(links));
+        // A holder replies about once a second, so these links are pinged only if that stops.
+        let holders = self.allowance_holder_peers();
         let mut unconnected = Vec::new();
         let mut stalled = Vec::new();
         let mut ping_due = Vec::new();
@@ -495,10 +499,12 @@
                 Some(_) => {}
                 None => {
                     let since_received = now.saturating_sub(link.last_received_at);
-                    let limit = if link.calls.is_empty() {
-                        idle_ping
-                    } else {
+                    let limit = if !link.calls.is_empty() {
                         PING_AFTER
+                    } else if holders.contains(&link.peer.unwrap_or_default()) {
+                        IDLE_PING_AFTER
+                    } else {
+                        idle_ping
                     };
                     if since_received > limit {
                         ping_due.push(id);
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -374,6 +374,7 @@
         self.mesh.config = Some(Rc::clone(&config));
         self.mesh.config_adopted_at = self.now;
         self.mesh.encoded_config = None;
+        self.update_allowance_limits();
         if let Some(before) = before {
             self.broadcast_config_change(config.delta_from(&before), source);
         } else {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The running node: one actor that owns all sockets and timers and calls the decision modules.
 
 mod abandoned_calls;
+mod allowances;
 mod callers;
 mod calls;
 mod connections;
@@ -58,6 +59,7 @@
 use crate::fingerprint::Suspects;
 use crate::log::Log;
 use crate::log::LogCategory;
+use crate::node::allowances::Allowances;
 use crate::node::callers::Caller;
 use crate::node::calls::Call;
 use crate::node::connections::TargetConnection;
@@ -149,6 +151,8 @@
     Permit,
     /// The VM's uplink has room for the next chunk of a large answer.
     Uplink,
+    /// A request has waited long enough for a token of its client account's quota.
+    Allowance(u64),
     /// A socket has more input than was read at once.
     Read(Socket),
 }
@@ -195,6 +199,7 @@
     deferred: Vec<DeferredRequest>,
     next_token: u64,
     budget: RetryBudget,
+    allowances: Allowances,
     suspects: Suspects,
     answer_sizes: AnswerSizes,
     caller_retries: CallerRetries,
@@ -254,6 +259,7 @@
             deferred: Vec::new(),
             next_token: 1,
             budget: RetryBudget::new(settings.budget()),
+            allowances: Allowances::new(now),
             suspects: Suspects::default(),
             answer_sizes: AnswerSizes::default(),
             caller_retries: CallerRetries::default(),
@@ -379,6 +385,7 @@
             self.run_timer(timer);
             self.read_answered_callers();
         }
+        self.send_allowance_asks();
         if self.is_stopped() {
             self.log_event("node_stopped", json!({ "calls": self.calls.len() }));
             self.log.flush();
@@ -405,6 +412,7 @@
             Timer::Store => self.drive_store(),
             Timer::Permit => self.permit_due(),
             Timer::Uplink => self.drive_uplink(),
+            Timer::Allowance(id) => self.allowance_wait_ended(id),
             Timer::Read(socket) => self.read_socket(socket),
         }
     }
@@ -421,6 +429,7 @@
         self.accept_pending();
         self.check_callers();
         self.begin_deferred();
+        self.check_allowances();
         self.check_overlay();
         self.check_links();
         self.check_members();
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -154,6 +154,7 @@
                     self.link_lost(link, "the node has another address");
                 }
             }
+            self.note_restart(id);
             return id;
         }
         let own = (&self.settings.data_centre, &self.settings.region);
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -590,7 +590,7 @@
 
 /// Returns whether a node is taken to be running. Nodes of this data centre are all linked with
 /// this node; a failure of another node is noticed only if this node has dialled it.
-fn is_live(peer: &Peer) -> bool {
+pub(super) fn is_live(peer: &Peer) -> bool {
     if peer.distance <= Distance::DataCentre {
         return peer.is_linked;
     }
--- a/crates/sidecar/src/overlay.rs
+++ b/crates/sidecar/src/overlay.rs
@@ -66,6 +66,8 @@
 pub struct LinkNeeds {
     /// Nodes that this node sends evidence to.
     pub evidence_recipients: Vec<u64>,
+    /// Nodes that hold shared allowances.
+    pub allowance_holders: Vec<u64>,
     /// Services whose linked targets are too full.
     pub full_services: Vec<ServiceName>,
     /// Whether the node has just started and its list of members may be incomplete.
@@ -94,6 +96,7 @@
             .collect();
         wanted.extend(&remote_relays);
         wanted.extend(&needs.evidence_recipients);
+        wanted.extend(&needs.allowance_holders);
         wanted.extend(service_links(own, members, &needs.full_services));
         wanted.sort_unstable();
         wanted.dedup();
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -200,6 +200,7 @@
             counter("hemlockfall_sidecar_attempts_total", "attempts by result"),
             counter("hemlockfall_sidecar_bad_answers_total", "answers of the target that are no valid or too large messages, by code"),
             counter("hemlockfall_sidecar_inputs_cut_total", "connections closed because messages being read used too much memory, by peer"),
+            counter("hemlockfall_sidecar_quota_total", "requests of client accounts with a quota: granted by the holder, by the node's share, by it while the holder is silent, or refused"),
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
             counter("hemlockfall_sidecar_target_requests_total", "requests sent to the node's target"),
             gauge("hemlockfall_sidecar_target_limit_per_s", "requests per second to which the target limits all nodes together; -1 when it names no limit"),
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -30,6 +30,8 @@
     Rollouts,
     /// Requests suspected of crashing targets.
     Suspects,
+    /// Requests for tokens of shared allowances, and their replies.
+    Allowances,
 }
 
 impl FrameKind {
@@ -56,6 +58,7 @@
                 Self::Rollouts
             }
             Frame::Suspect { .. } => Self::Suspects,
+            Frame::AllowanceAsk(_) | Frame::AllowanceGrant(_) => Self::Allowances,
         }
     }
 
@@ -74,6 +77,7 @@
             Self::Config => "config",
             Self::Rollouts => "rollouts",
             Self::Suspects => "suspects",
+            Self::Allowances => "allowances",
         }
     }
 }
--- a/crates/sidecar/tests/overlay.rs
+++ b/crates/sidecar/tests/overlay.rs
@@ -221,6 +221,7 @@
     let members = mesh.members(0);
     let normal = Overlay::plan(mesh.ranks[0], &members, &LinkNeeds::default());
     let needs = LinkNeeds {
+        allowance_holders: Vec::new(),
         evidence_recipients: Vec::new(),
         full_services: vec!["desk".into()],
         is_starting: false,
