Look up the account of a request by its key

Cause: the directory of client accounts is another component's part and not there yet, and a test of quotas with real processes needs the account.

Change: a linear search of the accounts in the configuration.

--- a/crates/sidecar/src/node/allowances.rs
+++ b/crates/sidecar/src/node/allowances.rs
@@ -14,11 +14,14 @@
 use hemlockfall_allowance::spender::Source;
 use hemlockfall_allowance::spender::Spender;
 use hemlockfall_allowance::spender::Take;
+use hemlockfall_http::http::HttpRequest;
 use serde_json::json;
 
 use crate::clock::Time;
 use crate::edge::frame::Frame;
+use crate::model::AccountName;
 use crate::model::ClientAccount;
+use crate::model::KeyDigest;
 use crate::node::Node;
 use crate::node::Timer;
 use crate::node::callers::own_answer;
@@ -159,6 +162,14 @@
         self.overlay_is_due = true;
     }
 
+    /// Returns the client account whose key a request carries.
+    pub(super) fn account_of(&self, request: &HttpRequest) -> Option<AccountName> {
+        let accounts = self.mesh.config()?.accounts.as_ref()?;
+        let key = KeyDigest::of(request.header(self.header_names.account_key)?);
+        let account = accounts.iter().find(|account| account.keys.contains(&key));
+        account.map(|account| account.name.clone())
+    }
+
     /// Takes a token for a new request and starts it, lets it wait for the holder, or refuses it.
     pub(super) fn admit_by_quota(&mut self, id: u64) {
         let Some(call) = self.calls.get(id) else {
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -180,13 +180,14 @@
             .caller_retries
             .first_requested_at(fingerprint, caller_deadline)
             .unwrap_or(arrived);
+        let account = self.account_of(&request);
         let call = Call {
             caller,
             token,
             request: Rc::new(request),
             request_id,
             service,
-            account: None,
+            account,
             priority: route.priority,
             version,
             canary_use,
