Test a quota over four nodes while its holder is killed

Cause: the simulation of shared allowances knows no processes, links or settings.

Change: callers at four nodes send several times the quota of one account; the node that holds it is killed and restarted. The requests that reach all targets are counted in every window.

--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod deregistration;
 mod foreign_heartbeats;
 mod leaving_notices;
+mod quotas;
 mod rate_limits;
 mod restored_store;
 mod setup;
