Replace a holder at once when it begins a graceful shutdown

Cause: a node that seems lost stays a holder for 1.5 s, and so did one that has announced its stop and grants nothing any more.

Change: nodes in a graceful shutdown are not kept.

No test covers the planned stop of a holder.

--- a/crates/sidecar/src/node/allowances.rs
+++ b/crates/sidecar/src/node/allowances.rs
@@ -87,17 +87,18 @@
 }
 
 impl Active {
-    /// Adds the nodes that were live until a moment ago to those that are live.
+    /// Adds the nodes that were live until a moment ago to those that are live, unless they are in a
+    /// graceful shutdown.
     fn keep_briefly_lost(
         &mut self,
         mut live: Vec<NodeName>,
-        members: &[NodeName],
+        running: &[NodeName],
         now: Time,
     ) -> Vec<NodeName> {
         self.lost
-            .retain(|(name, _)| !live.contains(name) && members.contains(name));
+            .retain(|(name, _)| !live.contains(name) && running.contains(name));
         for name in &self.live {
-            let is_lost = !live.contains(name) && members.contains(name);
+            let is_lost = !live.contains(name) && running.contains(name);
             if is_lost && !self.lost.iter().any(|(known, _)| known == name) {
                 self.lost.push((name.clone(), now));
             }
@@ -311,6 +312,7 @@
         }
         let now = self.now;
         let (live, members) = self.allowance_views();
+        let running = self.running_nodes();
         let is_complete =
             self.store.nodes_listed || (self.ticks >= MEMBERS_KNOWN_TICKS && self.has_links());
         let has_earlier_nodes = self.has_earlier_nodes();
@@ -321,7 +323,7 @@
             return;
         };
         active.is_due = true;
-        let live = active.keep_briefly_lost(live, &members, now);
+        let live = active.keep_briefly_lost(live, &running, now);
         let has_changed =
             live != active.live || members != active.members || is_complete != active.is_complete;
         let mut has_moved = false;
@@ -370,6 +372,15 @@
         })
     }
 
+    /// Returns the known nodes that are not in a graceful shutdown.
+    fn running_nodes(&self) -> Vec<NodeName> {
+        let others = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.record.is_stopping);
+        others.map(|(_, peer)| peer.record.node.clone()).collect()
+    }
+
     /// Returns the nodes that are taken to be live and those that are known, this one included.
     fn allowance_views(&self) -> (Vec<NodeName>, Vec<NodeName>) {
         let known = || {
