--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -396,6 +396,7 @@
         self.mesh.encoded_config = None;
         self.overlay_is_due = true;
         self.update_coldness();
+        self.update_allowance_limits();
         if let Some(before) = before {
             self.broadcast_config_change(config.delta_from(&before), source);
         } else {
--- a/crates/sidecar/src/overlay.rs
+++ b/crates/sidecar/src/overlay.rs
@@ -78,6 +78,8 @@
 pub struct LinkNeeds {
     /// Nodes that this node sends evidence to.
     pub evidence_recipients: Vec<u64>,
+    /// Nodes that hold shared allowances.
+    pub allowance_holders: Vec<u64>,
     /// Services whose linked targets are too full.
     pub full_services: Vec<ServiceName>,
     /// Services with routes that may be served in some regions only.
@@ -108,6 +110,7 @@
             .collect();
         wanted.extend(&remote_relays);
         wanted.extend(&needs.evidence_recipients);
+        wanted.extend(&needs.allowance_holders);
         wanted.extend(service_links(own, members, &needs.full_services));
         for home in &needs.home_regions {
             wanted.extend(home_links(own, members, home, &needs.full_services));
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -208,6 +208,7 @@
             counter("hemlockfall_sidecar_inputs_cut_total", "connections closed because messages being read used too much memory, by peer"),
             counter("hemlockfall_sidecar_slow_readers_closed_total", "connections of callers closed because unsent answers used too much memory"),
             counter("hemlockfall_sidecar_idle_callers_closed_total", "idle connections of callers closed because there were too many"),
+            counter("hemlockfall_sidecar_quota_total", "requests of client accounts with a quota: granted by the holder, by the node's share, by it while the holder is silent, or refused"),
             counter("hemlockfall_sidecar_rejected_total", "requests refused by the target's node"),
             counter("hemlockfall_sidecar_target_requests_total", "requests sent to the node's target"),
             counter("hemlockfall_sidecar_given_up_total", "requests refused by the order by cost, by reason and priority"),
--- a/crates/sidecar/src/traffic.rs
+++ b/crates/sidecar/src/traffic.rs
@@ -32,6 +32,8 @@
     Suspects,
     /// Evacuations of data centres.
     Evacuations,
+    /// Requests for tokens of shared allowances, and their replies.
+    Allowances,
 }
 
 impl FrameKind {
@@ -59,6 +61,7 @@
                 Self::Rollouts
             }
             Frame::Suspect { .. } => Self::Suspects,
+            Frame::AllowanceAsk(_) | Frame::AllowanceGrant(_) => Self::Allowances,
         }
     }
 
@@ -78,6 +81,7 @@
             Self::Rollouts => "rollouts",
             Self::Suspects => "suspects",
             Self::Evacuations => "evacuations",
+            Self::Allowances => "allowances",
         }
     }
 }
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod leaving_notices;
 mod order_by_cost;
 mod placement_limits;
+mod quotas;
 mod rate_limits;
 mod restored_store;
 mod setup;
