Match replies of allowance holders with their requests

Cause: a reply echoes the sending time in whole microseconds, and the spender compared that with its clock in nanoseconds, so no reply ever ended the wait for it. Change: the spender keeps the sending time in whole microseconds.

--- a/crates/allowance/src/spender/account.rs
+++ b/crates/allowance/src/spender/account.rs
@@ -194,7 +194,8 @@
         if wanted == 0 {
             return None;
         }
-        self.asked_at = Some(now);
+        // Replies echo the sending time in whole microseconds.
+        self.asked_at = Some(now - Duration::from_nanos(u64::from(now.subsec_nanos() % 1000)));
         Some(self.item(wanted, holder, now))
     }
 
