--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -49,7 +49,6 @@
 use crate::order::returns::MIN_RETRY_AFTER;
 use crate::regions::AllowedRegions;
 
-const CODE_NO_CONFIG: &str = "HF-3701";
 const CODE_NO_ROUTE: &str = "HF-3702";
 pub(super) const CODE_NO_TARGET: &str = "HF-3703";
 const CODE_SUSPECTED: &str = "HF-3704";
@@ -146,11 +145,7 @@
             return;
         }
         let Some(config) = self.mesh.config() else {
-            if self.can_defer(&request, arrived) {
-                self.defer_request(caller, token, request, arrived);
-            } else {
-                self.refuse_request(caller, token, &request_id, 503, CODE_NO_CONFIG);
-            }
+            self.defer_or_refuse(caller, token, request, arrived);
             return;
         };
         let account_version = config.version;
@@ -258,7 +253,7 @@
         self.answer_caller(caller, token, own_answer(400, CODE_LONG_ID, None));
     }
 
-    fn request_id(&self, request: &HttpRequest) -> RequestId {
+    pub(super) fn request_id(&self, request: &HttpRequest) -> RequestId {
         let text = request.header(self.header_names.request_id);
         text.unwrap_or_default().into()
     }
@@ -269,7 +264,14 @@
         Some(Duration::from_millis(text.parse().ok()?))
     }
 
-    fn refuse_request(&mut self, caller: u64, token: u64, id: &RequestId, status: u16, code: &str) {
+    pub(super) fn refuse_request(
+        &mut self,
+        caller: u64,
+        token: u64,
+        id: &RequestId,
+        status: u16,
+        code: &str,
+    ) {
         if self.log.admits(LogCategory::Failure, self.now) {
             let config = self.mesh.config().map(|config| config.version);
             self.log.write(
--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -12,6 +12,7 @@
 use crate::node::Node;
 use crate::regions::AllowedRegions;
 
+const CODE_NO_CONFIG: &str = "HF-3701";
 /// Time after the start in which the first target records may still arrive, in ticks.
 const STARTING_TICKS: u64 = 12;
 /// Longest time that a request is deferred.
@@ -54,6 +55,22 @@
         });
     }
 
+    /// Defers a request for which there is no configuration yet, or refuses it.
+    pub(super) fn defer_or_refuse(
+        &mut self,
+        caller: u64,
+        token: u64,
+        request: HttpRequest,
+        arrived: Time,
+    ) {
+        if self.can_defer(&request, arrived) {
+            self.defer_request(caller, token, request, arrived);
+        } else {
+            let id = self.request_id(&request);
+            self.refuse_request(caller, token, &id, 503, CODE_NO_CONFIG);
+        }
+    }
+
     /// Returns whether a starting node lacks a ready target for a route in the allowed regions but
     /// may soon receive one.
     pub(super) fn awaits_targets(&self, route: &Route, regions: &AllowedRegions) -> bool {
