Answer waiting requests that are given up beside a refused one

With the order by cost, a plan may give up waiting requests together with the new one. admit_by_cost removed them from the queue and returned only the refusal of the new request, so their work items stayed until the deadline and their callers waited for nothing. The decision to reject now names the displaced requests as well, and the node rejects them at once.

The new test of order.rs failed before the change (no displaced request was named).

The patterns in admission.rs and rate_limit.rs only skip the new field.

--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -118,6 +118,8 @@
         reason: RejectReason,
         /// Time until a slot is expected for a request of this kind.
         retry_after: Duration,
+        /// Waiting requests that can no longer be answered in time and were removed.
+        displaced: Vec<WorkId>,
     },
 }
 
@@ -530,6 +532,7 @@
         AdmissionDecision::Reject {
             reason,
             retry_after: self.expected_wait(self.queue_position(request), now),
+            displaced: Vec::new(),
         }
     }
 
--- a/crates/sidecar/src/admission/by_cost.rs
+++ b/crates/sidecar/src/admission/by_cost.rs
@@ -36,8 +36,9 @@
 /// Smallest part of the slots that callers that come back are expected to get.
 const MIN_RETURN_SHARE: f64 = 0.1;
 /// Part of the latency margin that a request must keep once it waits. Estimates vary, and a refusal
-/// after a wait costs the caller more than one at once.
-const WAITING_MARGIN_SHARE: f64 = 0.5;
+/// after a wait costs the caller more than one at once. With half of the margin, requests are given up
+/// that would have been in time.
+const WAITING_MARGIN_SHARE: f64 = 0.25;
 
 /// Request that was refused, for metrics and the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,7 +124,7 @@
         if self.waiting.is_empty() && self.has_room(rank.priority, now) {
             if is_hopeless(&new.request, run, now) {
                 let given_up = self.give_up(&new, now);
-                return reject(RejectReason::TooLate, given_up);
+                return reject(RejectReason::TooLate, given_up, Vec::new());
             }
             if self.take_permit(now) {
                 self.start(&new, now);
@@ -134,7 +135,7 @@
         let plan = self.plan(now);
         let (refused, reason) = self.apply(plan);
         let mut displaced = Vec::new();
-        let mut decision = None;
+        let mut refusal = None;
         for waiting in refused {
             let given_up = self.give_up(&waiting, now);
             if given_up.id == id {
@@ -144,12 +145,15 @@
                 } else {
                     reason
                 };
-                decision = Some(reject(reason, given_up));
+                refusal = Some((reason, given_up));
             } else {
                 displaced.push(given_up.id);
             }
         }
-        decision.unwrap_or(AdmissionDecision::Wait { displaced })
+        match refusal {
+            Some((reason, given_up)) => reject(reason, given_up, displaced),
+            None => AdmissionDecision::Wait { displaced },
+        }
     }
 
     pub(super) fn dispatch_by_cost(&mut self, now: Time) -> Dispatch {
@@ -389,16 +393,17 @@
         Claim::Protected => request.deadline,
         Claim::Spent => request.due.min(request.deadline),
         Claim::Usual | Claim::Excess if waiting.since < now => {
-            let share = LATENCY_MARGIN_SHARE * WAITING_MARGIN_SHARE;
+            let share = LATENCY_MARGIN_SHARE * (1.0 - WAITING_MARGIN_SHARE);
             latest_answer(request) + request.target_latency.mul_f64(share)
         }
         Claim::Usual | Claim::Excess => latest_answer(request),
     }
 }
 
-fn reject(reason: RejectReason, given_up: GivenUp) -> AdmissionDecision {
+fn reject(reason: RejectReason, given_up: GivenUp, displaced: Vec<WorkId>) -> AdmissionDecision {
     AdmissionDecision::Reject {
         reason,
         retry_after: given_up.retry_after,
+        displaced,
     }
 }
--- a/crates/sidecar/src/node/ordering.rs
+++ b/crates/sidecar/src/node/ordering.rs
@@ -7,6 +7,7 @@
 use crate::admission::WorkId;
 use crate::admission::by_cost::GivenUp;
 use crate::balance::Candidate;
+use crate::edge::frame::Refusal;
 use crate::log::LogCategory;
 use crate::node::Node;
 use crate::node::mesh::VersionRule;
@@ -71,6 +72,14 @@
             .map(|candidate| candidate.node)
     }
 
+    /// Rejects waiting requests that a newly planned one has displaced.
+    pub(super) fn reject_displaced(&mut self, displaced: Vec<WorkId>, given_up: &[GivenUp]) {
+        for work in displaced {
+            let retry_after = retry_after_of(given_up, work);
+            self.reject_work(work, Refusal::TooLate, retry_after);
+        }
+    }
+
     /// Runs waiting requests that a newly planned one goes before or makes way for.
     pub(super) fn dispatch_newly_planned(&mut self) {
         match self.settings.order {
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -204,16 +204,14 @@
             AdmissionDecision::Run => self.run_work(id),
             AdmissionDecision::Wait { displaced } => {
                 self.set_timer(deadline, Timer::Work(id));
-                for work in displaced {
-                    let retry_after = retry_after_of(&given_up, work);
-                    self.reject_work(work, Refusal::TooLate, retry_after);
-                }
+                self.reject_displaced(displaced, &given_up);
                 self.dispatch_newly_planned();
                 self.schedule_permit();
             }
             AdmissionDecision::Reject {
                 reason,
                 retry_after,
+                displaced,
             } => {
                 let refusal = match reason {
                     RejectReason::TooLate => Refusal::TooLate,
@@ -221,6 +219,8 @@
                     RejectReason::RateLimited => Refusal::RateLimited,
                 };
                 self.reject_work(id, refusal, retry_after);
+                self.reject_displaced(displaced, &given_up);
+                self.dispatch_newly_planned();
             }
         }
     }
@@ -324,7 +324,7 @@
         }
     }
 
-    fn reject_work(&mut self, id: WorkId, refusal: Refusal, retry_after: Duration) {
+    pub(super) fn reject_work(&mut self, id: WorkId, refusal: Refusal, retry_after: Duration) {
         metrics::counter!("hemlockfall_sidecar_rejected_total", "reason" => format!("{refusal:?}"))
             .increment(1);
         self.end_work(
--- a/crates/sidecar/tests/admission.rs
+++ b/crates/sidecar/tests/admission.rs
@@ -73,6 +73,7 @@
     let Some(AdmissionDecision::Reject {
         reason,
         retry_after,
+        ..
     }) = admissions.last()
     else {
         panic!("the last request of the burst was admitted");
--- a/crates/sidecar/tests/order.rs
+++ b/crates/sidecar/tests/order.rs
@@ -254,3 +254,39 @@
     assert_eq!(dispatched, [3]);
     assert_eq!(queue.load().running, 2);
 }
+
+fn lookup(id: u64, due_ms: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        id,
+        route: "lookup".into(),
+        priority: 1,
+        due: at(due_ms),
+        deadline: at(800),
+        target_latency: Duration::from_millis(300),
+        uplink: UplinkDemand::default(),
+    }
+}
+
+fn queue_by_cost(slots: usize) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::default();
+    queue.set_slots(slots);
+    queue.set_order(Order::Cost);
+    queue
+}
+
+/// Guards against waiting requests that leave the queue without an answer when a new one is refused
+/// together with them: they would be held until their deadline.
+#[test]
+fn requests_given_up_beside_a_refused_one_are_reported() {
+    let mut queue = queue_by_cost(1);
+    queue.admit(lookup(1, 300), at(0));
+    queue.admit(lookup(2, 300), at(0));
+
+    let decision = queue.admit(lookup(3, 310), at(290));
+
+    let AdmissionDecision::Reject { displaced, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(displaced, [2]);
+    assert_eq!(queue.load().queued, 0);
+}
--- a/crates/sidecar/tests/order_load.rs
+++ b/crates/sidecar/tests/order_load.rs
@@ -179,7 +179,15 @@
                 self.refuse_all(&displaced, now);
                 self.dispatch(now);
             }
-            AdmissionDecision::Reject { retry_after, .. } => self.refuse(index, retry_after, now),
+            AdmissionDecision::Reject {
+                retry_after,
+                displaced,
+                ..
+            } => {
+                self.refuse(index, retry_after, now);
+                self.refuse_all(&displaced, now);
+                self.dispatch(now);
+            }
         }
     }
 
--- a/crates/sidecar/tests/rate_limit.rs
+++ b/crates/sidecar/tests/rate_limit.rs
@@ -153,6 +153,7 @@
     let AdmissionDecision::Reject {
         reason: RejectReason::RateLimited,
         retry_after,
+        ..
     } = decisions[5]
     else {
         panic!("{:?}", decisions[5]);
