Plan by the cold rate in the order by cost

The plan asked for the times of permits only if the target had named a rate limit. At a cold target with free slots it planned as if each request could start at once: of 40 requests of 300 ms at 13 per second, 24 waited although one could be answered in time. The others were refused only when it was too late for them. The plan now counts the permits of both limits.

The new test failed with 24 waiting requests before and passes with one.

--- a/crates/sidecar/src/admission/by_cost.rs
+++ b/crates/sidecar/src/admission/by_cost.rs
@@ -238,12 +238,11 @@
                 waited: now.saturating_sub(waiting.since),
             })
             .collect();
-        let permits_at = match self.rate.per_s() {
-            Some(_) => (0..jobs.len())
-                .map(|index| now + self.permit_wait(index, now))
-                .collect(),
-            None => Vec::new(),
-        };
+        let is_limited = self.rate.per_s().is_some() || self.cold_limit_per_s().is_some();
+        let limited_jobs = if is_limited { jobs.len() } else { 0 };
+        let permits_at = (0..limited_jobs)
+            .map(|index| now + self.permit_wait(index, now))
+            .collect();
         let mut left_free: Vec<(u8, usize)> = ranks
             .iter()
             .map(|rank| (rank.priority, self.left_free(rank.priority, now)))
--- a/crates/sidecar/tests/order.rs
+++ b/crates/sidecar/tests/order.rs
@@ -8,7 +8,9 @@
 use hemlockfall_sidecar::admission::AdmissionDecision;
 use hemlockfall_sidecar::admission::AdmissionQueue;
 use hemlockfall_sidecar::admission::AdmissionRequest;
+use hemlockfall_sidecar::admission::RejectReason;
 use hemlockfall_sidecar::admission::UplinkDemand;
+use hemlockfall_sidecar::cold_rate::ColdLimit;
 use hemlockfall_sidecar::order::Claim;
 use hemlockfall_sidecar::order::Order;
 use hemlockfall_sidecar::order::Rank;
@@ -290,3 +292,32 @@
     assert_eq!(displaced, [2]);
     assert_eq!(queue.load().queued, 0);
 }
+
+/// Guards against requests that wait for a cold target although its rate does not allow an answer in
+/// time: they would be refused when it is too late to come back.
+#[test]
+fn requests_beyond_the_cold_rate_are_refused_at_once() {
+    let mut queue = queue_by_cost(12);
+    let limit = ColdLimit {
+        per_s: 13.0,
+        max_per_window: 27,
+    };
+    queue.set_cold_limit(Some(limit), true, at(0));
+
+    let decisions: Vec<AdmissionDecision> = (0..40)
+        .map(|id| queue.admit(lookup(id, 300), at(0)))
+        .collect();
+
+    let refused = |decision: &&AdmissionDecision| {
+        matches!(
+            decision,
+            AdmissionDecision::Reject {
+                reason: RejectReason::RateLimited,
+                ..
+            }
+        )
+    };
+    // A run takes 105 ms and a fifth of the 300 ms must be left: one permit falls into 135 ms.
+    assert_eq!(queue.load().queued, 1);
+    assert_eq!(decisions.iter().filter(refused).count(), 39);
+}
