Count deferred requests against the memory budget

A starting node, and one that waits for a newer configuration to look up a key, keeps up to 256 requests with bodies up to the largest size before the check of the memory. They were not counted in the held memory either. They count now, and a long request is deferred only if the memory has room for it; otherwise it is refused or goes on, as after the longest deferral.

Not shown by a test: it needs a starting node and large bodies.

--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -30,6 +30,13 @@
     arrived: Time,
 }
 
+impl DeferredRequest {
+    /// Returns the memory of the request.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.request.body.capacity()
+    }
+}
+
 impl Node {
     /// Returns whether a request that arrived at a given time may be deferred at present.
     pub(super) fn can_defer(&self, request: &HttpRequest, arrived: Time) -> bool {
@@ -37,6 +44,7 @@
         let deferral = (caller_timeout * DEFERRAL_PERCENT / 100).min(MAX_DEFERRAL);
         self.now < arrived + deferral
             && self.deferred.len() < MAX_DEFERRED_REQUESTS
+            && self.has_memory_to_defer(request.body.len())
             && !self.is_interrupting()
     }
 
--- a/crates/sidecar/src/node/held_memory.rs
+++ b/crates/sidecar/src/node/held_memory.rs
@@ -11,6 +11,7 @@
 use crate::clock::Time;
 use crate::log::LogCategory;
 use crate::node::Node;
+use crate::node::deferred::DeferredRequest;
 
 /// Time over which the rate is measured at which a caller takes its answers.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -81,6 +82,7 @@
         let links = self.links.iter();
         let transfers = self.transfers.iter();
         let calls = self.calls.iter().map(|(_, call)| call.held_bytes());
+        let deferred = self.deferred.iter().map(DeferredRequest::held_bytes);
         let work_items = self.target.work_items.iter();
         let store = self.store.held_bytes();
         callers
@@ -89,6 +91,7 @@
             .chain(links.map(|(_, link)| link.held_bytes() + link.output_bytes()))
             .chain(transfers.map(|(_, outgoing)| outgoing.held_bytes()))
             .chain(calls)
+            .chain(deferred)
             .chain(work_items.map(|(_, work)| work.held_bytes()))
             .chain(store.map(|(_, bytes)| bytes))
             .sum()
@@ -129,6 +132,13 @@
         )
     }
 
+    /// Returns whether a request may be deferred: a long one may not while the memory is nearly used
+    /// up by what is held.
+    pub(super) fn has_memory_to_defer(&self, body_bytes: usize) -> bool {
+        let limits = self.buffer_limits();
+        body_bytes < LONG_BYTES || limits.allows_long_work(self.held_memory(), body_bytes)
+    }
+
     /// Measures how fast the callers take their answers.
     pub(super) fn measure_drain_rates(&mut self) {
         let now = self.now;
