Keep the rate limit of other nodes after a health check

A restarted node restores the rate limit of its target from the calls of other nodes until the target has answered a request of its own. The answer to a health check, which names no limit, counted as such an answer, so the node sent requests without the limit until a normal answer named it. Health checks no longer count.

Found by reading; not shown by a test, as it needs a restarted node beside a target that is in doubt and limited.

--- a/crates/sidecar/src/node/target_notices.rs
+++ b/crates/sidecar/src/node/target_notices.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::log::LogCategory;
 use crate::node::Node;
+use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
 use crate::platform::RateNotice;
 
@@ -21,7 +22,10 @@
             return;
         };
         let is_success = (200..300).contains(&answer.status) && self.is_valid_answer(work, answer);
-        self.target.admission.answered();
+        // A health check is answered by a part of the target that need not know its limit.
+        if work.origin != WorkOrigin::HealthCheck {
+            self.target.admission.answered();
+        }
         if self.platform.announces_leaving(answer) && self.target.own.announce_leaving(started) {
             self.target_leaves(id);
         }
