Use the route of the current configuration in the check before an attempt

The check before each further attempt used the configuration's accounts but the route as it was when the call began. If the route had lost a region or was no longer public meanwhile, a later attempt could reach a target in a region that is forbidden by then, or go on without a key. The check now takes the regions and the need for a key from the route in force. A route that was removed keeps its last ones. The priority still is that of the call's route.

Found by reading; not shown by a test, as it needs a node.

--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -303,7 +303,9 @@
         })
     }
 
-    fn route(&self, name: &str) -> Option<&Route> {
+    /// Returns a route.
+    #[must_use]
+    pub fn route(&self, name: &str) -> Option<&Route> {
         let index = self
             .routes
             .binary_search_by(|route| route.name.as_str().cmp(name))
--- a/crates/sidecar/src/node/caller_accounts.rs
+++ b/crates/sidecar/src/node/caller_accounts.rs
@@ -131,8 +131,8 @@
         self.answer_caller(caller, token, own_answer(401, CODE_NO_ACCOUNT, None));
     }
 
-    /// Checks the key of a call again, since the configuration may have changed since the last
-    /// attempt. Returns whether the call may continue; otherwise it has been answered.
+    /// Checks the key and the regions of a call again, since the configuration may have changed since
+    /// the last attempt. Returns whether the call may continue; otherwise it has been answered.
     pub(super) fn recheck_account(&mut self, id: u64) -> bool {
         let Some(call) = self.calls.get(id) else {
             return false;
@@ -144,10 +144,15 @@
         // Headers of a call that began under a configuration without accounts are still those of the
         // caller.
         let presented = presented_key(&call.request, self.header_names.account_key);
-        let identity = self.identify_key(call.key.or(presented), &call.route);
+        // The configuration may also have changed who may send requests of the route, and where they
+        // may be served.
+        let config = self.mesh.config();
+        let route = config.and_then(|config| config.route(&call.route.name));
+        let route = route.unwrap_or(&call.route);
+        let identity = self.identify_key(call.key.or(presented), route);
         let name = identity.account().map(|account| account.name.clone());
         let priority = identity.priority(&call.route);
-        let allowed_regions = identity.allowed_regions(&call.route);
+        let allowed_regions = identity.allowed_regions(route);
         let names = self.header_names;
         let Some(call) = self.calls.get_mut(id) else {
             return false;
