--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -49,14 +49,13 @@
 use crate::order::returns::MIN_RETRY_AFTER;
 use crate::regions::AllowedRegions;
 
-const CODE_NO_ROUTE: &str = "HF-3702";
+pub(super) const CODE_NO_ROUTE: &str = "HF-3702";
 pub(super) const CODE_NO_TARGET: &str = "HF-3703";
 const CODE_SUSPECTED: &str = "HF-3704";
 const CODE_STOPPING: &str = "HF-3708";
 const CODE_UNKNOWN: &str = "HF-3706";
-const CODE_LONG_ID: &str = "HF-3710";
 /// `Retry-After` when no configuration or target is available to estimate a wait from.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time for which additional links are kept for a service that had no free target.
 const FULL_SERVICE_RETENTION: Duration = Duration::from_secs(10);
 /// Lowest HTTP status after which a caller may send its request again.
@@ -241,18 +240,6 @@
         self.attempt(id);
     }
 
-    /// Refuses a request whose id is too long to be carried on a link and echoed whole.
-    fn refuse_long_id(&mut self, caller: u64, token: u64, id_bytes: usize) {
-        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "bad_id").increment(1);
-        if self.log.admits(LogCategory::Failure, self.now) {
-            self.log.write(
-                "request",
-                json!({ "status": 400, "code": CODE_LONG_ID, "id_bytes": id_bytes }),
-            );
-        }
-        self.answer_caller(caller, token, own_answer(400, CODE_LONG_ID, None));
-    }
-
     pub(super) fn request_id(&self, request: &HttpRequest) -> RequestId {
         let text = request.header(self.header_names.request_id);
         text.unwrap_or_default().into()
@@ -264,40 +251,6 @@
         Some(Duration::from_millis(text.parse().ok()?))
     }
 
-    pub(super) fn refuse_request(
-        &mut self,
-        caller: u64,
-        token: u64,
-        id: &RequestId,
-        status: u16,
-        code: &str,
-    ) {
-        if self.log.admits(LogCategory::Failure, self.now) {
-            let config = self.mesh.config().map(|config| config.version);
-            self.log.write(
-                "request",
-                json!({ "id": id, "status": status, "code": code, "config": config }),
-            );
-        }
-        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "refused")
-            .increment(1);
-        self.answer_caller(caller, token, own_answer(status, code, Some(RETRY_AFTER)));
-    }
-
-    fn log_unrouted(&mut self, id: &RequestId, host: &str, path: &str, version: u64) {
-        metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "no_route")
-            .increment(1);
-        if self.log.admits(LogCategory::Failure, self.now) {
-            self.log.write(
-                "request",
-                json!({
-                    "id": id, "status": 404, "code": CODE_NO_ROUTE, "host": host, "path": path,
-                    "config": version,
-                }),
-            );
-        }
-    }
-
     /// Sends the request to the best node that has not been tried yet.
     fn attempt(&mut self, id: u64) {
         if self.is_interrupting() {
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -35,9 +35,6 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(40);
 /// The same for a non-idempotent request; it is longer since aborting such a run gains nothing.
 const NON_IDEMPOTENT_ANSWER_GRACE: Duration = Duration::from_millis(600);
-/// Time between the loss of a request's connection and the loss of the target within which the
-/// request is suspected of having crashed the target.
-const LOST_REQUEST_WINDOW: Duration = Duration::from_millis(1500);
 /// Status by which a target reports that it did not run a request.
 const MISDIRECTED_REQUEST: u16 = 421;
 
@@ -582,38 +579,4 @@
         self.uplink.remove_expected(work.answer_bytes);
         Some(work)
     }
-
-    /// Records a request that was lost with its connection, until it is known whether the target
-    /// still runs.
-    pub(super) fn record_lost_request(&mut self, fingerprint: Fingerprint) {
-        let now = self.now;
-        self.target
-            .lost_requests
-            .retain(|(_, at)| now.saturating_sub(*at) < LOST_REQUEST_WINDOW);
-        self.target.lost_requests.push((fingerprint, now));
-    }
-
-    /// Handles a target that refuses connections: its process has ended, and the requests that ran
-    /// on it are lost.
-    pub(super) fn target_lost(&mut self, reason: &str) {
-        let now = self.now;
-        let lost_requests = std::mem::take(&mut self.target.lost_requests);
-        for (fingerprint, at) in &lost_requests {
-            if now.saturating_sub(*at) < LOST_REQUEST_WINDOW {
-                self.suspects.add(*fingerprint, now);
-                self.broadcast_suspect(*fingerprint);
-            }
-        }
-        if self.target.is_unreachable {
-            return;
-        }
-        self.target.is_unreachable = true;
-        self.doubt_coldness();
-        self.log_event(
-            "target_lost",
-            json!({ "reason": reason, "lost_requests": lost_requests.len() }),
-        );
-        self.drain_queue();
-        self.record_changed();
-    }
 }
