--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -12,6 +12,7 @@
 use crate::node::Node;
 use crate::regions::AllowedRegions;
 
+const CODE_NO_CONFIG: &str = "HF-3701";
 /// Time after the start in which the first target records may still arrive, in ticks.
 const STARTING_TICKS: u64 = 12;
 /// Longest time that a request is deferred.
@@ -29,6 +30,13 @@
     arrived: Time,
 }
 
+impl DeferredRequest {
+    /// Returns the memory of the request.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.request.body.capacity()
+    }
+}
+
 impl Node {
     /// Returns whether a request that arrived at a given time may be deferred at present.
     pub(super) fn can_defer(&self, request: &HttpRequest, arrived: Time) -> bool {
@@ -36,6 +44,7 @@
         let deferral = (caller_timeout * DEFERRAL_PERCENT / 100).min(MAX_DEFERRAL);
         self.now < arrived + deferral
             && self.deferred.len() < MAX_DEFERRED_REQUESTS
+            && self.has_memory_to_defer(request.body.len())
             && !self.is_interrupting()
     }
 
@@ -54,6 +63,22 @@
         });
     }
 
+    /// Defers a request for which there is no configuration yet, or refuses it.
+    pub(super) fn defer_or_refuse(
+        &mut self,
+        caller: u64,
+        token: u64,
+        request: HttpRequest,
+        arrived: Time,
+    ) {
+        if self.can_defer(&request, arrived) {
+            self.defer_request(caller, token, request, arrived);
+        } else {
+            let id = self.request_id(&request);
+            self.refuse_request(caller, token, &id, 503, CODE_NO_CONFIG);
+        }
+    }
+
     /// Returns whether a starting node lacks a ready target for a route in the allowed regions but
     /// may soon receive one.
     pub(super) fn awaits_targets(&self, route: &Route, regions: &AllowedRegions) -> bool {
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -35,9 +35,6 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(40);
 /// The same for a non-idempotent request; it is longer since aborting such a run gains nothing.
 const NON_IDEMPOTENT_ANSWER_GRACE: Duration = Duration::from_millis(600);
-/// Time between the loss of a request's connection and the loss of the target within which the
-/// request is suspected of having crashed the target.
-const LOST_REQUEST_WINDOW: Duration = Duration::from_millis(1500);
 /// Status by which a target reports that it did not run a request.
 const MISDIRECTED_REQUEST: u16 = 421;
 
@@ -204,16 +201,14 @@
             AdmissionDecision::Run => self.run_work(id),
             AdmissionDecision::Wait { displaced } => {
                 self.set_timer(deadline, Timer::Work(id));
-                for work in displaced {
-                    let retry_after = retry_after_of(&given_up, work);
-                    self.reject_work(work, Refusal::TooLate, retry_after);
-                }
+                self.reject_displaced(displaced, &given_up);
                 self.dispatch_newly_planned();
                 self.schedule_permit();
             }
             AdmissionDecision::Reject {
                 reason,
                 retry_after,
+                displaced,
             } => {
                 let refusal = match reason {
                     RejectReason::TooLate => Refusal::TooLate,
@@ -221,6 +216,8 @@
                     RejectReason::RateLimited => Refusal::RateLimited,
                 };
                 self.reject_work(id, refusal, retry_after);
+                self.reject_displaced(displaced, &given_up);
+                self.dispatch_newly_planned();
             }
         }
     }
@@ -324,7 +321,7 @@
         }
     }
 
-    fn reject_work(&mut self, id: WorkId, refusal: Refusal, retry_after: Duration) {
+    pub(super) fn reject_work(&mut self, id: WorkId, refusal: Refusal, retry_after: Duration) {
         metrics::counter!("hemlockfall_sidecar_rejected_total", "reason" => format!("{refusal:?}"))
             .increment(1);
         self.end_work(
@@ -582,38 +579,4 @@
         self.uplink.remove_expected(work.answer_bytes);
         Some(work)
     }
-
-    /// Records a request that was lost with its connection, until it is known whether the target
-    /// still runs.
-    pub(super) fn record_lost_request(&mut self, fingerprint: Fingerprint) {
-        let now = self.now;
-        self.target
-            .lost_requests
-            .retain(|(_, at)| now.saturating_sub(*at) < LOST_REQUEST_WINDOW);
-        self.target.lost_requests.push((fingerprint, now));
-    }
-
-    /// Handles a target that refuses connections: its process has ended, and the requests that ran
-    /// on it are lost.
-    pub(super) fn target_lost(&mut self, reason: &str) {
-        let now = self.now;
-        let lost_requests = std::mem::take(&mut self.target.lost_requests);
-        for (fingerprint, at) in &lost_requests {
-            if now.saturating_sub(*at) < LOST_REQUEST_WINDOW {
-                self.suspects.add(*fingerprint, now);
-                self.broadcast_suspect(*fingerprint);
-            }
-        }
-        if self.target.is_unreachable {
-            return;
-        }
-        self.target.is_unreachable = true;
-        self.doubt_coldness();
-        self.log_event(
-            "target_lost",
-            json!({ "reason": reason, "lost_requests": lost_requests.len() }),
-        );
-        self.drain_queue();
-        self.record_changed();
-    }
 }
