Soak of client accounts, regions, cold targets and evacuations

Cause: the soak had no faults and checks of these parts. A key is revoked, a target turns cold, and a data centre is evacuated, observed without faults and reopened with cold targets.

--- a/xtask/src/soak/caller.rs
+++ b/xtask/src/soak/caller.rs
@@ -17,6 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::soak::accounts::Account;
 use crate::soak::ledger::Ledger;
 
 /// `Host` header of every request to the mesh.
@@ -77,6 +78,8 @@
     pub ledger: Arc<Ledger>,
     /// Disruptions; while one is in effect, lost requests are not violations.
     pub disruptions: Arc<Disruptions>,
+    /// Account whose key the requests carry.
+    pub account: Option<Account>,
     /// Set when the caller has to stop.
     pub stop: Arc<AtomicBool>,
 }
@@ -92,7 +95,10 @@
     let mut idle: Option<Connection> = None;
     while !context.stop.load(Ordering::SeqCst) {
         thread::sleep(MEAN_PAUSE.mul_f64(random.random_range(0.3..1.7)));
-        let sent = request(&mut random);
+        let mut sent = request(&mut random);
+        if let Some(account) = context.account {
+            sent.id = account.request_id(&sent.id);
+        }
         let mut connection = match idle.take() {
             Some(connection) => connection,
             None => match Connection::open(context.node) {
@@ -100,6 +106,9 @@
                 Err(_) => continue,
             },
         };
+        if let Some(account) = context.account {
+            account.sign(&mut connection);
+        }
         let is_reused = connection.is_reused();
         let was_undisturbed = context.disruptions.is_undisturbed();
         let (ended, can_reuse) = connection.send(&sent);
--- a/xtask/src/soak/drill.rs
+++ b/xtask/src/soak/drill.rs
@@ -73,6 +73,7 @@
             testbed.store.restore_with_rewrites(copy);
             testbed.ledger.forget_deregistrations_since(copied_at);
             testbed.disruptions.mark(Duration::ZERO);
+            testbed.disturbances.note(None);
         }
     }
 
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -19,6 +19,7 @@
 use crate::harness::process::Signal;
 use crate::soak::caller::HOST;
 use crate::soak::drill::Drill;
+use crate::soak::limit_drill::LimitDrill;
 use crate::soak::proxy::Mode;
 use crate::soak::proxy::Proxy;
 use crate::soak::testbed::MEMORY_MB;
@@ -173,7 +174,11 @@
 ///
 /// # Errors
 /// A process cannot be started or signalled.
-pub fn inject(testbed: &mut Testbed, time: Duration) -> Result<()> {
+pub fn inject(
+    testbed: &mut Testbed,
+    time: Duration,
+    mut limits: Option<&mut LimitDrill>,
+) -> Result<()> {
     let started = Instant::now();
     let mut pending: Vec<(Instant, Action)> = Vec::new();
     let mut next_fault = Instant::now();
@@ -185,6 +190,9 @@
         let now = Instant::now();
         run_due_actions(testbed, &mut pending)?;
         drill.step(testbed);
+        if let Some(limits) = &mut limits {
+            limits.step(testbed);
+        }
         if now >= next_fault && started.elapsed() < time {
             let fault = FAULTS[testbed.random.random_range(0..FAULTS.len())];
             begin_fault(testbed, fault, &mut pending)?;
@@ -236,6 +244,7 @@
         testbed.disruptions.mark(duration);
         testbed.vms[index].undisturbed_since = ends_at;
     }
+    note_disturbance(testbed, fault, index);
     match fault {
         Fault::KillNode => testbed.vms[index].restart_node()?,
         Fault::KillAllNodes => {
@@ -283,6 +292,27 @@
     Ok(())
 }
 
+/// Notes which nodes the fault may keep from the store, or whose process it disturbs.
+fn note_disturbance(testbed: &mut Testbed, fault: Fault, index: usize) {
+    let disturbances = &mut testbed.disturbances;
+    match fault {
+        Fault::KillNode => disturbances.note(Some(index)),
+        Fault::KillAllNodes => disturbances.note(None),
+        Fault::PauseNode | Fault::StoreUnreachableFromNode => disturbances.begin(Some(index)),
+        Fault::StoreOutage => disturbances.begin(None),
+        Fault::StopNode
+        | Fault::ReloadSettings
+        | Fault::StoreHistoryLost
+        | Fault::TargetCrash
+        | Fault::TargetDeregisters
+        | Fault::DisruptTargetConnections
+        | Fault::DisruptLinkConnections
+        | Fault::ConfigChange
+        | Fault::ConfigChangeBurst
+        | Fault::BadVersion => {}
+    }
+}
+
 /// Sends SIGTERM to a node, which is started again once it has ended.
 fn stop_node(
     testbed: &mut Testbed,
@@ -344,14 +374,22 @@
     pending: &mut Vec<(Instant, Action)>,
 ) -> Result<()> {
     match action {
-        Action::RestoreStore => testbed.store.set_fault(StoreFault::None),
-        Action::RestoreProxies(index) => testbed.vms[index].set_proxies(Mode::Forward),
+        Action::RestoreStore => {
+            testbed.store.set_fault(StoreFault::None);
+            testbed.disturbances.end(None);
+        }
+        Action::RestoreProxies(index) => {
+            testbed.vms[index].set_proxies(Mode::Forward);
+            testbed.disturbances.end(Some(index));
+        }
         Action::ResumeNode(index) => {
             testbed.vms[index].node.signal(Signal::Continue)?;
             testbed.vms[index].undisturbed_since = Instant::now();
+            testbed.disturbances.end(Some(index));
             testbed.disruptions.mark(Duration::ZERO);
         }
         Action::RestartStoppedNode(index, id, must_end_by) => {
+            testbed.disturbances.note(Some(index));
             let vm = &mut testbed.vms[index];
             if vm.node.id() != id {
                 // Another fault has killed and restarted the process meanwhile.
@@ -401,6 +439,9 @@
 
 fn mark_kill(testbed: &mut Testbed, vms: Range<usize>) {
     testbed.disruptions.mark(Duration::ZERO);
+    for index in vms.clone() {
+        testbed.disturbances.note(Some(index));
+    }
     for vm in &mut testbed.vms[vms] {
         vm.undisturbed_since = Instant::now();
     }
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -33,6 +33,8 @@
     served: u32,
     ended: u32,
     violations: Vec<String>,
+    /// All runs with the time of their begin, if they are kept.
+    kept_runs: Option<Vec<(Instant, Run)>>,
 }
 
 impl Ledger {
@@ -48,6 +50,9 @@
     /// Records that a target has begun to run a request.
     pub fn record_run(&self, run: &Run) {
         let mut state = self.lock();
+        if let Some(kept) = &mut state.kept_runs {
+            kept.push((Instant::now(), run.clone()));
+        }
         if let Some(bad) = &state.bad_version {
             let is_bad = *bad == run.version;
             state.rollout_runs.0 += 1;
@@ -80,6 +85,17 @@
         }
     }
 
+    /// Keeps all runs from now on.
+    pub fn keep_runs(&self) {
+        self.lock().kept_runs = Some(Vec::new());
+    }
+
+    /// Returns the runs that were kept, in the order of their begin, and keeps no more.
+    #[must_use]
+    pub fn take_kept_runs(&self) -> Vec<(Instant, Run)> {
+        self.lock().kept_runs.take().unwrap_or_default()
+    }
+
     /// Returns how often a request has run.
     #[must_use]
     pub fn runs_of(&self, id: &str) -> u32 {
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -4,11 +4,14 @@
 //! injected from outside the processes: by signals, loopback proxies and the stand-in for the
 //! store.
 
+mod accounts;
 mod batches;
 mod caller;
+mod disturbances;
 mod drill;
 mod faults;
 pub mod ledger;
+mod limit_drill;
 mod node_process;
 pub mod proxy;
 pub mod testbed;
@@ -23,6 +26,7 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::soak::limit_drill::LimitDrill;
 use crate::soak::testbed::Testbed;
 use crate::soak::testbed::TestbedOptions;
 
@@ -96,6 +100,10 @@
 /// # Errors
 /// A process or a stand-in cannot be started.
 pub fn run_seed(seed: u64, nodes: usize, logs: &std::path::Path) -> Result<Vec<String>> {
+    let limit_random = limit_drill::random_of(seed, nodes);
+    if limit_random.is_some() {
+        println!("seed {seed} has client accounts, regions, a cold target and an evacuation");
+    }
     let directory = logs.join(seed.to_string());
     std::fs::create_dir_all(&directory)
         .map_err(|error| Error::resource(directory.display().to_string(), error))?;
@@ -107,7 +115,8 @@
         slots: SLOTS,
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
-        has_two_regions: false,
+        has_two_regions: limit_random.is_some(),
+        has_accounts: limit_random.is_some(),
         memory_mb: testbed::MEMORY_MB,
         directory,
     };
@@ -115,9 +124,16 @@
     let mut testbed = Testbed::start(&options).or_else(|_| Testbed::start(&options))?;
     testbed.wait_until_served();
     testbed.start_batch_callers(BATCH_CALLERS);
-    faults::inject(&mut testbed, FAULT_TIME)?;
+    let mut limits = limit_random.map(|random| LimitDrill::begin(&mut testbed, random, FAULT_TIME));
+    faults::inject(&mut testbed, FAULT_TIME, limits.as_mut())?;
     testbed.heal()?;
+    if let Some(limits) = &mut limits {
+        limits.reopen(&mut testbed);
+    }
     testbed.check_recovery();
     faults::stop_nodes_as_planned(&mut testbed, BATCH_CALLERS)?;
+    if let Some(limits) = &mut limits {
+        limits.check(&testbed);
+    }
     Ok(testbed.finish())
 }
--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -29,11 +30,15 @@
 use crate::harness::process::Process;
 use crate::harness::process::Signal;
 use crate::harness::programs::Programs;
+use crate::soak::accounts;
+use crate::soak::accounts::AccountCaller;
+use crate::soak::accounts::KeyUses;
 use crate::soak::batches;
 use crate::soak::caller;
 use crate::soak::caller::CallerContext;
 use crate::soak::caller::Disruptions;
 use crate::soak::caller::HOST;
+use crate::soak::disturbances::Disturbances;
 use crate::soak::ledger::Ledger;
 use crate::soak::node_process::start_node;
 use crate::soak::proxy::Mode;
@@ -78,6 +83,8 @@
     pub descriptors: Option<u32>,
     /// Whether each two VMs are in another region, and the platform has evacuations and cold rates.
     pub has_two_regions: bool,
+    /// Whether callers have client accounts.
+    pub has_accounts: bool,
     /// Memory of the VM that the node's settings state, in MB.
     pub memory_mb: u64,
     /// Where settings and logs go.
@@ -134,6 +141,8 @@
     pub target_proxy: Proxy,
     /// Proxy between other nodes and this one.
     pub link_proxy: Proxy,
+    /// Number of restarts of the node, counted before each.
+    pub node_starts: Arc<AtomicU32>,
     target_starts: u32,
     fails_permille: u32,
     /// Highest version of the configuration that was observed in force at this node process.
@@ -162,6 +171,10 @@
     pub config: (u64, Instant),
     /// Rollout of a bad version: service, version and deadline.
     pub rollout: Option<(&'static str, String, Instant)>,
+    /// Whether the key that can be revoked has been.
+    pub is_key_revoked: bool,
+    /// Times at which nodes could not be expected to be connected to the store.
+    pub disturbances: Disturbances,
     options: TestbedOptions,
     programs: Programs,
     stop: Arc<AtomicBool>,
@@ -189,11 +202,16 @@
             disruptions,
             config: (0, Instant::now()),
             rollout: None,
+            is_key_revoked: false,
+            disturbances: Disturbances::default(),
             options: options.clone(),
             programs: Programs::locate()?,
             stop,
             callers: Vec::new(),
         };
+        if options.has_accounts {
+            testbed.ledger.keep_runs();
+        }
         testbed.write_config();
         for index in 0..options.nodes {
             testbed.add_vm(&format!("n{index}"), SERVICES[index % SERVICES.len()], true)?;
@@ -202,7 +220,8 @@
             for number in 0..options.callers_per_node {
                 let index = u64::try_from(index).unwrap_or(0);
                 let seed = options.seed * 1000 + index * options.callers_per_node + number;
-                let context = testbed.caller_context(vm, seed);
+                let mut context = testbed.caller_context(vm, seed);
+                context.account = options.has_accounts.then_some(accounts::ORDINARY);
                 testbed.callers.push(caller::start(context));
             }
         }
@@ -217,12 +236,30 @@
         }
     }
 
+    /// Starts callers at each node that send requests of several accounts, and returns their record.
+    pub fn start_account_callers(&mut self) -> Arc<KeyUses> {
+        let uses: Arc<KeyUses> = Arc::default();
+        for (index, vm) in self.vms.iter().enumerate() {
+            let context = self.caller_context(vm, self.options.seed * 1000 + 800);
+            let starts = Arc::clone(&vm.node_starts);
+            let caller = AccountCaller {
+                vm: index,
+                starts,
+                context,
+                uses: Arc::clone(&uses),
+            };
+            self.callers.push(caller.start());
+        }
+        uses
+    }
+
     fn caller_context(&self, vm: &Vm, seed: u64) -> CallerContext {
         CallerContext {
             node: vm.callers,
             seed,
             ledger: Arc::clone(&self.ledger),
             disruptions: Arc::clone(&self.disruptions),
+            account: None,
             stop: Arc::clone(&self.stop),
         }
     }
@@ -278,8 +315,11 @@
                 true,
             ));
         }
-        self.store
-            .put("config", "main", wire::config(version, &routes, &SERVICES));
+        let mut config = wire::config(version, &routes, &SERVICES);
+        if self.options.has_accounts {
+            accounts::add_to_config(&mut config, self.is_key_revoked);
+        }
+        self.store.put("config", "main", config);
         self.config = (version, Instant::now());
     }
 
@@ -402,6 +442,18 @@
 }
 
 impl Vm {
+    /// Returns the data centre of the VM.
+    #[must_use]
+    pub fn data_centre(&self) -> &'static str {
+        self.options.site.data_centre
+    }
+
+    /// Returns the region of the VM.
+    #[must_use]
+    pub fn region(&self) -> &'static str {
+        self.options.site.region
+    }
+
     /// Returns the address on which the node accepts links of other nodes.
     #[must_use]
     pub fn peers(&self) -> SocketAddr {
@@ -445,6 +497,7 @@
             store_proxy,
             target_proxy,
             link_proxy,
+            node_starts: Arc::default(),
             target_starts: 0,
             fails_permille: 0,
             observed_version: 0,
@@ -513,6 +566,7 @@
     pub fn restart_node(&mut self) -> Result<()> {
         self.observed_version = 0;
         self.undisturbed_since = Instant::now();
+        self.node_starts.fetch_add(1, Ordering::SeqCst);
         self.node.restart()
     }
 
--- a/xtask/tests/mesh/setup.rs
+++ b/xtask/tests/mesh/setup.rs
@@ -35,6 +35,7 @@
         connection_behaviour: ConnectionBehaviour::Keep,
         descriptors: None,
         has_two_regions: false,
+        has_accounts: false,
         memory_mb: MEMORY_MB,
         directory,
     }
