Explain where a request would go, without sending it

A request's way could only be read from the log after it had been sent. The metrics address of a node now answers /explain, and hemlockfall explain asks it and prints text or JSON.

Placement is a module of its own (node/placement.rs) that both a request and an explanation call; the round robin, the counts of canary requests, the random generator and the admission queue are copied for an explanation. try_retry takes what retries_left reports.

--- a/crates/hemlockfall/src/cli.rs
+++ b/crates/hemlockfall/src/cli.rs
@@ -4,6 +4,7 @@
 pub mod pages;
 
 mod check;
+mod explain;
 mod failure;
 mod node;
 mod output;
@@ -64,6 +65,7 @@
         Command::Move(options) => remote::change_move(options),
         Command::Status(options) => remote::status(&options),
         Command::Report(options) => remote::report(&options),
+        Command::Explain(options) => explain::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Errors(options) => pages::print_errors(options.format),
         Command::Settings(options) => pages::print_settings(options.format),
--- a/crates/hemlockfall/src/cli/arguments.rs
+++ b/crates/hemlockfall/src/cli/arguments.rs
@@ -41,6 +41,9 @@
     /// Shows the report on moves.
     #[options(help = "report on versions completed on time and stopped early")]
     Report(ReportOptions),
+    /// Explains where a request would go.
+    #[options(help = "show where a node would send a request now and why, without sending it")]
+    Explain(ExplainOptions),
     /// Checks a file.
     #[options(help = "check a settings or catalogue file")]
     Check(CheckOptions),
@@ -338,6 +341,56 @@
     pub output: Option<PathBuf>,
 }
 
+/// Options of `explain`.
+#[derive(Debug, Options)]
+#[options(
+    help = "Show where a node of `sidecar` would send a request now and why, without sending it."
+)]
+pub struct ExplainOptions {
+    /// Whether help was requested.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Metrics address of the node to ask.
+    #[options(
+        no_short,
+        required,
+        meta = "ADDRESS",
+        help = "metrics address of the node that the request would arrive at"
+    )]
+    pub node: NodeAddress,
+    /// Request method.
+    #[options(
+        no_short,
+        meta = "METHOD",
+        help = "method of the request",
+        default = "GET"
+    )]
+    pub method: String,
+    /// Host.
+    #[options(no_short, required, meta = "HOST", help = "host of the request")]
+    pub host: String,
+    /// Path.
+    #[options(no_short, required, meta = "PATH", help = "path of the request")]
+    pub path: String,
+    /// Name of the client account.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "name, not key, of the client account of the request"
+    )]
+    pub account: Option<String>,
+    /// Time for which the caller waits.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "time for which the caller waits, default the timeout of the route"
+    )]
+    pub timeout_ms: Option<u64>,
+    /// Whether to print JSON.
+    #[options(no_short, help = "print JSON in place of text")]
+    pub json: bool,
+}
+
 /// Options of `check`.
 #[derive(Debug, Options)]
 #[options(help = "Check a settings or catalogue file.")]
--- a/crates/sidecar/src/accounts.rs
+++ b/crates/sidecar/src/accounts.rs
@@ -76,6 +76,16 @@
         })
     }
 
+    /// Returns the account with a name.
+    #[must_use]
+    pub fn find_named(&self, name: &str) -> Option<&ClientAccount> {
+        let accounts = self.config.accounts.as_deref()?;
+        let index = accounts
+            .binary_search_by(|account| account.name.as_str().cmp(name))
+            .ok()?;
+        accounts.get(index)
+    }
+
     /// Returns the memory of the entries in bytes.
     #[must_use]
     pub fn entry_bytes(&self) -> usize {
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -145,7 +145,7 @@
 }
 
 /// Request in the queue.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Waiting {
     request: AdmissionRequest,
     standing: Standing,
@@ -153,7 +153,7 @@
 }
 
 /// Slots of the target and the queue of requests that wait for one.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AdmissionQueue {
     slots: usize,
     running: usize,
@@ -281,6 +281,17 @@
         self.admit_with(request, Standing::default(), now)
     }
 
+    /// Returns what [`Self::admit_with`] would decide, and changes nothing.
+    #[must_use]
+    pub fn preview(
+        &self,
+        request: AdmissionRequest,
+        standing: Standing,
+        now: Time,
+    ) -> AdmissionDecision {
+        self.clone().admit_with(request, standing, now)
+    }
+
     /// Gives a request of a known standing a slot, queues it or rejects it.
     pub fn admit_with(
         &mut self,
--- a/crates/sidecar/src/admission/by_cost.rs
+++ b/crates/sidecar/src/admission/by_cost.rs
@@ -61,7 +61,7 @@
 }
 
 /// State that only the order by cost needs.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct CostState {
     running: Vec<Running>,
     shares: AccountShares,
--- a/crates/sidecar/src/balance.rs
+++ b/crates/sidecar/src/balance.rs
@@ -163,7 +163,8 @@
     }
 
     /// Returns what is left of the reported wait for the rate limit.
-    fn rate_limit_wait_ms(&self, now: Time) -> f64 {
+    #[must_use]
+    pub fn rate_limit_wait_ms(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.load_at);
         f64::from(self.load.rate_limit_wait_ms) - age.as_secs_f64() * 1000.0
     }
@@ -297,8 +298,23 @@
     random: &mut impl Rng,
 ) -> Option<u64> {
     let mean_run_ms = mean_run_ms(candidates);
-    let sampled = sample(candidates, random);
-    let mut losses: Vec<(f64, u64)> = sampled
+    let losses = losses(&sample(candidates, random), demand, mean_run_ms, now);
+    let best = losses.first()?.0;
+    let best_count =
+        losses.partition_point(|(expected_loss, _)| *expected_loss <= best + LOSS_TOLERANCE);
+    let index = random.random_range(0..best_count);
+    losses.get(index).map(|(_, node)| *node)
+}
+
+/// Returns the expected losses of the candidates that are not reported to be too full to answer in
+/// time, with their nodes, smallest first.
+fn losses(
+    candidates: &[Candidate],
+    demand: &Demand,
+    mean_run_ms: f64,
+    now: Time,
+) -> Vec<(f64, u64)> {
+    let mut losses: Vec<(f64, u64)> = candidates
         .iter()
         .filter(|candidate| !candidate.is_reported_full(demand.time_left, now))
         .map(|candidate| {
@@ -309,9 +325,22 @@
         })
         .collect();
     losses.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let best = losses.first()?.0;
-    let best_count =
-        losses.partition_point(|(expected_loss, _)| *expected_loss <= best + LOSS_TOLERANCE);
-    let index = random.random_range(0..best_count);
-    losses.get(index).map(|(_, node)| *node)
+    losses
+}
+
+/// Returns all candidates with the expected losses by which [`choose`] compares them, smallest first.
+#[must_use]
+pub fn rank(candidates: &[Candidate], demand: &Demand, now: Time) -> Vec<(f64, Candidate)> {
+    let mean_run_ms = mean_run_ms(candidates);
+    let mut ranked: Vec<(f64, Candidate)> = candidates
+        .iter()
+        .map(|candidate| {
+            (
+                candidate.expected_loss(demand, mean_run_ms, now),
+                *candidate,
+            )
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked
 }
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -92,17 +92,28 @@
     /// Takes one retry from the budget and returns whether it was available; `nodes` is the number
     /// of nodes that share the fixed allowance.
     pub fn try_retry(&mut self, service: &str, priority: u8, now: Time, nodes: usize) -> bool {
-        let limits = self.limits;
-        self.bucket(service, now);
-        let Some(window) = self.window(service) else {
+        if self.retries_left(service, priority, now, nodes) == 0 {
             return false;
-        };
-        let requests: u64 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries_milli: u64 = window
-            .buckets
-            .iter()
-            .map(|bucket| bucket.retries_milli)
-            .sum();
+        }
+        self.bucket(service, now).retries_milli += RETRY_MILLI;
+        true
+    }
+
+    /// Returns the number of retries that are available now to requests of a priority.
+    #[must_use]
+    pub fn retries_left(&self, service: &str, priority: u8, now: Time, nodes: usize) -> u64 {
+        let limits = self.limits;
+        let (mut requests, mut retries_milli) = (0, 0);
+        let found = self
+            .services
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        if let Ok(index) = found {
+            let buckets = &self.services[index].1.buckets;
+            for bucket in buckets.iter().filter(|b| b.start + limits.window > now) {
+                requests += bucket.requests;
+                retries_milli += bucket.retries_milli;
+            }
+        }
         let nodes = u64::try_from(nodes.max(1)).unwrap_or(u64::MAX);
         // In thousandths, since a node's part of the allowance may be less than one retry in a
         // large mesh.
@@ -113,19 +124,7 @@
         } else {
             OTHER_PERCENT
         };
-        if retries_milli + RETRY_MILLI > allowed_milli * percent / 100 {
-            return false;
-        }
-        self.bucket(service, now).retries_milli += RETRY_MILLI;
-        true
-    }
-
-    fn window(&mut self, service: &str) -> Option<&mut Window> {
-        let index = self
-            .services
-            .binary_search_by(|(name, _)| name.as_str().cmp(service))
-            .ok()?;
-        self.services.get_mut(index).map(|(_, window)| window)
+        (allowed_milli * percent / 100).saturating_sub(retries_milli) / RETRY_MILLI
     }
 
     fn bucket(&mut self, service: &str, now: Time) -> &mut Bucket {
--- a/crates/sidecar/src/cold_rate.rs
+++ b/crates/sidecar/src/cold_rate.rs
@@ -26,7 +26,7 @@
 }
 
 /// Token bucket and window of a target that may become cold.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ColdRate {
     /// Limit that the configuration names; `None` if a cold target takes any rate.
     limit: Option<ColdLimit>,
--- a/crates/sidecar/src/edge/frame.rs
+++ b/crates/sidecar/src/edge/frame.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::admission::RejectReason;
 use crate::evacuations::EvacuationSet;
 use crate::fingerprint::Fingerprint;
 use crate::judge::Evidence;
@@ -158,6 +159,16 @@
     RateLimited,
 }
 
+impl From<RejectReason> for Refusal {
+    fn from(reason: RejectReason) -> Self {
+        match reason {
+            RejectReason::TooLate => Self::TooLate,
+            RejectReason::QueueFull => Self::QueueFull,
+            RejectReason::RateLimited => Self::RateLimited,
+        }
+    }
+}
+
 /// Reason why the outcome of a call is unknown; the call may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cold_rate;
 pub mod edge;
 pub mod evacuations;
+pub mod explain;
 pub mod exposure;
 pub mod fingerprint;
 pub mod judge;
--- a/crates/sidecar/src/node/caller_accounts.rs
+++ b/crates/sidecar/src/node/caller_accounts.rs
@@ -21,7 +21,7 @@
 use crate::platform::HeaderNames;
 use crate::regions::AllowedRegions;
 
-const CODE_NO_ACCOUNT: &str = "HF-3714";
+pub(super) const CODE_NO_ACCOUNT: &str = "HF-3714";
 
 /// Result of checking the key of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,7 +83,7 @@
         self.identify_key(key, route)
     }
 
-    fn identify_key(&self, key: Option<KeyDigest>, route: &Route) -> CallerIdentity {
+    pub(super) fn identify_key(&self, key: Option<KeyDigest>, route: &Route) -> CallerIdentity {
         let Some(directory) = self.mesh.accounts() else {
             return CallerIdentity::NotNeeded;
         };
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -26,6 +26,7 @@
 use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::explain::EXPLAIN_PATH;
 use crate::node::Node;
 use crate::node::Port;
 use crate::node::Socket;
@@ -335,6 +336,9 @@
         match port {
             Port::Callers => self.begin_call(id, token, request, self.now),
             Port::Control => self.handle_control_call(id, token, &request),
+            Port::Metrics if request.path() == EXPLAIN_PATH => {
+                self.handle_explain(id, token, &request);
+            }
             Port::Ready | Port::Metrics | Port::Peers => self.handle_check(id, token, &request),
         }
     }
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -16,8 +16,6 @@
 use crate::attempts::FinalOutcome;
 use crate::attempts::NextStep;
 use crate::attempts::Outcome;
-use crate::balance;
-use crate::balance::Demand;
 use crate::clock::Time;
 use crate::edge::frame::Failure;
 use crate::edge::frame::Refusal;
@@ -40,6 +38,7 @@
 use crate::node::mesh::VersionRule;
 use crate::node::ms;
 use crate::node::peers::OWN_NODE;
+use crate::node::placement::PlacementRequest;
 use crate::node::targets::WorkItem;
 use crate::node::targets::WorkOrigin;
 use crate::node::targets::WorkState;
@@ -49,20 +48,30 @@
 use crate::order::returns::MIN_RETRY_AFTER;
 use crate::regions::AllowedRegions;
 
-const CODE_NO_CONFIG: &str = "HF-3701";
-const CODE_NO_ROUTE: &str = "HF-3702";
+pub(super) const CODE_NO_CONFIG: &str = "HF-3701";
+pub(super) const CODE_NO_ROUTE: &str = "HF-3702";
 pub(super) const CODE_NO_TARGET: &str = "HF-3703";
-const CODE_SUSPECTED: &str = "HF-3704";
+pub(super) const CODE_SUSPECTED: &str = "HF-3704";
 const CODE_STOPPING: &str = "HF-3708";
 const CODE_UNKNOWN: &str = "HF-3706";
 const CODE_LONG_ID: &str = "HF-3710";
 /// `Retry-After` when no configuration or target is available to estimate a wait from.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Time for which additional links are kept for a service that had no free target.
-const FULL_SERVICE_RETENTION: Duration = Duration::from_secs(10);
 /// Lowest HTTP status after which a caller may send its request again.
 const MIN_UNSERVED_STATUS: u16 = 408;
 
+/// Decision on whether a request may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Entry {
+    Begin,
+    /// It waits until the starting node knows targets.
+    Defer,
+    /// It is refused with 503.
+    Refuse {
+        code: &'static str,
+    },
+}
+
 /// Request of a caller.
 pub(crate) struct Call {
     caller: u64,
@@ -104,6 +113,20 @@
 }
 
 impl Call {
+    fn placement_request(&self) -> PlacementRequest<'_> {
+        PlacementRequest {
+            route: &self.route,
+            service: &self.service,
+            priority: self.priority,
+            allowed_regions: &self.allowed_regions,
+            version: &self.version,
+            canary_use: self.canary_use,
+            due: self.due,
+            deadline: self.deadline,
+            tried: &self.tried,
+        }
+    }
+
     /// Returns the memory of the request and of an answer that may still be replaced.
     pub(super) fn held_bytes(&self) -> usize {
         let answer = self.last_answer.as_ref();
@@ -168,20 +191,19 @@
         }
         let caller_timeout = self.caller_timeout(&request).unwrap_or(route.timeout);
         let deadline = arrived + caller_timeout.min(route.timeout);
-        if !self.may_start(deadline) {
-            self.refuse_request(caller, token, &request_id, 503, CODE_STOPPING);
-            return;
-        }
         let allowed_regions = identity.allowed_regions(&route);
-        if self.awaits_targets(&route, &allowed_regions) && self.can_defer(&request, arrived) {
-            self.defer_request(caller, token, request, arrived);
-            return;
+        match self.entry(&route, &allowed_regions, &request, arrived, deadline) {
+            Entry::Begin => {}
+            Entry::Defer => {
+                self.defer_request(caller, token, request, arrived);
+                return;
+            }
+            Entry::Refuse { code } => {
+                self.refuse_request(caller, token, &request_id, 503, code);
+                return;
+            }
         }
         self.replace_account_headers(&mut request, &identity);
-        if !self.has_memory_for(&route.name, request.body.len()) {
-            self.refuse_request(caller, token, &request_id, 503, CODE_NO_MEMORY);
-            return;
-        }
         let Some(service) = self.mesh.router.choose_service(&route) else {
             self.refuse_request(caller, token, &request_id, 503, CODE_NO_TARGET);
             return;
@@ -204,9 +226,7 @@
         );
         self.budget.count_request(&service, self.now);
         let share = self.retry_share(&service);
-        if share > 0.0 {
-            self.budget.count_nested_call(&service, share, self.now);
-        }
+        self.budget.count_nested_call(&service, share, self.now);
         let caller_deadline = arrived + caller_timeout;
         let first_requested_at = self
             .caller_retries
@@ -246,6 +266,30 @@
         self.attempt(id);
     }
 
+    /// Decides whether a request on a route may begin now.
+    pub(super) fn entry(
+        &self,
+        route: &Route,
+        allowed_regions: &AllowedRegions,
+        request: &HttpRequest,
+        arrived: Time,
+        deadline: Time,
+    ) -> Entry {
+        if !self.may_start(deadline) {
+            Entry::Refuse {
+                code: CODE_STOPPING,
+            }
+        } else if self.awaits_targets(route, allowed_regions) && self.can_defer(request, arrived) {
+            Entry::Defer
+        } else if !self.has_memory_for(&route.name, request.body.len()) {
+            Entry::Refuse {
+                code: CODE_NO_MEMORY,
+            }
+        } else {
+            Entry::Begin
+        }
+    }
+
     /// Refuses a request whose id is too long to be carried on a link and echoed whole.
     fn refuse_long_id(&mut self, caller: u64, token: u64, id_bytes: usize) {
         metrics::counter!("hemlockfall_sidecar_requests_total", "outcome" => "bad_id").increment(1);
@@ -309,31 +353,16 @@
         let Some(call) = self.calls.get(id) else {
             return;
         };
-        let answer_by = if call.due > now {
-            call.due
-        } else {
-            call.deadline
-        };
-        let time_left = answer_by.saturating_sub(now);
-        let candidates = self.candidates(call);
-        let demand = Demand {
-            time_left,
-            answer_kib: self.answer_sizes.kib(&call.route.name),
-            mean_kib: self.answer_sizes.overall_kib(),
-        };
-        let choice = match call.canary_use {
-            CanaryUse::LoadTest(test) if matches!(call.version, VersionRule::Only(_)) => {
-                let order = |node| self.load_test_rank(node, test);
-                balance::choose_first(&candidates, &demand, now, order)
-            }
-            _ => balance::choose(&candidates, &demand, now, &mut self.random),
-        };
-        let Some(node) = choice.or_else(|| self.full_node_to_ask(id, &candidates)) else {
+        let mut random = self.random.clone();
+        let placement = self.place(&call.placement_request(), &mut random);
+        self.random = random;
+        let Some(node) = placement.node else {
             if self.leave_canary(id) {
                 self.attempt(id);
                 return;
             }
-            let wait = candidates
+            let wait = placement
+                .candidates
                 .iter()
                 .map(|candidate| candidate.expected_wait_ms(now))
                 .reduce(f64::min);
@@ -353,38 +382,6 @@
         }
     }
 
-    /// Requests more links for a service, as no linked target can answer a call in time.
-    fn mark_service_full(&mut self, id: u64) {
-        let Some(service) = self.calls.get(id).map(|call| call.service.clone()) else {
-            return;
-        };
-        let until = self.now + FULL_SERVICE_RETENTION;
-        match self
-            .full_services
-            .binary_search_by(|(name, _)| name.cmp(&service))
-        {
-            Ok(index) => self.full_services[index].1 = until,
-            Err(index) => {
-                self.full_services.insert(index, (service, until));
-                self.overlay_is_due = true;
-            }
-        }
-    }
-
-    /// Sends a canary request to the other versions, as no target of the canary version can answer
-    /// it in time. Returns whether the call was a canary request.
-    fn leave_canary(&mut self, id: u64) -> bool {
-        let Some(call) = self.calls.get_mut(id) else {
-            return false;
-        };
-        let is_canary = matches!(call.version, VersionRule::Only(_))
-            && !self.mesh.allows_other_versions(&call.service);
-        if is_canary {
-            call.version = self.mesh.retry_rule(&call.service);
-        }
-        is_canary
-    }
-
     fn no_candidate(&mut self, id: u64, refusal: Refusal, wait_ms: Option<f64>) {
         let Some(call) = self.calls.get_mut(id) else {
             return;
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -157,10 +157,12 @@
         }
     }
 
-    /// Returns the versions that a new request may run on, and its use for the canary.
+    /// Returns the versions that a new request may run on, and its use for the canary; counts the
+    /// request in `exposure`.
     fn rule(
-        &mut self,
+        &self,
         request: RolloutRequest,
+        exposure: &mut Exposure,
         allowance: u32,
         nodes: usize,
     ) -> (VersionRule, CanaryUse) {
@@ -171,7 +173,7 @@
             RolloutState::Running if self.is_stopped => {
                 (VersionRule::Avoid(version), CanaryUse::None)
             }
-            RolloutState::Running => match self.exposure.next(request, allowance.into(), nodes) {
+            RolloutState::Running => match exposure.next(request, allowance.into(), nodes) {
                 CanaryUse::None => (VersionRule::Avoid(version), CanaryUse::None),
                 canary_use => (VersionRule::Only(version), canary_use),
             },
@@ -261,18 +263,37 @@
         nodes: usize,
         now: Time,
     ) -> (VersionRule, CanaryUse) {
-        if self.are_rollouts_held(now) {
-            return (self.retry_rule(service), CanaryUse::None);
+        let (rule, canary_use, exposure) =
+            self.next_version_rule(service, is_idempotent, allowance, nodes, now);
+        if let Some(tracked) = self.tracked_rollout_mut(service) {
+            tracked.exposure = exposure;
         }
-        let Some(tracked) = self.tracked_rollout_mut(service) else {
-            return (VersionRule::Any, CanaryUse::None);
+        (rule, canary_use)
+    }
+
+    /// Returns what [`Self::version_rule`] would return, and the counts of requests after it.
+    pub(super) fn next_version_rule(
+        &self,
+        service: &str,
+        is_idempotent: bool,
+        allowance: u32,
+        nodes: usize,
+        now: Time,
+    ) -> (VersionRule, CanaryUse, Exposure) {
+        let Some(tracked) = self.tracked_rollout(service) else {
+            return (VersionRule::Any, CanaryUse::None, Exposure::default());
         };
+        let mut exposure = tracked.exposure;
+        if self.are_rollouts_held(now) {
+            return (self.retry_rule(service), CanaryUse::None, exposure);
+        }
         let request = RolloutRequest {
             age: now.saturating_sub(tracked.first_seen),
             finish_in: tracked.rollout.finish_in,
             is_idempotent,
         };
-        tracked.rule(request, allowance, nodes)
+        let (rule, canary_use) = tracked.rule(request, &mut exposure, allowance, nodes);
+        (rule, canary_use, exposure)
     }
 
     /// Returns the versions that a retry may run on; never a canary version.
@@ -287,6 +308,18 @@
         }
     }
 
+    /// Returns the versions that a canary request may run on when no target of the canary version can
+    /// answer it in time; `None` if a rule is not that of a canary request.
+    pub(super) fn rule_without_canary(
+        &self,
+        service: &str,
+        rule: &VersionRule,
+    ) -> Option<VersionRule> {
+        let is_canary =
+            matches!(rule, VersionRule::Only(_)) && !self.allows_other_versions(service);
+        is_canary.then(|| self.retry_rule(service))
+    }
+
     /// Returns whether other versions may serve when the preferred one has no target.
     pub(super) fn allows_other_versions(&self, service: &str) -> bool {
         self.tracked_rollout(service)
--- a/crates/sidecar/src/node/ordering.rs
+++ b/crates/sidecar/src/node/ordering.rs
@@ -11,6 +11,7 @@
 use crate::node::Node;
 use crate::node::mesh::VersionRule;
 use crate::node::ms;
+use crate::node::placement::PlacementRequest;
 use crate::order::Order;
 use crate::order::RequestTimes;
 use crate::order::Standing;
@@ -25,11 +26,6 @@
         let Some(work) = work else {
             return Standing::default();
         };
-        // Without accounts, callers may set the header themselves.
-        let has_accounts = self
-            .mesh
-            .config()
-            .is_some_and(|config| config.accounts.is_some());
         let account = work.request.header(self.header_names.account_name);
         let times = RequestTimes {
             submitted_at: work.submitted_at,
@@ -37,18 +33,39 @@
             deadline: work.deadline,
             target_latency: work.target_latency,
         };
+        self.standing_of(account, work.is_retry, times)
+    }
+
+    /// Returns the standing of a request of an account under the order by cost.
+    pub(super) fn standing_of(
+        &self,
+        account: Option<&str>,
+        is_retry: bool,
+        times: RequestTimes,
+    ) -> Standing {
+        if self.settings.order == Order::Arrival {
+            return Standing::default();
+        }
+        // Without accounts, callers may set the header themselves.
+        let has_accounts = self
+            .mesh
+            .config()
+            .is_some_and(|config| config.accounts.is_some());
         Standing {
             account: account.filter(|_| has_accounts).map(Into::into),
-            has_spent_work: work.is_retry || times.has_come_back() || times.is_nested(),
+            has_spent_work: is_retry || times.has_come_back() || times.is_nested(),
         }
     }
 
     /// Returns a node to ask for a request although all are reported to be full: its queue may hold
     /// less urgent requests, which reports of the load do not tell. One node is asked.
-    pub(super) fn full_node_to_ask(&self, id: u64, candidates: &[Candidate]) -> Option<u64> {
-        let call = self.calls.get(id)?;
-        let is_first = call.tried.is_empty();
-        let is_canary = matches!(call.version, VersionRule::Only(_));
+    pub(super) fn full_node_to_ask(
+        &self,
+        request: &PlacementRequest<'_>,
+        candidates: &[Candidate],
+    ) -> Option<u64> {
+        let is_first = request.tried.is_empty();
+        let is_canary = matches!(request.version, VersionRule::Only(_));
         if self.settings.order == Order::Arrival || !is_first || is_canary {
             return None;
         }
@@ -56,9 +73,9 @@
         let has_less_urgent = config
             .routes
             .iter()
-            .filter(|route| route.priority > call.priority)
+            .filter(|route| route.priority > request.priority)
             .flat_map(|route| &route.services)
-            .any(|weighted| weighted.service == call.service);
+            .any(|weighted| weighted.service == *request.service);
         if !has_less_urgent {
             return None;
         }
--- a/crates/sidecar/src/node/peers.rs
+++ b/crates/sidecar/src/node/peers.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
+use hemlockfall_core::ids::DataCentreName;
 use hemlockfall_core::ids::Incarnation;
 use hemlockfall_core::ids::NodeName;
 use hemlockfall_core::ids::RouteName;
 use serde_json::json;
 
-use crate::balance::Candidate;
 use crate::balance::Distance;
 use crate::clock::Time;
 use crate::edge::frame::Frame;
@@ -17,9 +17,6 @@
 use crate::model::TargetKey;
 use crate::model::TargetRecord;
 use crate::node::Node;
-use crate::node::calls::Call;
-use crate::node::calls::is_allowed;
-use crate::node::mesh::VersionRule;
 use crate::regions::AllowedRegions;
 use crate::store_watch::Rank;
 use crate::store_watch::rank_of;
@@ -66,8 +63,8 @@
 /// Mean run time of a route and mean time to send its answers, as reported by a node.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RouteTimes {
-    run_ms: u16,
-    send_ms: u16,
+    pub(super) run_ms: u16,
+    pub(super) send_ms: u16,
 }
 
 impl Peer {
@@ -89,7 +86,7 @@
         }
     }
 
-    fn route_times(&self, route: &RouteName) -> RouteTimes {
+    pub(super) fn route_times(&self, route: &RouteName) -> RouteTimes {
         self.route_times
             .binary_search_by(|(name, _)| name.cmp(route))
             .map_or(RouteTimes::default(), |index| self.route_times[index].1)
@@ -208,6 +205,15 @@
             .count()
     }
 
+    /// Returns the name and the data centre of this node or of a peer; those of this node if the peer
+    /// is unknown.
+    pub(super) fn name_and_data_centre(&self, node: u64) -> (&NodeName, &DataCentreName) {
+        match self.peers.get(node) {
+            Some(peer) => (&peer.record.node, &peer.record.data_centre),
+            None => (&self.settings.name, &self.settings.data_centre),
+        }
+    }
+
     pub(super) fn has_links(&self) -> bool {
         self.peers.iter().any(|(_, peer)| peer.is_linked)
     }
@@ -274,88 +280,6 @@
                     && peer.record.target.as_ref().is_some_and(is_target)
             })
     }
-
-    /// Returns the nodes whose target may run a request.
-    pub(super) fn candidates(&self, call: &Call) -> Vec<Candidate> {
-        let matching = self.candidates_for(call, &call.version);
-        let allows_other_versions = self.mesh.allows_other_versions(&call.service);
-        if matching.is_empty() && allows_other_versions {
-            return self.candidates_for(call, &VersionRule::Any);
-        }
-        matching
-    }
-
-    fn candidates_for(&self, call: &Call, rule: &VersionRule) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        let own = self.target.own.record(self.is_target_open());
-        if let Some(target) = own
-            && target.is_ready
-            && target.service == call.service
-            && call.allowed_regions.allows(&self.settings.region)
-            && is_allowed(rule, &target.version)
-            && !call.tried.contains(&OWN_NODE)
-        {
-            let load = LoadReport {
-                rate_limit_wait_ms: self.rate_limit_wait_ms(),
-                ..self.target.admission.load_for(&call.route.name)
-            };
-            candidates.push(Candidate {
-                node: OWN_NODE,
-                distance: Distance::Own,
-                load,
-                load_at: self.now,
-                outstanding: 0,
-                slots: load.slots,
-            });
-        }
-        for (id, peer) in self.peers.iter() {
-            let Some(target) = &peer.record.target else {
-                continue;
-            };
-            let is_usable = peer.is_linked
-                && target.is_ready
-                && target.service == call.service
-                && call.allowed_regions.allows(&peer.record.region)
-                && !self.mesh.evacuations.contains(&peer.record.data_centre)
-                && is_allowed(rule, &target.version)
-                && !call.tried.contains(&id)
-                && !self.is_stalled(peer);
-            if is_usable {
-                let times = peer.route_times(&call.route.name);
-                let load = LoadReport {
-                    route_run_ms: times.run_ms,
-                    route_send_ms: times.send_ms,
-                    ..peer.load
-                };
-                candidates.push(Candidate {
-                    node: id,
-                    distance: peer.distance,
-                    load,
-                    load_at: peer.load_at,
-                    outstanding: peer.outstanding,
-                    slots: u16::try_from(target.slots).unwrap_or(u16::MAX),
-                });
-            }
-        }
-        candidates
-    }
-
-    /// Returns the rank of a node in the order in which the new targets of a rollout are tested
-    /// under load. The order differs between tests, so that no single target decides the outcome.
-    pub(super) fn load_test_rank(&self, node: u64, test: u8) -> Rank {
-        let name = match self.peers.get(node) {
-            Some(peer) => &peer.record.node,
-            None => &self.settings.name,
-        };
-        rank_of(&format!("{test} {name}"))
-    }
-
-    /// Returns whether a peer has no link or its link has stalled.
-    fn is_stalled(&self, peer: &Peer) -> bool {
-        peer.link
-            .and_then(|link| self.links.get(link))
-            .is_none_or(|link| link.is_stalled(self.now, peer.distance))
-    }
 }
 
 /// Adds the deregistered targets of a node's previous record to its new one, since they also hold
--- a/crates/sidecar/src/node/targets.rs
+++ b/crates/sidecar/src/node/targets.rs
@@ -12,7 +12,6 @@
 use crate::admission::AdmissionDecision;
 use crate::admission::AdmissionQueue;
 use crate::admission::AdmissionRequest;
-use crate::admission::RejectReason;
 use crate::admission::WorkId;
 use crate::clock::Time;
 use crate::cold_doubt::ColdDoubt;
@@ -215,12 +214,7 @@
                 reason,
                 retry_after,
             } => {
-                let refusal = match reason {
-                    RejectReason::TooLate => Refusal::TooLate,
-                    RejectReason::QueueFull => Refusal::QueueFull,
-                    RejectReason::RateLimited => Refusal::RateLimited,
-                };
-                self.reject_work(id, refusal, retry_after);
+                self.reject_work(id, reason.into(), retry_after);
             }
         }
     }
--- a/crates/sidecar/src/order/reservation.rs
+++ b/crates/sidecar/src/order/reservation.rs
@@ -48,7 +48,7 @@
 }
 
 /// Recent demand and refusals by priority.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Reservation {
     /// Sorted by priority.
     needs: Vec<(u8, Need)>,
--- a/crates/sidecar/src/order/returns.rs
+++ b/crates/sidecar/src/order/returns.rs
@@ -49,7 +49,7 @@
 }
 
 /// Slots that were promised to refused callers.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Returns {
     /// Time of the next slot that is not promised yet, sorted by priority.
     next_at: Vec<(u8, Time)>,
--- a/crates/sidecar/src/order/shares.rs
+++ b/crates/sidecar/src/order/shares.rs
@@ -59,7 +59,7 @@
 }
 
 /// Demand of all accounts at a target.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AccountShares {
     /// Sorted by account.
     accounts: Vec<(AccountName, Demand)>,
--- a/crates/sidecar/src/plugin.rs
+++ b/crates/sidecar/src/plugin.rs
@@ -200,6 +200,8 @@
             code(3713, "a client account of a configuration has no usable name or key; it is refused whole"),
             code(3714, "the request has no key of a client account; check the key"),
             code(3715, "the client account has used up its quota; come back after Retry-After"),
+            code(3720, "the request to explain is not valid; the message says why"),
+            code(3721, "no client account has the name given to `explain`; check the name"),
         ],
         metrics: &[
             counter("hemlockfall_sidecar_requests_total", "requests by outcome"),
--- a/crates/sidecar/src/rate_limit.rs
+++ b/crates/sidecar/src/rate_limit.rs
@@ -20,7 +20,7 @@
 const TOKEN_TOLERANCE: f64 = 1e-6;
 
 /// Token bucket at the rate that the target names.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
     limit: Option<Limit>,
     /// Time since which the current process of the target is known; answers to earlier requests
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -18,7 +18,7 @@
 }
 
 /// Smooth weighted round robin over the services of one route.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Split {
     route: RouteName,
     /// Weights that the credits were computed with; the credits are reset when they change.
@@ -81,6 +81,18 @@
         route.services.get(index).map(|entry| entry.service.clone())
     }
 
+    /// Returns the service that [`Self::choose_service`] would return, without advancing the round
+    /// robin.
+    #[must_use]
+    pub fn next_service(&self, route: &Route) -> Option<ServiceName> {
+        let of_route = |split: &&Split| split.route == route.name;
+        let mut copy = Self {
+            routes: Vec::new(),
+            splits: self.splits.iter().filter(of_route).cloned().collect(),
+        };
+        copy.choose_service(route)
+    }
+
     fn split(&mut self, route: &Route) -> &mut Split {
         let weights: Vec<u32> = route.services.iter().map(|entry| entry.weight).collect();
         let index = match self
