Compare explanations with where requests then go

Three tests with real processes: a request reaches the target that the explanation names, before and after a target has left, and asking reaches no target; accounts are explained by name and no key is printed; bad input is refused with a number.

--- a/xtask/tests/mesh/accounts.rs
+++ b/xtask/tests/mesh/accounts.rs
@@ -27,8 +27,8 @@
 
 /// Time within which a node that was cut off must know a revocation, after it is connected again.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(5);
-const REVOKED_KEY: &str = "k-revoked-81c2";
-const KEPT_KEY: &str = "k-kept-02aa";
+pub const REVOKED_KEY: &str = "k-revoked-81c2";
+pub const KEPT_KEY: &str = "k-kept-02aa";
 const UNKNOWN_KEY: &str = "k-unknown-77de";
 
 /// Returns the next configuration of a testbed, with accounts, and counts it as written.
@@ -55,7 +55,7 @@
 }
 
 /// Starts a mesh whose first node has the only target of `/stock/`, which needs a key.
-fn start_with_accounts(test: &str, nodes: usize) -> Testbed {
+pub fn start_with_accounts(test: &str, nodes: usize) -> Testbed {
     let mut testbed = start(&testbed_options(test, nodes));
     for vm in &testbed.vms {
         await_served(&testbed, vm.callers, "/stock/1");
--- a/xtask/tests/mesh/main.rs
+++ b/xtask/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod batches;
 mod connections;
 mod deregistration;
+mod explain;
 mod foreign_heartbeats;
 mod leaving_notices;
 mod order_by_cost;
--- a/xtask/tests/mesh/placement_limits.rs
+++ b/xtask/tests/mesh/placement_limits.rs
@@ -41,7 +41,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Starts four VMs: one of each service in each of two data centres, which are regions of their own.
-fn start_two_regions(test: &str) -> Testbed {
+pub fn start_two_regions(test: &str) -> Testbed {
     let mut options = testbed_options(test, 4);
     options.has_two_regions = true;
     let testbed = start(&options);
@@ -52,7 +52,7 @@
 }
 
 /// Writes a configuration with a route whose requests only the region `east` may serve, and a cold rate.
-fn write_limits(testbed: &mut Testbed) {
+pub fn write_limits(testbed: &mut Testbed) {
     let version = testbed.config.0 + 2;
     let mut home = wire::route("home", HOST, "/home/", "desk", true);
     home["allowedRegions"] = json!(["east"]);
@@ -72,7 +72,7 @@
     testbed.vms[vm].target.as_ref().expect("the target runs")
 }
 
-fn arrivals_since(testbed: &Testbed, vm: usize, since: Instant) -> usize {
+pub fn arrivals_since(testbed: &Testbed, vm: usize, since: Instant) -> usize {
     let arrivals = target(testbed, vm).arrivals();
     arrivals.iter().filter(|at| **at >= since).count()
 }
