--- a/crates/hemlockfall/src/cli/explain.rs
+++ b/crates/hemlockfall/src/cli/explain.rs
@@ -68,13 +68,11 @@
     if head.code == Some(STATUS_OK) {
         return serde_json::from_slice(body).map_err(|_| malformed("the answer cannot be read"));
     }
-    match serde_json::from_slice::<QueryError>(body) {
-        Ok(error) => Err(failed(error)),
-        Err(_) => {
-            let status = head.code.unwrap_or_default();
-            Err(malformed(&format!("the answer has status {status}")))
-        }
-    }
+    let Ok(error) = serde_json::from_slice::<QueryError>(body) else {
+        let status = head.code.unwrap_or_default();
+        return Err(malformed(&format!("the answer has status {status}")));
+    };
+    Err(failed(error))
 }
 
 fn exchange(stream: &mut TcpStream, query: &Query) -> io::Result<Vec<u8>> {
