--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -33,6 +33,7 @@
 mod target_notices;
 mod targets;
 mod transfers;
+mod version_rules;
 mod watcher_heartbeats;
 
 use std::cmp::Reverse;
