--- a/crates/sidecar/src/node/deferred.rs
+++ b/crates/sidecar/src/node/deferred.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 use crate::regions::AllowedRegions;
 
-const CODE_NO_CONFIG: &str = "HF-3701";
+pub(super) const CODE_NO_CONFIG: &str = "HF-3701";
 /// Time after the start in which the first target records may still arrive, in ticks.
 const STARTING_TICKS: u64 = 12;
 /// Longest time that a request is deferred.
--- a/crates/sidecar/src/node/mesh.rs
+++ b/crates/sidecar/src/node/mesh.rs
@@ -117,7 +117,7 @@
     pub(super) written_at: Option<Time>,
     /// Whether the rollout has ended and the store may have lost its outcome.
     pub(super) is_outcome_in_doubt: bool,
-    exposure: Exposure,
+    pub(super) exposure: Exposure,
 }
 
 impl TrackedRollout {
@@ -157,10 +157,12 @@
         }
     }
 
-    /// Returns the versions that a new request may run on, and its use for the canary.
-    fn rule(
-        &mut self,
+    /// Returns the versions that a new request may run on, and its use for the canary; counts the
+    /// request in `exposure`.
+    pub(super) fn rule(
+        &self,
         request: RolloutRequest,
+        exposure: &mut Exposure,
         allowance: u32,
         nodes: usize,
     ) -> (VersionRule, CanaryUse) {
@@ -171,7 +173,7 @@
             RolloutState::Running if self.is_stopped => {
                 (VersionRule::Avoid(version), CanaryUse::None)
             }
-            RolloutState::Running => match self.exposure.next(request, allowance.into(), nodes) {
+            RolloutState::Running => match exposure.next(request, allowance.into(), nodes) {
                 CanaryUse::None => (VersionRule::Avoid(version), CanaryUse::None),
                 canary_use => (VersionRule::Only(version), canary_use),
             },
@@ -252,47 +254,6 @@
         now < self.rollouts_held_until
     }
 
-    /// Returns the versions that a new request of a service may run on, and its use for the canary.
-    pub(super) fn version_rule(
-        &mut self,
-        service: &str,
-        is_idempotent: bool,
-        allowance: u32,
-        nodes: usize,
-        now: Time,
-    ) -> (VersionRule, CanaryUse) {
-        if self.are_rollouts_held(now) {
-            return (self.retry_rule(service), CanaryUse::None);
-        }
-        let Some(tracked) = self.tracked_rollout_mut(service) else {
-            return (VersionRule::Any, CanaryUse::None);
-        };
-        let request = RolloutRequest {
-            age: now.saturating_sub(tracked.first_seen),
-            finish_in: tracked.rollout.finish_in,
-            is_idempotent,
-        };
-        tracked.rule(request, allowance, nodes)
-    }
-
-    /// Returns the versions that a retry may run on; never a canary version.
-    pub(super) fn retry_rule(&self, service: &str) -> VersionRule {
-        let Some(tracked) = self.tracked_rollout(service) else {
-            return VersionRule::Any;
-        };
-        let version = tracked.rollout.target_version.clone();
-        match tracked.rollout.state {
-            RolloutState::Completed => VersionRule::Only(version),
-            RolloutState::Running | RolloutState::RolledBack => VersionRule::Avoid(version),
-        }
-    }
-
-    /// Returns whether other versions may serve when the preferred one has no target.
-    pub(super) fn allows_other_versions(&self, service: &str) -> bool {
-        self.tracked_rollout(service)
-            .is_some_and(|tracked| tracked.rollout.state == RolloutState::Completed)
-    }
-
     pub(super) fn tracked_rollout(&self, service: &str) -> Option<&TrackedRollout> {
         let index = self.rollout_index(service).ok()?;
         self.rollouts.get(index)
