--- a/xtask/tests/mesh/quotas.rs
+++ b/xtask/tests/mesh/quotas.rs
@@ -21,6 +21,8 @@
 use xtask::soak::testbed::SERVICES;
 use xtask::soak::testbed::Testbed;
 
+use hemlockfall_standins::target::Target;
+
 use crate::setup::HOST;
 use crate::setup::await_served;
 use crate::setup::start;
@@ -120,7 +122,7 @@
 /// Returns the largest number of requests that reached all targets together in a window.
 fn busiest_window(testbed: &Testbed, from: Instant) -> usize {
     let targets = testbed.vms.iter().filter_map(|vm| vm.target.as_ref());
-    let mut arrivals: Vec<Instant> = targets.flat_map(|target| target.arrivals()).collect();
+    let mut arrivals: Vec<Instant> = targets.flat_map(Target::arrivals).collect();
     arrivals.retain(|at| *at >= from);
     arrivals.sort();
     (0..arrivals.len())
@@ -133,7 +135,7 @@
 fn recent(testbed: &Testbed) -> usize {
     let now = Instant::now();
     let targets = testbed.vms.iter().filter_map(|vm| vm.target.as_ref());
-    let arrivals = targets.flat_map(|target| target.arrivals());
+    let arrivals = targets.flat_map(Target::arrivals);
     arrivals
         .filter(|at| now.duration_since(*at) < WINDOW)
         .count()
