--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -8,12 +8,15 @@
 //! rejected, see [`crate::order`].
 
 pub mod by_cost;
+mod numbers;
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use hemlockfall_core::ids::RouteName;
 
+use self::numbers::round_to_u16;
+use self::numbers::saturate_to_u16;
 use crate::clock::Time;
 use crate::cold_rate::ColdLimit;
 use crate::cold_rate::ColdRate;
@@ -586,17 +589,3 @@
     }
     mean + (value - mean) * weight
 }
-
-fn saturate_to_u16(number: usize) -> u16 {
-    u16::try_from(number).unwrap_or(u16::MAX)
-}
-
-fn round_to_u16(number: f64) -> u16 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the number is clamped to the range of the type"
-    )]
-    let rounded = number.clamp(0.0, f64::from(u16::MAX)).round() as u16;
-    rounded
-}
