--- a/crates/allowance/src/holder.rs
+++ b/crates/allowance/src/holder.rs
@@ -25,7 +25,7 @@
 use crate::slots::Slot;
 use crate::slots::SlotSet;
 
-/// Time after which an allowance that nobody has asked for is forgotten.
+/// Time after which an allowance without requests is discarded.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 /// Time over which refused requests are counted to estimate how many nodes compete.
 const COMPETITION_TIME: Duration = Duration::from_secs(1);
@@ -110,7 +110,7 @@
             .retain(|account| authority.is_own(account.slot));
     }
 
-    /// Forgets allowances that nobody uses.
+    /// Discards unused allowances.
     pub fn forget_idle(&mut self, now: Time) {
         for account in &mut self.accounts {
             account.shares.expire(now);
--- a/crates/allowance/src/spender.rs
+++ b/crates/allowance/src/spender.rs
@@ -28,7 +28,7 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 /// `Retry-After` when there is no holder that could tell.
 const NO_HOLDER_RETRY: Duration = Duration::from_millis(500);
-/// Time after which an allowance that nobody uses is forgotten.
+/// Time after which an unused allowance is discarded.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Source of a spent token.
@@ -357,7 +357,7 @@
         }
     }
 
-    /// Forgets allowances that nobody uses.
+    /// Discards unused allowances.
     pub fn forget_idle(&mut self, now: Time) {
         self.accounts.retain(|account| {
             account.waiting > 0
--- a/crates/allowance/tests/allowance/use_in_calm.rs
+++ b/crates/allowance/tests/allowance/use_in_calm.rs
@@ -96,7 +96,7 @@
     );
 }
 
-/// Guards against messages about allowances that nobody uses.
+/// Guards against messages about unused allowances.
 #[test]
 fn an_idle_mesh_asks_for_no_tokens() {
     let mesh = play(20, limit(40), 1, 0.0);
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -322,7 +322,7 @@
             && self.waiting.is_empty()
             && self.permit_wait(0, now).is_zero()
         {
-            if is_hopeless(&request, run, now) {
+            if cannot_be_in_time(&request, run, now) {
                 return self.reject(RejectReason::TooLate, &request, now);
             }
             if self.take_permit(now) {
@@ -577,7 +577,7 @@
 
 /// Returns whether a request is rejected although a slot is free: its deadline has passed, or its
 /// answer would wait for the uplink until it is late.
-fn is_hopeless(request: &AdmissionRequest, run: Duration, now: Time) -> bool {
+fn cannot_be_in_time(request: &AdmissionRequest, run: Duration, now: Time) -> bool {
     let is_late_on_uplink = request.uplink.is_uplink_bound(now + run)
         && request.uplink.arrival(now + run) > latest_answer(request);
     now >= request.deadline || is_late_on_uplink
--- a/crates/sidecar/src/admission/by_cost.rs
+++ b/crates/sidecar/src/admission/by_cost.rs
@@ -11,7 +11,7 @@
 use super::RejectReason;
 use super::Waiting;
 use super::WorkId;
-use super::is_hopeless;
+use super::cannot_be_in_time;
 use super::latest_answer;
 use crate::clock::Time;
 use crate::order::Claim;
@@ -122,7 +122,7 @@
         };
         let rank = self.rank(&new, now);
         if self.waiting.is_empty() && self.has_room(rank.priority, now) {
-            if is_hopeless(&new.request, run, now) {
+            if cannot_be_in_time(&new.request, run, now) {
                 let given_up = self.give_up(&new, now);
                 return reject(RejectReason::TooLate, given_up, Vec::new());
             }
--- a/crates/sidecar/src/cold_doubt.rs
+++ b/crates/sidecar/src/cold_doubt.rs
@@ -1,4 +1,4 @@
-//! Doubt whether the target is cold.
+//! Uncertainty about whether the target is cold.
 //!
 //! A target reports in its heartbeats whether it is cold. After some events the last report may be out
 //! of date: the process of this node was paused, the target was unreachable, or its data centre was
@@ -14,7 +14,7 @@
 /// Time between two health checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Doubt about the last report of the target.
+/// Whether the last report of the target may be out of date.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdDoubt {
     since: Option<Time>,
@@ -34,7 +34,7 @@
         self.since.is_some()
     }
 
-    /// Records a heartbeat, which ends the doubt if it was made after the event.
+    /// Records a heartbeat, which ends the uncertainty if it was made after the event.
     pub fn heartbeat(&mut self, now: Time) {
         self.heartbeat_at = now;
         if self.since.is_some_and(|since| now >= since + REPORT_MARGIN) {
--- a/crates/sidecar/src/node/allowances.rs
+++ b/crates/sidecar/src/node/allowances.rs
@@ -33,7 +33,7 @@
 /// Ticks after the start from which on a connected node knows the others, if the store's list of
 /// nodes cannot be read: the members have been compared with those of other nodes by then.
 const MEMBERS_KNOWN_TICKS: u64 = 30;
-/// Ticks between two removals of allowances that nobody uses.
+/// Ticks between two removals of unused allowances.
 const FORGET_TICKS: u64 = 50;
 /// Messages to this node's own holder that are handled in one event. A reply may ask for a
 /// registration, which takes one more.
--- a/crates/sidecar/src/node/coldness.rs
+++ b/crates/sidecar/src/node/coldness.rs
@@ -1,4 +1,4 @@
-//! Cold rate of the target beside this node, and the health checks that end a doubt about it.
+//! Cold rate of the target beside this node, and the health checks that find out whether it is cold.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,7 +75,7 @@
         self.update_coldness();
     }
 
-    /// Sends a health check to a target that is in doubt, if one is due. It takes a slot.
+    /// Sends a health check to a target that may be cold, if one is due. It takes a slot.
     pub(super) fn check_coldness(&mut self) {
         let is_due = self.target.cold_doubt.is_check_due(self.now) && self.accepts_peer_calls();
         if !is_due || self.cold_limit().is_none() {
@@ -132,7 +132,7 @@
             json!({ "status": answer.status, "is_cold": is_cold }),
         );
         self.update_coldness();
-        // Nobody waits for the result.
+        // No caller waits for the result.
         self.run_ended(id, started, AttemptEnd::Failed(Failure::BadAnswer));
     }
 }
