--- a/xtask/src/soak/testbed.rs
+++ b/xtask/src/soak/testbed.rs
@@ -466,6 +466,12 @@
         self.addresses.control
     }
 
+    /// Returns the address of the node's readiness check.
+    #[must_use]
+    pub fn ready(&self) -> SocketAddr {
+        self.addresses.ready
+    }
+
     /// Returns the address that the target announces.
     #[must_use]
     pub fn announced(&self) -> SocketAddr {
--- /dev/null
+++ b/xtask/tests/misbehaving_callers/crowd.rs
@@ -0,0 +1,205 @@
+//! Callers that stay outside the limits of the mesh, played by one thread for each crowd.
+
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Time between two turns of the callers of a crowd.
+const TURN: Duration = Duration::from_millis(5);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest number of bytes that a caller sends without reading an answer. It bounds what the crowd
+/// itself leaves in the kernel.
+const MAX_SENT_BYTES: usize = 1024 * 1024;
+/// Turns between two bytes of [`Behaviour::Trickle`].
+const TRICKLE_TURNS: u32 = 20;
+const READ_BYTES: usize = 64 * 1024;
+const STATUS_LINE: &[u8] = b"HTTP/1.1 ";
+
+/// What each caller of a crowd does on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Sends its input again and again and reads no answer.
+    SendOn,
+    /// Sends its input once and keeps the connection open.
+    SendOnce,
+    /// Sends one byte of its input at a time.
+    Trickle,
+    /// Sends its input, closes the connection at once and opens the next one.
+    Leave,
+    /// Sends its input again and again and reads the answers.
+    Read,
+}
+
+/// Callers that behave in the same way, each on a connection of its own.
+#[derive(Clone, Debug)]
+pub struct Crowd {
+    pub node: SocketAddr,
+    pub callers: usize,
+    pub behaviour: Behaviour,
+    /// Bytes that each caller sends.
+    pub input: Vec<u8>,
+    /// Whether callers whose connections were closed come back.
+    pub returns: bool,
+}
+
+/// Crowd that goes on until it is dropped.
+pub struct RunningCrowd {
+    stop: Arc<AtomicBool>,
+    /// Answers that the callers have read, at least.
+    answers: Arc<AtomicU64>,
+    players: Vec<JoinHandle<()>>,
+}
+
+struct Caller {
+    stream: Option<TcpStream>,
+    sent: usize,
+    has_ended: bool,
+}
+
+impl Crowd {
+    /// Starts the callers; `threads` threads share them.
+    pub fn start(self, threads: usize) -> RunningCrowd {
+        let stop: Arc<AtomicBool> = Arc::default();
+        let answers: Arc<AtomicU64> = Arc::default();
+        let players = (0..threads)
+            .map(|number| {
+                let mut crowd = self.clone();
+                crowd.callers =
+                    self.callers / threads + usize::from(number < self.callers % threads);
+                let (stop, answers) = (Arc::clone(&stop), Arc::clone(&answers));
+                thread::spawn(move || crowd.play(&stop, &answers))
+            })
+            .collect();
+        RunningCrowd {
+            stop,
+            answers,
+            players,
+        }
+    }
+
+    fn play(&self, stop: &AtomicBool, answers: &AtomicU64) {
+        let mut callers: Vec<Caller> = (0..self.callers)
+            .map(|_| Caller {
+                stream: None,
+                sent: 0,
+                has_ended: false,
+            })
+            .collect();
+        let mut turn = 0_u32;
+        while !stop.load(Ordering::SeqCst) {
+            turn = turn.wrapping_add(1);
+            for caller in &mut callers {
+                let read = self.take_turn(caller, turn);
+                answers.fetch_add(read, Ordering::SeqCst);
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+            }
+            if self.behaviour != Behaviour::Leave {
+                thread::sleep(TURN);
+            }
+        }
+    }
+
+    /// Plays one turn of a caller and returns the number of answers that it has read.
+    fn take_turn(&self, caller: &mut Caller, turn: u32) -> u64 {
+        let mut answers = 0;
+        if caller.stream.is_none() && (!caller.has_ended || self.returns) {
+            caller.stream = connect(self.node);
+            caller.sent = 0;
+        }
+        let Some(stream) = &mut caller.stream else {
+            return answers;
+        };
+        let alive = match self.behaviour {
+            Behaviour::SendOn if caller.sent > MAX_SENT_BYTES => Ok(()),
+            Behaviour::SendOn => send_on(stream, &self.input, &mut caller.sent, MAX_SENT_BYTES),
+            Behaviour::SendOnce => send_on(stream, &self.input, &mut caller.sent, self.input.len()),
+            Behaviour::Trickle if !turn.is_multiple_of(TRICKLE_TURNS) => Ok(()),
+            Behaviour::Trickle => {
+                let next = (caller.sent + 1).min(self.input.len());
+                send_on(stream, &self.input[..next], &mut caller.sent, next).and_then(|()| {
+                    // Shows whether the node has closed the connection.
+                    read_all(stream, &mut answers)
+                })
+            }
+            Behaviour::Leave => {
+                let _ = send_on(stream, &self.input, &mut caller.sent, self.input.len());
+                Err(ErrorKind::ConnectionAborted.into())
+            }
+            Behaviour::Read => read_all(stream, &mut answers)
+                .and_then(|()| send_on(stream, &self.input, &mut caller.sent, usize::MAX)),
+        };
+        if alive.is_err() {
+            caller.stream = None;
+            caller.has_ended = self.behaviour != Behaviour::Leave;
+        }
+        answers
+    }
+}
+
+impl RunningCrowd {
+    /// Returns the number of answers that the callers have read, at least.
+    pub fn answers(&self) -> u64 {
+        self.answers.load(Ordering::SeqCst)
+    }
+}
+
+fn connect(node: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&node, CONNECT_TIMEOUT).ok()?;
+    stream.set_nonblocking(true).ok()?;
+    Some(stream)
+}
+
+/// Sends on from byte `sent` of the repeated input, until `limit` bytes were sent in all or the
+/// connection takes no more.
+fn send_on(
+    stream: &mut TcpStream,
+    input: &[u8],
+    sent: &mut usize,
+    limit: usize,
+) -> std::io::Result<()> {
+    while *sent < limit {
+        match stream.write(&input[*sent % input.len()..]) {
+            Ok(count) => *sent += count,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Reads what has arrived and counts the answers in it, but those whose status line is split.
+fn read_all(stream: &mut TcpStream, answers: &mut u64) -> std::io::Result<()> {
+    let mut block = vec![0; READ_BYTES];
+    loop {
+        match stream.read(&mut block) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(count) => {
+                let lines = block[..count].split(|byte| *byte == b'\n');
+                *answers += lines.filter(|line| line.starts_with(STATUS_LINE)).count() as u64;
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+impl Drop for RunningCrowd {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for player in self.players.drain(..) {
+            // A player that panicked has closed its connections as well.
+            let _ = player.join();
+        }
+    }
+}
