Merge the samples of the histograms once a second

Seen: 8 bytes stay in the process for each answer and 8 for each run, until somebody fetches the metrics page. Cause: the Prometheus recorder is installed without its upkeep task, so that it keeps each sample one by one; rendering the page was the only thing that merged them.

--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -112,6 +112,9 @@
 const TRAFFIC_TICKS: u64 = 50;
 /// Ticks between two checks of the settings file for changes.
 const SETTINGS_TICKS: u64 = 10;
+/// Ticks between two runs of the upkeep of the metrics, which merges the samples of the histograms.
+/// The recorder keeps each sample until then.
+const METRICS_TICKS: u64 = 10;
 
 /// Purpose of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -469,6 +472,9 @@
         if self.ticks.is_multiple_of(TRAFFIC_TICKS) {
             self.report_traffic();
         }
+        if self.ticks.is_multiple_of(METRICS_TICKS) {
+            self.metrics.run_upkeep();
+        }
         if self.ticks.is_multiple_of(SETTINGS_TICKS) {
             self.reload_settings("file");
         }
