Accept at most 32 connections before other sockets get their turn

Seen: 300 callers that ask for 3 MB, close the connection at once and come back leave 6,015 descriptors open at a node. Cause: the node accepts in a loop until no connection waits. While callers connect at least as fast as it accepts, the loop doesn't end before the limit on callers' connections, and the ends of the connections that were accepted before are not read. Now 32 are accepted at a time; the rest follows a millisecond later, after the other events. Accepting and the listeners are a module now.

--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use hemlockfall_http::http::Header;
@@ -12,15 +11,8 @@
 use hemlockfall_http::http1::HttpLimits;
 use hemlockfall_http::http1::request::RequestReader;
 use hemlockfall_http::http1::response;
-use hemlockfall_http::listening;
 use serde_json::json;
-use stakker::Fwd;
-use stakker_mio::MioPoll;
-use stakker_mio::MioSource;
 use stakker_mio::Ready;
-use stakker_mio::mio::Interest;
-use stakker_mio::mio::net::TcpListener;
-use stakker_mio::mio::net::TcpStream;
 
 use crate::clock::Time;
 use crate::edge::stream;
@@ -32,9 +24,6 @@
 use crate::node::Socket;
 use crate::node::held_memory::DrainRate;
 
-const LISTENER_PRIORITY: u32 = 1;
-/// Connections that may wait in the kernel to be accepted.
-const BACKLOG: i32 = 1024;
 /// Requests of one connection that may be in progress at once.
 const MAX_PIPELINED: usize = 16;
 /// Buffered input of a connection above which no more is read; the rest stays in the socket.
@@ -85,25 +74,6 @@
     answer: Option<HttpAnswer>,
 }
 
-/// Opens a listener with `SO_REUSEADDR`, so that a restarted process can bind the address at once.
-pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let domain = socket2::Domain::for_address(address);
-    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(TcpListener::from_std(socket.into()))
-}
-
-pub(super) fn register(
-    poll: &MioPoll,
-    listener: TcpListener,
-    ready: Fwd<Ready>,
-) -> io::Result<MioSource<TcpListener>> {
-    poll.add(listener, Interest::READABLE, LISTENER_PRIORITY, ready)
-}
-
 impl Caller {
     /// Returns the size of the buffers for input.
     pub(super) fn held_bytes(&self) -> usize {
@@ -141,57 +111,7 @@
 }
 
 impl Node {
-    pub(super) fn accept(&mut self, port: Port) {
-        loop {
-            if port == Port::Callers && !self.has_room_for_caller() {
-                self.accept_is_due = true;
-                return;
-            }
-            let Some((_, listener)) = self.listeners.iter().find(|(open, _)| *open == port) else {
-                return;
-            };
-            match listener.accept() {
-                Ok((stream, _)) => self.accepted(port, stream),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    if !std::mem::replace(&mut self.accept_is_due, true) {
-                        let reason = error.to_string();
-                        self.log_event(
-                            "accept_failed",
-                            json!({ "port": format!("{port:?}"), "reason": reason }),
-                        );
-                    }
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Accepts connections that were left when accepting failed, mostly for lack of file
-    /// descriptors: no further event announces them.
-    pub(super) fn accept_pending(&mut self) {
-        if !std::mem::take(&mut self.accept_is_due) {
-            return;
-        }
-        let ports: Vec<Port> = self.listeners.iter().map(|(port, _)| *port).collect();
-        for port in ports {
-            self.accept(port);
-        }
-    }
-
-    fn accepted(&mut self, port: Port, stream: TcpStream) {
-        if port == Port::Peers {
-            self.link_accepted(stream);
-            return;
-        }
-        let ready = self.ready_fwd(Socket::Caller(self.callers.next_id()));
-        let stream = match Stream::accepted(&self.poll, stream, ready) {
-            Ok(stream) => stream,
-            Err(error) => {
-                self.log_event("accept_failed", json!({ "reason": error.to_string() }));
-                return;
-            }
-        };
+    pub(super) fn add_caller(&mut self, port: Port, stream: Stream) {
         let limits = self.http_limits();
         self.callers.insert(Caller {
             port,
@@ -484,22 +404,6 @@
         }
     }
 
-    /// Makes the kernel refuse new connections, before the listener is closed.
-    pub(super) fn refuse_connections(&mut self, port: Port) {
-        if let Some((_, listener)) = self.listeners.iter().find(|(open, _)| *open == port)
-            && let Err(error) = listening::refuse_new_connections(&**listener)
-        {
-            self.log_event("filter_refused", json!({ "reason": error.to_string() }));
-        }
-    }
-
-    /// Closes a listener. Connections that the kernel has already established are accepted first,
-    /// since their requests would otherwise be lost with the listener.
-    pub(super) fn close_listener(&mut self, port: Port) {
-        self.accept(port);
-        self.listeners.retain(|(open, _)| *open != port);
-    }
-
     /// Closes the idle connections of callers. Requests that have arrived but were not read yet
     /// are read first.
     pub(super) fn close_idle_callers(&mut self) {
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod link_calls;
 mod link_selection;
 mod links;
+mod listeners;
 mod loads;
 mod lost_target;
 mod members;
@@ -58,9 +59,7 @@
 use stakker::fwd_to;
 use stakker::stop;
 use stakker_mio::MioPoll;
-use stakker_mio::MioSource;
 use stakker_mio::Ready;
-use stakker_mio::mio::net::TcpListener;
 
 use crate::admission::WorkId;
 use crate::budget::RetryBudget;
@@ -78,6 +77,7 @@
 use crate::node::deregistration::PendingDeregistration;
 use crate::node::link_selection::ForwardState;
 use crate::node::links::Link;
+use crate::node::listeners::Listener;
 use crate::node::loads::ReportedLoad;
 use crate::node::mesh::Mesh;
 use crate::node::peers::Peer;
@@ -201,7 +201,7 @@
     next_wake_at: Option<Time>,
     last_tick: Time,
     ticks: u64,
-    listeners: Vec<(Port, MioSource<TcpListener>)>,
+    listeners: Vec<Listener>,
     /// Whether connections may wait at a listener without a further event for them.
     accept_is_due: bool,
     /// Largest number of connections of callers.
@@ -330,10 +330,9 @@
             (Port::Metrics, self.settings.metrics_address),
         ];
         for (port, address) in addresses {
-            let listener = callers::listen(address)?;
             let ready = self.ready_fwd(Socket::Listener(port));
-            let source = callers::register(&self.poll, listener, ready)?;
-            self.listeners.push((port, source));
+            self.listeners
+                .push(Listener::open(&self.poll, port, address, ready)?);
         }
         Ok(())
     }
@@ -372,7 +371,8 @@
             Socket::Target(id) => self.resume_target(id),
             Socket::Link(id) => self.resume_link(id),
             Socket::Store(channel) => self.resume_store(channel),
-            Socket::Listener(_) | Socket::Signals => {}
+            Socket::Listener(port) => self.resume_accepting(port),
+            Socket::Signals => {}
         }
         self.check_buffers();
     }
