Close the slowest transfer when all connections of callers are taken

Seen: 160 callers that send the head or the body of a request byte by byte take all connections of a node with 128 descriptors for good; an ordinary request gets no answer in 12 s. Causes: the time for a head was measured from its last byte, so that a head which keeps coming is never overdue; and only idle connections made room for others. Now a head must be complete within the configuration's header timeout after its first byte. Among too many connections the longest idle one is closed, as before; if none is idle, the slowest transfer below 16 KiB a second that has lasted for 500 ms. What has arrived is read before either decision, so that callers are not closed for a pause of the process. The choice is made in a module without a network; callers within the limits of the configuration are not among its candidates.

--- a/crates/sidecar/src/edge/stream.rs
+++ b/crates/sidecar/src/edge/stream.rs
@@ -79,6 +79,8 @@
     unsent_bytes: usize,
     /// Bytes written since the connection was opened.
     total_written_bytes: u64,
+    /// Bytes read since the connection was opened.
+    total_read_bytes: u64,
     is_connected: bool,
     /// Whether reading waits for [`Stream::resume`], as much input was read at once.
     is_paused: bool,
@@ -117,6 +119,7 @@
             written: 0,
             unsent_bytes: 0,
             total_written_bytes: 0,
+            total_read_bytes: 0,
             is_connected,
             is_paused: false,
         })
@@ -152,6 +155,12 @@
         self.total_written_bytes
     }
 
+    /// Returns the number of bytes read since the connection was opened.
+    #[must_use]
+    pub fn total_read_bytes(&self) -> u64 {
+        self.total_read_bytes
+    }
+
     /// Handles a writable socket: completes the connection attempt and writes buffered output.
     ///
     /// # Errors
@@ -180,7 +189,10 @@
         while input.len() < full_at {
             match self.source.read(&mut chunk) {
                 Ok(0) => return Reading::Ended,
-                Ok(count) => input.extend_from_slice(&chunk[..count]),
+                Ok(count) => {
+                    self.total_read_bytes += u64::try_from(count).unwrap_or(u64::MAX);
+                    input.extend_from_slice(&chunk[..count]);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Reading::Open,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Reading::Failed,
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -18,6 +18,7 @@
 use crate::edge::stream;
 use crate::edge::stream::Reading;
 use crate::edge::stream::Stream;
+use crate::eviction::Use;
 use crate::explain::EXPLAIN_PATH;
 use crate::node::Node;
 use crate::node::Port;
@@ -42,6 +43,8 @@
 const INITIAL_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Code of a request that was being read when its connection had to make room for another one.
+const CODE_NO_CONNECTION: &str = "HF-3716";
 /// Code of a request whose body found no memory.
 pub(super) const CODE_NO_MEMORY: &str = "HF-3709";
 /// `Retry-After` of such a request.
@@ -62,10 +65,21 @@
     /// Whether no further request is read from the connection.
     is_last: bool,
     last_activity: Time,
-    request_started: Option<Time>,
+    /// Request of which only a part has been read, if any.
+    unfinished: Option<UnfinishedRequest>,
+    /// When the output that is still unsent was queued behind none, if there is any.
+    output_since: Option<Time>,
     pub(super) drain_rate: DrainRate,
 }
 
+/// Start of a request that is being read.
+#[derive(Clone, Copy, Debug)]
+struct UnfinishedRequest {
+    started: Time,
+    /// Bytes that had been read from the connection before.
+    read_before: u64,
+}
+
 struct Pending {
     token: u64,
     is_head: bool,
@@ -92,14 +106,55 @@
         self.stream.total_written_bytes()
     }
 
-    pub(super) fn is_caller(&self) -> bool {
-        self.port == Port::Callers
+    pub(super) fn is_at(&self, port: Port) -> bool {
+        self.port == port
+    }
+
+    /// Returns what the connection is used for.
+    pub(super) fn current_use(&self, now: Time) -> Use {
+        if self.is_idle() {
+            return Use::Idle {
+                since: self.last_activity,
+            };
+        }
+        if let Some(since) = self.output_since {
+            let bytes_per_s = self.drain_rate.bytes_per_s(self.total_written_bytes());
+            return Use::Transfer { since, bytes_per_s };
+        }
+        match self.unfinished {
+            Some(unfinished) if self.pending.is_empty() => Use::Transfer {
+                since: unfinished.started,
+                bytes_per_s: self.receive_rate(unfinished, now),
+            },
+            Some(_) | None => Use::Request,
+        }
+    }
+
+    /// Returns the mean rate at which a request has been received, in bytes per second.
+    fn receive_rate(&self, unfinished: UnfinishedRequest, now: Time) -> usize {
+        let bytes = self.stream.total_read_bytes() - unfinished.read_before;
+        let took_ms = now.saturating_sub(unfinished.started).as_millis().max(1);
+        usize::try_from(u128::from(bytes) * 1000 / took_ms).unwrap_or(usize::MAX)
     }
 
-    /// Returns how long the connection has been idle; `None` while it is in use.
-    pub(super) fn idle_time(&self, now: Time) -> Option<Duration> {
-        self.is_idle()
-            .then(|| now.saturating_sub(self.last_activity))
+    /// Returns whether the caller has had the time for a request's head, or none of it has arrived for
+    /// that time.
+    fn is_request_overdue(&self, header_timeout: Duration, now: Time) -> bool {
+        let Some(unfinished) = self.unfinished else {
+            return false;
+        };
+        let is_in_head = self.reader.is_idle() && !self.is_blocked();
+        let since_start = now.saturating_sub(unfinished.started);
+        now.saturating_sub(self.last_activity) >= header_timeout
+            || (is_in_head && since_start >= header_timeout)
+    }
+
+    /// Returns whether further requests stay unread. Those behind a non-idempotent one stay unread
+    /// until its answer, so that they have not been started if that answer closes the connection.
+    fn is_blocked(&self) -> bool {
+        self.pending.len() >= MAX_PIPELINED
+            || self.stream.unsent_bytes() > MAX_UNSENT_BYTES
+            || self.pending.iter().any(|pending| !pending.is_idempotent)
     }
 
     fn is_idle(&self) -> bool {
@@ -123,7 +178,8 @@
             closing_since: None,
             is_last: false,
             last_activity: self.now,
-            request_started: None,
+            unfinished: None,
+            output_since: None,
             drain_rate: DrainRate::default(),
         });
     }
@@ -152,6 +208,9 @@
             if caller.stream.unsent_bytes() < unsent_bytes {
                 caller.last_activity = self.now;
             }
+            if !caller.stream.has_output() {
+                caller.output_since = None;
+            }
         }
         self.read_caller(id);
     }
@@ -207,16 +266,16 @@
                 caller.input.clear();
                 return;
             }
-            // Requests behind a non-idempotent one stay unread until its answer, so that they
-            // have not been started if that answer closes the connection.
-            let is_blocked = caller.pending.len() >= MAX_PIPELINED
-                || caller.stream.unsent_bytes() > MAX_UNSENT_BYTES
-                || caller.pending.iter().any(|pending| !pending.is_idempotent);
-            if caller.is_last || is_blocked || caller.input.is_empty() {
+            if caller.is_last || caller.is_blocked() || caller.input.is_empty() {
                 return;
             }
             caller.last_activity = now;
-            caller.request_started.get_or_insert(now);
+            let read_bytes = caller.stream.total_read_bytes();
+            let waiting_bytes = u64::try_from(caller.input.len()).unwrap_or(u64::MAX);
+            caller.unfinished.get_or_insert(UnfinishedRequest {
+                started: now,
+                read_before: read_bytes.saturating_sub(waiting_bytes),
+            });
             caller.reader.set_limits(limits);
             let step = match caller.reader.push(&caller.input) {
                 Ok(step) => step,
@@ -234,7 +293,7 @@
             let Some(read) = step.request else {
                 return;
             };
-            caller.request_started = None;
+            caller.unfinished = None;
             self.request_read(id, read.request, read.keep_alive);
         }
     }
@@ -338,6 +397,11 @@
             }
         }
         caller.last_activity = now;
+        if caller.stream.has_output() {
+            caller.output_since.get_or_insert(now);
+        } else {
+            caller.output_since = None;
+        }
         if has_failed {
             self.close_caller(id);
             return;
@@ -360,6 +424,20 @@
         }
     }
 
+    /// Closes a connection to make room for another one. A request of which a part has been read is
+    /// refused, since it has not run.
+    pub(super) fn evict_caller(&mut self, id: u64) {
+        if let Some(caller) = self.callers.get_mut(id)
+            && caller.unfinished.is_some()
+            && caller.pending.is_empty()
+        {
+            let answer = own_answer(503, CODE_NO_CONNECTION, Some(MEMORY_RETRY_AFTER));
+            // The caller may not read it, and the connection is closed in any case.
+            let _ = write_answer(&mut caller.stream, answer, false, false);
+        }
+        self.close_caller(id);
+    }
+
     pub(super) fn close_caller(&mut self, id: u64) {
         let Some(caller) = self.callers.remove(id) else {
             return;
@@ -392,12 +470,18 @@
             } else if idle_time >= idle_timeout && (caller.is_idle() || caller.stream.has_output())
             {
                 closed.push(id);
-            } else if caller.request_started.is_some() && idle_time >= header_timeout {
+            } else if caller.is_request_overdue(header_timeout, now) {
                 overdue.push(id);
             }
         }
         for id in overdue {
-            self.bad_request(id, HttpError::Timeout);
+            // The rest may have arrived and not been read yet, for example during a process pause.
+            self.resume_caller(id);
+            if let Some(caller) = self.callers.get(id)
+                && caller.is_request_overdue(header_timeout, now)
+            {
+                self.bad_request(id, HttpError::Timeout);
+            }
         }
         for id in closed {
             self.close_caller(id);
@@ -427,7 +511,7 @@
     pub(super) fn has_begun_requests(&self) -> bool {
         self.callers
             .iter()
-            .any(|(_, caller)| caller.port == Port::Callers && caller.request_started.is_some())
+            .any(|(_, caller)| caller.port == Port::Callers && caller.unfinished.is_some())
     }
 
     /// Returns whether a part of an answer still waits to be written.
--- /dev/null
+++ b/crates/sidecar/src/node/connection_room.rs
@@ -0,0 +1,73 @@
+//! Makes room for connections at the ports of the node.
+
+use crate::connection_limits::ConnectionLimits;
+use crate::eviction;
+use crate::eviction::Use;
+use crate::node::Node;
+use crate::node::Port;
+
+/// File that names the limit of descriptors, and the start of its line.
+const LIMITS_FILE: &str = "/proc/self/limits";
+const DESCRIPTORS_LINE: &str = "Max open files";
+/// Limit of descriptors that is assumed when it cannot be read.
+const DEFAULT_DESCRIPTORS: usize = 1024;
+/// Returns the limits on connections of this process.
+pub(super) fn connection_limits() -> ConnectionLimits {
+    let text = std::fs::read_to_string(LIMITS_FILE).unwrap_or_default();
+    let descriptors = text
+        .lines()
+        .find_map(|line| line.strip_prefix(DESCRIPTORS_LINE))
+        .and_then(|values| values.split_whitespace().next()?.parse().ok())
+        .unwrap_or(DEFAULT_DESCRIPTORS);
+    ConnectionLimits::for_descriptors(descriptors)
+}
+
+impl Node {
+    /// Returns whether a connection can be accepted at a port. Among too many, one that is hardly
+    /// used is closed.
+    pub(super) fn has_room_at(&mut self, port: Port) -> bool {
+        let limits = self.connection_limits;
+        match port {
+            Port::Callers => self.has_room_for_caller(port, limits.callers),
+            Port::Control | Port::Ready | Port::Metrics | Port::Peers => true,
+        }
+    }
+
+    fn has_room_for_caller(&mut self, port: Port, limit: usize) -> bool {
+        let open = self.callers.iter().filter(|(_, caller)| caller.is_at(port));
+        if open.count() < limit {
+            return true;
+        }
+        let Some((id, _)) = self.caller_to_evict(port) else {
+            return false;
+        };
+        // More may have arrived that has not been read yet, for example during a process pause.
+        self.resume_caller(id);
+        let Some(caller) = self.callers.get(id) else {
+            return true;
+        };
+        let now = self.now;
+        let used = caller.current_use(now);
+        if eviction::connection_to_evict(std::iter::once((id, used)), now).is_none() {
+            return false;
+        }
+        let kind = match used {
+            Use::Idle { .. } => "idle",
+            Use::Transfer { .. } | Use::Request => "slow",
+        };
+        metrics::counter!("hemlockfall_sidecar_idle_callers_closed_total", "kind" => kind)
+            .increment(1);
+        self.evict_caller(id);
+        true
+    }
+
+    fn caller_to_evict(&self, port: Port) -> Option<(u64, Use)> {
+        let now = self.now;
+        let at_port = self.callers.iter().filter(|(_, caller)| caller.is_at(port));
+        let uses = at_port.map(|(id, caller)| {
+            let used = caller.current_use(now);
+            ((id, used), used)
+        });
+        eviction::connection_to_evict(uses, now)
+    }
+}
--- a/crates/sidecar/src/node/held_memory.rs
+++ b/crates/sidecar/src/node/held_memory.rs
@@ -1,6 +1,5 @@
-//! Bounds what callers that read slowly or not at all, or that open many connections, hold of the
-//! process: unsent answers count against one budget together with everything else, and the callers'
-//! connections leave descriptors for links, the store and the target.
+//! Bounds what callers that read slowly or not at all hold of the process: unsent answers count
+//! against one budget together with everything else.
 
 use std::time::Duration;
 
@@ -17,20 +16,6 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Size from which a request or its expected answer counts as long.
 const LONG_BYTES: usize = 64 * 1024;
-/// File that names the limit of descriptors, and the start of its line.
-const LIMITS_FILE: &str = "/proc/self/limits";
-const DESCRIPTORS_LINE: &str = "Max open files";
-/// Limit of descriptors that is assumed when it cannot be read.
-const DEFAULT_DESCRIPTORS: usize = 1024;
-/// Part of the descriptors that callers leave free for links, the store and the target, and the
-/// least number of them.
-const RESERVED_PART: usize = 4;
-const MIN_RESERVED: usize = 48;
-/// Least number of connections that callers may open.
-const MIN_CALLERS: usize = 8;
-/// Idle time after which a caller's connection is closed to make room for another one.
-const EVICTABLE_IDLE_TIME: Duration = Duration::from_secs(1);
-
 /// Rate at which a caller takes its answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DrainRate {
@@ -57,23 +42,11 @@
     }
 
     /// Returns the higher one of the rates in the last window and in the current one.
-    fn bytes_per_s(&self, total_written_bytes: u64) -> usize {
+    pub(super) fn bytes_per_s(&self, total_written_bytes: u64) -> usize {
         self.bytes_per_s.max(self.recent(total_written_bytes))
     }
 }
 
-/// Returns how many connections callers may open, by the process's limit of descriptors.
-pub(super) fn max_callers() -> usize {
-    let text = std::fs::read_to_string(LIMITS_FILE).unwrap_or_default();
-    let limit = text
-        .lines()
-        .find_map(|line| line.strip_prefix(DESCRIPTORS_LINE))
-        .and_then(|values| values.split_whitespace().next()?.parse().ok())
-        .unwrap_or(DEFAULT_DESCRIPTORS);
-    let reserved = MIN_RESERVED.max(limit / RESERVED_PART);
-    limit.saturating_sub(reserved).max(MIN_CALLERS)
-}
-
 impl Node {
     /// Returns the memory of all messages: read, in progress or unsent.
     fn held_memory(&self) -> usize {
@@ -178,37 +151,4 @@
             self.close_caller(output.connection);
         }
     }
-
-    /// Returns whether a connection of a caller can be accepted. Among too many, the one that has been
-    /// idle for longest is closed.
-    pub(super) fn has_room_for_caller(&mut self) -> bool {
-        let open = self.callers.iter().filter(|(_, caller)| caller.is_caller());
-        if open.count() < self.max_callers {
-            return true;
-        }
-        let now = self.now;
-        let idle = self
-            .callers
-            .iter()
-            .filter(|(_, caller)| caller.is_caller())
-            .filter_map(|(id, caller)| Some((caller.idle_time(now)?, id)))
-            .max();
-        let Some((idle_time, id)) = idle else {
-            return false;
-        };
-        if idle_time < EVICTABLE_IDLE_TIME {
-            return false;
-        }
-        metrics::counter!("hemlockfall_sidecar_idle_callers_closed_total").increment(1);
-        // A request may have arrived that has not been read yet.
-        self.resume_caller(id);
-        let is_idle = self
-            .callers
-            .get(id)
-            .is_none_or(|caller| caller.idle_time(now).is_some());
-        if is_idle {
-            self.close_caller(id);
-        }
-        is_idle
-    }
 }
--- a/crates/sidecar/src/node/listeners.rs
+++ b/crates/sidecar/src/node/listeners.rs
@@ -105,7 +105,7 @@
 
     fn accept_some(&mut self, port: Port) -> Waiting {
         for _ in 0..MAX_ACCEPTED_AT_ONCE {
-            if port == Port::Callers && !self.has_room_for_caller() {
+            if !self.has_room_at(port) {
                 self.accept_is_due = true;
                 return Waiting::NoRoom;
             }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod calls;
 mod coldness;
+mod connection_room;
 mod connections;
 mod control;
 mod deferred;
@@ -66,6 +67,7 @@
 use crate::caller_retries::CallerRetries;
 use crate::clock;
 use crate::clock::Time;
+use crate::connection_limits::ConnectionLimits;
 use crate::fingerprint::Suspects;
 use crate::log::Log;
 use crate::log::LogCategory;
@@ -204,8 +206,7 @@
     listeners: Vec<Listener>,
     /// Whether connections may wait at a listener without a further event for them.
     accept_is_due: bool,
-    /// Largest number of connections of callers.
-    max_callers: usize,
+    connection_limits: ConnectionLimits,
     signals: Option<SignalPipe>,
     callers: Table<Caller>,
     /// Callers' connections on which requests may wait behind one that has been answered.
@@ -268,7 +269,7 @@
             ticks: 0,
             listeners: Vec::new(),
             accept_is_due: false,
-            max_callers: held_memory::max_callers(),
+            connection_limits: connection_room::connection_limits(),
             signals: None,
             callers: Table::default(),
             answered_callers: VecDeque::new(),
