Limit the connections at the ports that are not for callers

Seen: 160 connections to each of the ports for nodes, heartbeats, readiness checks and metrics, kept open after one byte, take all 128 descriptors of a node (129 entries in /proc/PID/fd), so that its links, the store and the target find none. Causes: only the connections of callers had a limit, and a link that was accepted was kept without a hello. Now each of these ports has a limit of its own by the process's limit of descriptors, with the rule by which callers' connections are replaced, and an accepted link without a hello is closed after 800 ms, or after 250 ms when others wait. Sending on links moved to a module of its own.

--- a/crates/sidecar/src/node/connection_room.rs
+++ b/crates/sidecar/src/node/connection_room.rs
@@ -1,5 +1,7 @@
 //! Makes room for connections at the ports of the node.
 
+use std::time::Duration;
+
 use crate::connection_limits::ConnectionLimits;
 use crate::eviction;
 use crate::eviction::Use;
@@ -11,6 +13,10 @@
 const DESCRIPTORS_LINE: &str = "Max open files";
 /// Limit of descriptors that is assumed when it cannot be read.
 const DEFAULT_DESCRIPTORS: usize = 1024;
+/// Time after which an accepted link without a hello is closed to make room for another one. A node
+/// sends its hello as soon as it is connected.
+const HELLO_EXPECTED_AFTER: Duration = Duration::from_millis(250);
+
 /// Returns the limits on connections of this process.
 pub(super) fn connection_limits() -> ConnectionLimits {
     let text = std::fs::read_to_string(LIMITS_FILE).unwrap_or_default();
@@ -29,7 +35,10 @@
         let limits = self.connection_limits;
         match port {
             Port::Callers => self.has_room_for_caller(port, limits.callers),
-            Port::Control | Port::Ready | Port::Metrics | Port::Peers => true,
+            Port::Control | Port::Ready | Port::Metrics => {
+                self.has_room_for_caller(port, limits.checks)
+            }
+            Port::Peers => self.has_room_for_link(limits.unnamed_links),
         }
     }
 
@@ -70,4 +79,22 @@
         });
         eviction::connection_to_evict(uses, now)
     }
+
+    fn has_room_for_link(&mut self, limit: usize) -> bool {
+        let unnamed = self.links.iter().filter(|(_, link)| link.is_unnamed());
+        if unnamed.count() < limit {
+            return true;
+        }
+        let now = self.now;
+        // Ids ascend with the time at which links were accepted.
+        let oldest = self.links.iter().find(|(_, link)| link.is_unnamed());
+        let Some((id, link)) = oldest else {
+            return true;
+        };
+        if link.age(now) < HELLO_EXPECTED_AFTER {
+            return false;
+        }
+        self.link_lost(id, "no hello");
+        true
+    }
 }
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -30,7 +30,6 @@
 use crate::node::peers::SEED_PREFIX;
 use crate::node::targets::WorkOrigin;
 use crate::node::transfers::IncomingAnswer;
-use crate::traffic::FrameKind;
 
 /// Time without received bytes, with calls outstanding, after which a ping is sent.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -44,7 +43,8 @@
 /// the number of links, so that the keep-alive traffic of a node stays bounded.
 const IDLE_PING_AFTER: Duration = Duration::from_secs(1);
 const IDLE_PING_PER_LINK: Duration = Duration::from_millis(60);
-/// Time to connect and to receive the other node's hello.
+/// Time to connect and to receive the other node's hello; also the time for the hello on an accepted
+/// link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest and longest backoff between attempts to connect.
 const MIN_DIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -56,7 +56,7 @@
 
 /// Connection with another node.
 pub(crate) struct Link {
-    stream: Stream,
+    pub(super) stream: Stream,
     input: Vec<u8>,
     /// The peer that this node dialled, or the sender of the hello.
     pub(super) peer: Option<u64>,
@@ -97,6 +97,16 @@
         self.stream.output_bytes()
     }
 
+    /// Returns whether the link was accepted and its node is not known yet.
+    pub(super) fn is_unnamed(&self) -> bool {
+        !self.is_dialed && self.peer.is_none()
+    }
+
+    /// Returns the time since the link was opened or accepted.
+    pub(super) fn age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.opened)
+    }
+
     /// Returns whether the answer to a ping is overdue.
     pub(super) fn is_stalled(&self, now: Time, distance: Distance) -> bool {
         self.ping_sent
@@ -495,6 +505,9 @@
         let mut stalled = Vec::new();
         let mut ping_due = Vec::new();
         for (id, link) in self.links.iter() {
+            if link.is_unnamed() && link.age(now) > CONNECT_TIMEOUT {
+                unconnected.push(id);
+            }
             if !link.is_dialed || link.is_retired {
                 continue;
             }
@@ -503,7 +516,7 @@
                 .and_then(|peer| self.peers.get(peer))
                 .is_some_and(|peer| peer.is_linked && peer.link == Some(id));
             if !is_established {
-                if now.saturating_sub(link.opened) > CONNECT_TIMEOUT {
+                if link.age(now) > CONNECT_TIMEOUT {
                     unconnected.push(id);
                 }
                 continue;
@@ -562,36 +575,4 @@
         }
         self.restart_watches();
     }
-
-    /// Sends a frame on a link.
-    pub(super) fn send_frame(&mut self, id: u64, frame: &Frame) {
-        let mut bytes = Vec::new();
-        frame::encode(frame, &mut bytes);
-        let kind = FrameKind::of(frame);
-        self.record_frame(id, kind, bytes.len());
-        if let Some(link) = self.links.get_mut(id) {
-            // A failed link is noticed by its next event or by an unanswered ping.
-            let _ = link.stream.send_vec(bytes);
-        }
-    }
-
-    /// Sends an encoded frame on a link.
-    pub(super) fn send_encoded(&mut self, id: u64, kind: FrameKind, bytes: &[u8]) {
-        self.record_frame(id, kind, bytes.len());
-        if let Some(link) = self.links.get_mut(id) {
-            let _ = link.stream.send(bytes);
-        }
-    }
-
-    fn record_frame(&mut self, id: u64, kind: FrameKind, bytes: usize) {
-        let Some(link) = self.links.get(id) else {
-            return;
-        };
-        let distance = link
-            .peer
-            .and_then(|peer| self.peers.get(peer))
-            .map_or(Distance::DataCentre, |peer| peer.distance);
-        self.traffic.record(kind, distance, bytes);
-        self.uplink.record_sent(bytes, self.now);
-    }
 }
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod explain;
 mod held_memory;
 mod link_calls;
+mod link_output;
 mod link_selection;
 mod links;
 mod listeners;
