Bound the input that waits in the kernel by the memory of the VM

Seen: 600 uploads without their last byte leave 43 MB unread at a node of 64 MB, 66 MB with its resident memory. Cause: no receive buffer was set, so that the kernel's defaults (128 KiB, growing to 32 MiB here) applied to each connection, and the number of connections had no bound by the memory. Now listeners set the size of the receive buffer, which accepted connections take over, and their backlog; connections to the target, to the store and to other nodes set it before they connect.

--- a/crates/sidecar/src/edge/stream.rs
+++ b/crates/sidecar/src/edge/stream.rs
@@ -7,7 +7,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustix::io::Errno;
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 use stakker::Fwd;
 use stakker_mio::MioPoll;
 use stakker_mio::MioSource;
@@ -95,12 +99,28 @@
         Self::register(poll, stream, ready, true)
     }
 
-    /// Starts to connect; output is buffered until the connection is established.
+    /// Starts to connect, with a receive buffer of some size; output is buffered until the connection
+    /// is established.
     ///
     /// # Errors
     /// The connection attempt cannot be started.
-    pub fn connect(poll: &MioPoll, address: SocketAddr, ready: Fwd<Ready>) -> Result<Self> {
-        Self::register(poll, TcpStream::connect(address)?, ready, false)
+    pub fn connect(
+        poll: &MioPoll,
+        address: SocketAddr,
+        receive_bytes: usize,
+        ready: Fwd<Ready>,
+    ) -> Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        // Set before the connection is established: a peer that has seen a larger window waits for
+        // half of it before it sends on.
+        socket.set_recv_buffer_size(receive_bytes)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            Err(error) if error.raw_os_error() == Some(Errno::INPROGRESS.raw_os_error()) => {}
+            Err(error) => return Err(error),
+        }
+        Self::register(poll, TcpStream::from_std(socket.into()), ready, false)
     }
 
     fn register(
--- a/crates/sidecar/src/node/connection_room.rs
+++ b/crates/sidecar/src/node/connection_room.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::connection_limits::ConnectionLimits;
+use crate::connection_limits::PortLimits;
 use crate::eviction;
 use crate::eviction::Use;
 use crate::node::Node;
@@ -18,27 +19,36 @@
 const HELLO_EXPECTED_AFTER: Duration = Duration::from_millis(250);
 
 /// Returns the limits on connections of this process.
-pub(super) fn connection_limits() -> ConnectionLimits {
+pub(super) fn connection_limits(memory_bytes: usize) -> ConnectionLimits {
     let text = std::fs::read_to_string(LIMITS_FILE).unwrap_or_default();
     let descriptors = text
         .lines()
         .find_map(|line| line.strip_prefix(DESCRIPTORS_LINE))
         .and_then(|values| values.split_whitespace().next()?.parse().ok())
         .unwrap_or(DEFAULT_DESCRIPTORS);
-    ConnectionLimits::for_descriptors(descriptors)
+    ConnectionLimits::for_process(descriptors, memory_bytes)
 }
 
 impl Node {
     /// Returns whether a connection can be accepted at a port. Among too many, one that is hardly
     /// used is closed.
     pub(super) fn has_room_at(&mut self, port: Port) -> bool {
-        let limits = self.connection_limits;
+        let limit = self.port_limits(port).connections;
         match port {
-            Port::Callers => self.has_room_for_caller(port, limits.callers),
-            Port::Control | Port::Ready | Port::Metrics => {
-                self.has_room_for_caller(port, limits.checks)
+            Port::Callers | Port::Control | Port::Ready | Port::Metrics => {
+                self.has_room_for_caller(port, limit)
             }
-            Port::Peers => self.has_room_for_link(limits.unnamed_links),
+            Port::Peers => self.has_room_for_link(limit),
+        }
+    }
+
+    /// Returns the limits on connections at a port.
+    pub(super) fn port_limits(&self, port: Port) -> PortLimits {
+        let limits = &self.connection_limits;
+        match port {
+            Port::Callers => limits.callers,
+            Port::Control | Port::Ready | Port::Metrics => limits.checks,
+            Port::Peers => limits.links,
         }
     }
 
--- a/crates/sidecar/src/node/connections.rs
+++ b/crates/sidecar/src/node/connections.rs
@@ -193,7 +193,12 @@
 
     fn open_connection(&mut self, address: SocketAddr) -> io::Result<u64> {
         let ready = self.ready_fwd(Socket::Target(self.connections.next_id()));
-        let stream = Stream::connect(&self.poll, address, ready)?;
+        let stream = Stream::connect(
+            &self.poll,
+            address,
+            self.connection_limits.links.receive_bytes,
+            ready,
+        )?;
         Ok(self.connections.insert(TargetConnection {
             stream,
             address,
--- a/crates/sidecar/src/node/links.rs
+++ b/crates/sidecar/src/node/links.rs
@@ -153,7 +153,12 @@
             return;
         };
         let ready = self.ready_fwd(Socket::Link(self.links.next_id()));
-        match Stream::connect(&self.poll, found.record.peer_address, ready) {
+        match Stream::connect(
+            &self.poll,
+            found.record.peer_address,
+            self.connection_limits.links.receive_bytes,
+            ready,
+        ) {
             Ok(stream) => {
                 let link = self.add_link(stream, Some(peer));
                 if let Some(found) = self.peers.get_mut(peer) {
--- a/crates/sidecar/src/node/listeners.rs
+++ b/crates/sidecar/src/node/listeners.rs
@@ -13,14 +13,13 @@
 use stakker_mio::mio::net::TcpListener;
 use stakker_mio::mio::net::TcpStream;
 
+use crate::connection_limits::PortLimits;
 use crate::edge::stream::Stream;
 use crate::node::Node;
 use crate::node::Port;
 use crate::node::Socket;
 
 const LISTENER_PRIORITY: u32 = 1;
-/// Connections that may wait in the kernel to be accepted.
-const BACKLOG: i32 = 1024;
 /// Connections that are accepted at once. Without a bound, callers that connect all the time would
 /// keep the node from closing the connections of those that have left.
 const MAX_ACCEPTED_AT_ONCE: usize = 32;
@@ -50,10 +49,11 @@
         poll: &MioPoll,
         port: Port,
         address: SocketAddr,
+        limits: PortLimits,
         ready: Fwd<Ready>,
     ) -> io::Result<Self> {
         let source = poll.add(
-            listen(address)?,
+            listen(address, limits)?,
             Interest::READABLE,
             LISTENER_PRIORITY,
             ready,
@@ -67,13 +67,15 @@
 }
 
 /// Opens a listener with `SO_REUSEADDR`, so that a restarted process can bind the address at once.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, limits: PortLimits) -> io::Result<TcpListener> {
     let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    // Accepted connections take this size over.
+    socket.set_recv_buffer_size(limits.receive_bytes)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(i32::try_from(limits.backlog).unwrap_or(i32::MAX))?;
     Ok(TcpListener::from_std(socket.into()))
 }
 
--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -277,7 +277,7 @@
             ticks: 0,
             listeners: Vec::new(),
             accept_is_due: false,
-            connection_limits: connection_room::connection_limits(),
+            connection_limits: connection_room::connection_limits(settings.memory_bytes()),
             signals: None,
             callers: Table::default(),
             answered_callers: VecDeque::new(),
@@ -342,8 +342,9 @@
         ];
         for (port, address) in addresses {
             let ready = self.ready_fwd(Socket::Listener(port));
+            let limits = self.port_limits(port);
             self.listeners
-                .push(Listener::open(&self.poll, port, address, ready)?);
+                .push(Listener::open(&self.poll, port, address, limits, ready)?);
         }
         Ok(())
     }
--- a/crates/sidecar/src/node/store.rs
+++ b/crates/sidecar/src/node/store.rs
@@ -406,13 +406,14 @@
         };
         let timeout_at = self.now + timeout;
         let poll = self.poll.clone();
+        let receive_bytes = self.connection_limits.links.receive_bytes;
         let connection = self.store.connection(channel);
         connection.current = Some(call);
         connection.timeout_at = timeout_at;
         connection.reader = Some(ResponseReader::new(&request.method, ANSWER_LIMITS));
         if connection.stream.is_none() {
             connection.input.clear();
-            connection.stream = Stream::connect(&poll, address, ready).ok();
+            connection.stream = Stream::connect(&poll, address, receive_bytes, ready).ok();
         }
         let is_sent = connection
             .stream
--- a/xtask/tests/misbehaving_callers/crowd.rs
+++ b/xtask/tests/misbehaving_callers/crowd.rs
@@ -19,10 +19,13 @@
 /// Largest number of bytes that a caller sends without reading an answer. It bounds what the crowd
 /// itself leaves in the kernel.
 const MAX_SENT_BYTES: usize = 1024 * 1024;
-/// Turns between two bytes of [`Behaviour::Trickle`].
+/// Turns between two steps of callers that send or read slowly.
 const TRICKLE_TURNS: u32 = 20;
 const READ_BYTES: usize = 64 * 1024;
+/// Bytes that [`Behaviour::ReadSlowly`] reads every [`TRICKLE_TURNS`].
+const SLOW_READ_BYTES: usize = 256;
 const STATUS_LINE: &[u8] = b"HTTP/1.1 ";
+const REFUSED: &[u8] = b"HTTP/1.1 503";
 
 /// What each caller of a crowd does on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +36,9 @@
     SendOnce,
     /// Sends one byte of its input at a time.
     Trickle,
+    /// Sends its input once and reads a little of the answer at a time; ends the connection when it is
+    /// refused.
+    ReadSlowly,
     /// Sends its input, closes the connection at once and opens the next one.
     Leave,
     /// Sends its input again and again and reads the answers.
@@ -132,6 +138,20 @@
                     read_all(stream, &mut answers)
                 })
             }
+            Behaviour::ReadSlowly => {
+                let sent = send_on(stream, &self.input, &mut caller.sent, self.input.len());
+                sent.and_then(|()| {
+                    if !turn.is_multiple_of(TRICKLE_TURNS) {
+                        return Ok(());
+                    }
+                    let mut block = [0; SLOW_READ_BYTES];
+                    read_block(stream, &mut block)?;
+                    if block.starts_with(REFUSED) {
+                        return Err(ErrorKind::ConnectionRefused.into());
+                    }
+                    Ok(())
+                })
+            }
             Behaviour::Leave => {
                 let _ = send_on(stream, &self.input, &mut caller.sent, self.input.len());
                 Err(ErrorKind::ConnectionAborted.into())
@@ -182,15 +202,21 @@
 fn read_all(stream: &mut TcpStream, answers: &mut u64) -> std::io::Result<()> {
     let mut block = vec![0; READ_BYTES];
     loop {
-        match stream.read(&mut block) {
-            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-            Ok(count) => {
-                let lines = block[..count].split(|byte| *byte == b'\n');
-                *answers += lines.filter(|line| line.starts_with(STATUS_LINE)).count() as u64;
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error),
+        let count = read_block(stream, &mut block)?;
+        if count == 0 {
+            return Ok(());
         }
+        let lines = block[..count].split(|byte| *byte == b'\n');
+        *answers += lines.filter(|line| line.starts_with(STATUS_LINE)).count() as u64;
+    }
+}
+
+/// Reads what has arrived, up to the size of a block; returns 0 if nothing has.
+fn read_block(stream: &mut TcpStream, block: &mut [u8]) -> std::io::Result<usize> {
+    match stream.read(block) {
+        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(0),
+        read => read,
     }
 }
 
--- a/xtask/tests/misbehaving_callers/main.rs
+++ b/xtask/tests/misbehaving_callers/main.rs
@@ -177,6 +177,42 @@
     });
 }
 
+/// Load: 40 callers send requests without waiting for the answers, which they read. Guards against one
+/// caller whose requests take the target whole.
+#[test]
+fn an_ordinary_request_is_answered_beside_a_flood() {
+    check(&options("flood", 1), |testbed| {
+        let node = testbed.vms[0].callers;
+        crowd(node, 40, Behaviour::Read, get("/stock/1"))
+    });
+}
+
+/// Load: a single request for 3 MB at a node with little memory, of its own target and of another
+/// node's. Guards against receive buffers in which a long answer makes no progress.
+#[test]
+fn long_answers_are_served_with_little_memory() {
+    let _turn = take_turn();
+    let testbed = start_served(&options("long_answers", 2));
+
+    for vm in &testbed.vms {
+        await_served(&testbed, vm.callers, LARGE_PATH);
+    }
+}
+
+/// Load: 40 callers ask for an answer of 3 MB, read it at 2.5 KB a second, and come back when they are
+/// refused. Guards against memory that
+/// they hold for as long as they like, while the requests of others find none.
+#[test]
+fn an_ordinary_request_is_answered_beside_callers_that_hardly_read() {
+    check(&options("hardly_read", 1), |testbed| {
+        let node = testbed.vms[0].callers;
+        Crowd {
+            returns: true,
+            ..crowd(node, 40, Behaviour::ReadSlowly, get(LARGE_PATH))
+        }
+    });
+}
+
 /// Load: 160 callers, more than the node has descriptors, send a head byte by byte and come back
 /// when they are disconnected. Guards against a head without end that is never overdue, and against
 /// a full set of connections that admits no other caller.
