Disconnect callers that hardly read before other requests are refused for memory

Cause: the crowd's unread answers hold the memory for long answers for as long as they stay; only above the larger bound on all that is held are callers disconnected, and the crowd's next requests take what becomes free. Now callers that have taken less than 16 KiB a second of an answer for a second are disconnected when a single request finds no memory, and a request with more behind it on its connection, or with unread answers before it, may use half of that memory. Both rules are decided in a module without a network; in calm a pipelined request is begun whatever the size of its answer.

--- a/crates/sidecar/src/buffers.rs
+++ b/crates/sidecar/src/buffers.rs
@@ -5,7 +5,8 @@
 //! budget; when it is exceeded, the connections that hold the most are closed.
 //!
 //! A larger budget bounds all that the process holds, also unsent answers. Over it, the callers that
-//! would take longest to read what is unsent are disconnected.
+//! would take longest to read what is unsent are disconnected. Callers that have stopped reading are
+//! also disconnected when another one's request finds no memory.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -29,6 +30,9 @@
 /// Share of the budget that one answer may use, in percent.
 const ANSWER_PERCENT: usize = 50;
 const MEGABYTE: usize = 1024 * 1024;
+/// Time after which, and rate below which, a caller hardly reads its unsent output.
+const STALLED_AFTER: Duration = Duration::from_secs(1);
+const STALLED_BYTES_PER_S: usize = 16 * 1024;
 
 /// Budget of all connections, and the limit for one answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,9 +54,16 @@
     pub bytes: usize,
     /// Bytes that the caller has recently taken in one second.
     pub bytes_per_s: usize,
+    /// Time since which there is unsent output.
+    pub age: Duration,
 }
 
 impl<K> UnsentOutput<K> {
+    /// Returns whether the caller hardly reads.
+    fn is_stalled(&self) -> bool {
+        self.bytes > 0 && self.bytes_per_s < STALLED_BYTES_PER_S && self.age >= STALLED_AFTER
+    }
+
     /// Returns the time until the caller will have taken all.
     fn drain_time(&self) -> Duration {
         let ms = self.bytes.saturating_mul(1000) / self.bytes_per_s.max(1);
@@ -80,11 +91,25 @@
         }
     }
 
+    /// Returns the memory beyond which no further long work is begun.
+    #[must_use]
+    pub fn long_work_bytes(&self) -> usize {
+        self.held_bytes / 100 * LONG_WORK_PERCENT
+    }
+
     /// Returns whether long work may begin that needs `more_bytes` beyond what is held or expected.
     #[must_use]
     pub fn allows_long_work(&self, held_bytes: usize, more_bytes: usize) -> bool {
         // A single message within the limits is served however large it is.
-        let budget_bytes = self.held_bytes / 100 * LONG_WORK_PERCENT;
+        let budget_bytes = self.long_work_bytes();
+        held_bytes <= budget_bytes / 2 || held_bytes + more_bytes <= budget_bytes
+    }
+
+    /// Returns the same for a request whose caller has further ones, or unread answers, on its
+    /// connection. Such callers leave half of the memory to requests of others.
+    #[must_use]
+    pub fn allows_pipelined_work(&self, held_bytes: usize, more_bytes: usize) -> bool {
+        let budget_bytes = self.long_work_bytes() / 2;
         held_bytes <= budget_bytes / 2 || held_bytes + more_bytes <= budget_bytes
     }
 }
@@ -111,6 +136,19 @@
         .collect()
 }
 
+/// Returns the callers' connections to close that hardly read, so that `more_bytes` fit into
+/// the budget beside what is held.
+#[must_use]
+pub fn stalled_readers_to_close<K: Copy>(
+    mut outputs: Vec<UnsentOutput<K>>,
+    held_bytes: usize,
+    more_bytes: usize,
+    budget_bytes: usize,
+) -> Vec<UnsentOutput<K>> {
+    outputs.retain(UnsentOutput::is_stalled);
+    slow_readers_to_close(outputs, held_bytes + more_bytes, budget_bytes)
+}
+
 /// Returns the callers' connections to close, the slowest first, so that what is held keeps to the
 /// budget. Nothing is freed by closing connections without unsent output.
 #[must_use]
--- a/crates/sidecar/src/node/callers.rs
+++ b/crates/sidecar/src/node/callers.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Returns the time since which there is unsent output.
+    pub(super) fn output_age(&self, now: Time) -> Duration {
+        self.output_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    /// Returns whether there is more on the connection than one request.
+    pub(super) fn is_pipelining(&self) -> bool {
+        self.pending.len() > 1 || !self.input.is_empty() || self.stream.has_output()
+    }
+
     /// Returns the mean rate at which a request has been received, in bytes per second.
     fn receive_rate(&self, unfinished: UnfinishedRequest, now: Time) -> usize {
         let bytes = self.stream.total_read_bytes() - unfinished.read_before;
--- a/crates/sidecar/src/node/calls.rs
+++ b/crates/sidecar/src/node/calls.rs
@@ -187,7 +187,12 @@
         let deadline = arrived + caller_timeout.min(route.timeout);
         let allowed_regions = identity.allowed_regions(&route);
         match self.entry(&route, &allowed_regions, &request, arrived, deadline) {
-            Entry::Begin => {}
+            Entry::Begin => {
+                if !self.find_memory_for(caller, &route.name, request.body.len()) {
+                    self.refuse_request(caller, token, &request_id, 503, CODE_NO_MEMORY);
+                    return;
+                }
+            }
             Entry::Defer => {
                 self.defer_request(caller, token, request, arrived);
                 return;
@@ -226,7 +231,7 @@
             .caller_retries
             .first_requested_at(fingerprint, caller_deadline)
             .unwrap_or(arrived);
-        let call = Call {
+        self.start_call(Call {
             caller,
             token,
             request: Rc::new(request),
@@ -254,10 +259,7 @@
             location: AttemptLocation::None,
             retry_after: Duration::ZERO,
             trace: Vec::new(),
-        };
-        let id = self.calls.insert(call);
-        self.set_timer(deadline, Timer::Call(id));
-        self.admit_by_quota(id);
+        });
     }
 
     /// Decides whether a request on a route may begin now.
@@ -275,15 +277,18 @@
             }
         } else if self.awaits_targets(route, allowed_regions) && self.can_defer(request, arrived) {
             Entry::Defer
-        } else if !self.has_memory_for(&route.name, request.body.len()) {
-            Entry::Refuse {
-                code: CODE_NO_MEMORY,
-            }
         } else {
             Entry::Begin
         }
     }
 
+    fn start_call(&mut self, call: Call) {
+        let deadline = call.deadline;
+        let id = self.calls.insert(call);
+        self.set_timer(deadline, Timer::Call(id));
+        self.admit_by_quota(id);
+    }
+
     pub(super) fn request_id(&self, request: &HttpRequest) -> RequestId {
         let text = request.header(self.header_names.request_id);
         text.unwrap_or_default().into()
--- a/crates/sidecar/src/node/explain.rs
+++ b/crates/sidecar/src/node/explain.rs
@@ -37,6 +37,7 @@
 use crate::node::Node;
 use crate::node::caller_accounts::CODE_NO_ACCOUNT;
 use crate::node::caller_accounts::CallerIdentity;
+use crate::node::callers::CODE_NO_MEMORY;
 use crate::node::callers::own_answer;
 use crate::node::calls::CODE_NO_ROUTE;
 use crate::node::calls::CODE_NO_TARGET;
@@ -138,6 +139,9 @@
         let caller_timeout = to.request.timeout().unwrap_or(route.timeout);
         let deadline = self.now + caller_timeout.min(route.timeout);
         match self.entry(&route, &allowed_regions, request, self.now, deadline) {
+            Entry::Begin if !self.has_memory_for(&route.name, request.body.len()) => {
+                return Ok(Decision::refused(503, CODE_NO_MEMORY));
+            }
             Entry::Begin => {}
             Entry::Defer => return Ok(Decision::Deferred),
             Entry::Refuse { code } => return Ok(Decision::refused(503, code)),
--- a/crates/sidecar/src/node/held_memory.rs
+++ b/crates/sidecar/src/node/held_memory.rs
@@ -10,6 +10,7 @@
 use crate::clock::Time;
 use crate::log::LogCategory;
 use crate::node::Node;
+use crate::node::callers::Caller;
 use crate::node::deferred::DeferredRequest;
 
 /// Time over which the rate is measured at which a caller takes its answers.
@@ -82,13 +83,8 @@
         if bytes >= LONG_BYTES { bytes } else { 0 }
     }
 
-    /// Returns whether a request of a route may begin: long work may not while the memory is nearly
-    /// used up by what is held and by the expected answers of the requests in progress.
-    pub(super) fn has_memory_for(&self, route: &str, body_bytes: usize) -> bool {
-        let answer_bytes = self.long_answer_bytes(route);
-        if answer_bytes == 0 && body_bytes < LONG_BYTES {
-            return true;
-        }
+    /// Returns what is held and the expected answers of the requests in progress.
+    fn expected_memory(&self) -> usize {
         let calls = self.calls.iter().map(|(_, call)| &call.route.name);
         let work_items = self.target.work_items.iter();
         let expected_bytes: usize = calls
@@ -99,10 +95,47 @@
             )
             .map(|route| self.long_answer_bytes(route))
             .sum();
-        self.buffer_limits().allows_long_work(
-            self.held_memory() + expected_bytes,
-            answer_bytes + body_bytes,
-        )
+        self.held_memory() + expected_bytes
+    }
+
+    /// Returns the memory that a request and its expected answer need if either is long, otherwise 0.
+    fn long_work_bytes(&self, route: &str, body_bytes: usize) -> usize {
+        let answer_bytes = self.long_answer_bytes(route);
+        if answer_bytes == 0 && body_bytes < LONG_BYTES {
+            return 0;
+        }
+        answer_bytes + body_bytes
+    }
+
+    /// Returns whether a request of a route may begin: long work may not while the memory is nearly
+    /// used up by what is held and by the expected answers of the requests in progress.
+    pub(super) fn has_memory_for(&self, route: &str, body_bytes: usize) -> bool {
+        let more_bytes = self.long_work_bytes(route, body_bytes);
+        let limits = self.buffer_limits();
+        more_bytes == 0 || limits.allows_long_work(self.expected_memory(), more_bytes)
+    }
+
+    /// Returns the same for a request on a connection of a caller. For a single request, callers that
+    /// hardly read are disconnected when there is no memory otherwise.
+    pub(super) fn find_memory_for(&mut self, caller: u64, route: &str, body_bytes: usize) -> bool {
+        let more_bytes = self.long_work_bytes(route, body_bytes);
+        if more_bytes == 0 {
+            return true;
+        }
+        let limits = self.buffer_limits();
+        let held_bytes = self.expected_memory();
+        if self.callers.get(caller).is_some_and(Caller::is_pipelining) {
+            return limits.allows_pipelined_work(held_bytes, more_bytes);
+        }
+        if limits.allows_long_work(held_bytes, more_bytes) {
+            return true;
+        }
+        let budget_bytes = limits.long_work_bytes();
+        let outputs = self.unsent_outputs();
+        let stalled =
+            buffers::stalled_readers_to_close(outputs, held_bytes, more_bytes, budget_bytes);
+        self.close_slow_readers(&stalled, held_bytes, budget_bytes);
+        limits.allows_long_work(self.expected_memory(), more_bytes)
     }
 
     /// Returns whether a request may be deferred: a long one may not while the memory is nearly used
@@ -128,16 +161,31 @@
         if held_bytes <= budget_bytes {
             return;
         }
-        let outputs = self
-            .callers
+        let outputs = self.unsent_outputs();
+        let slow = buffers::slow_readers_to_close(outputs, held_bytes, budget_bytes);
+        self.close_slow_readers(&slow, held_bytes, budget_bytes);
+    }
+
+    fn unsent_outputs(&self) -> Vec<UnsentOutput<u64>> {
+        let now = self.now;
+        self.callers
             .iter()
             .map(|(id, caller)| UnsentOutput {
                 connection: id,
                 bytes: caller.output_bytes(),
                 bytes_per_s: caller.drain_rate.bytes_per_s(caller.total_written_bytes()),
+                age: caller.output_age(now),
             })
-            .collect();
-        for output in buffers::slow_readers_to_close(outputs, held_bytes, budget_bytes) {
+            .collect()
+    }
+
+    fn close_slow_readers(
+        &mut self,
+        slow: &[UnsentOutput<u64>],
+        held_bytes: usize,
+        budget_bytes: usize,
+    ) {
+        for output in slow {
             metrics::counter!("hemlockfall_sidecar_slow_readers_closed_total").increment(1);
             if self.log.admits(LogCategory::Failure, self.now) {
                 self.log.write(
--- a/crates/sidecar/tests/buffers.rs
+++ b/crates/sidecar/tests/buffers.rs
@@ -1,9 +1,12 @@
 //! Tests of the limit on the memory of messages that are being read.
 
+use std::time::Duration;
+
 use hemlockfall_sidecar::buffers::BufferLimits;
 use hemlockfall_sidecar::buffers::UnsentOutput;
 use hemlockfall_sidecar::buffers::connections_to_close;
 use hemlockfall_sidecar::buffers::slow_readers_to_close;
+use hemlockfall_sidecar::buffers::stalled_readers_to_close;
 use quickcheck::quickcheck;
 
 /// Load: one peer sends without end while others send messages of usual size. Guards against closing
@@ -41,6 +44,7 @@
         connection,
         bytes,
         bytes_per_s,
+        age: Duration::from_secs(3),
     }
 }
 
@@ -81,6 +85,55 @@
     assert!(!limits.allows_long_work(limits.held_bytes, 1));
 }
 
+/// Load: callers that hardly read hold the memory, beside a steady reader and an answer that has
+/// just been queued, and another caller's request needs some. Guards against refusing that request for
+/// as long as they stay, and against disconnecting a caller that reads.
+#[test]
+fn callers_that_hardly_read_make_room_for_a_request() {
+    let just_queued = UnsentOutput {
+        age: Duration::from_millis(200),
+        ..unsent("just queued", 900, 0)
+    };
+    let outputs = vec![
+        unsent("steady", 800, 40_000),
+        unsent("stalled", 300, 10),
+        just_queued,
+        unsent("stalled with more", 500, 0),
+    ];
+
+    let closed = stalled_readers_to_close(outputs.clone(), 2_500, 300, 2_500);
+    let all_closed = stalled_readers_to_close(outputs.clone(), 2_500, 2_500, 2_500);
+    let within = stalled_readers_to_close(outputs, 2_000, 500, 2_500);
+
+    assert_eq!(closed, [unsent("stalled with more", 500, 0)]);
+    assert_eq!(
+        all_closed,
+        [
+            unsent("stalled with more", 500, 0),
+            unsent("stalled", 300, 10)
+        ]
+    );
+    assert!(within.is_empty());
+}
+
+/// Load: callers with many requests behind each other on their connections want long answers, and then
+/// a caller with a single one. Guards against memory that the first take whole, and against a single
+/// pipelined request that is refused in calm.
+#[test]
+fn callers_that_pipeline_leave_memory_to_single_requests() {
+    let limits = BufferLimits::for_memory(64 * 1024 * 1024);
+    let answer_bytes = 3_000_000;
+
+    let mut held_bytes = 0;
+    while limits.allows_pipelined_work(held_bytes, answer_bytes) {
+        held_bytes += answer_bytes;
+    }
+
+    assert!(held_bytes >= answer_bytes);
+    assert!(limits.allows_long_work(held_bytes, answer_bytes));
+    assert!(limits.allows_pipelined_work(0, limits.answer_bytes));
+}
+
 quickcheck! {
     /// Guards against connections that are kept although the budget is exceeded, and against closing
     /// more of them than that needs.
