Keep at most 4096 records of refused requests, whatever their deadlines

Seen (by a test without a network): after 20,000 refused requests, half of which state a deadline in a year, 10,001 records are kept, and each further one scans all of them twice. Cause: at the limit the records with deadlines before the middle between now and the newest deadline are discarded; with a near deadline after far ones that discards none. A caller states the deadline, so that it can grow the memory and the time of each refusal.

deadlines_far_ahead_leave_the_records_bounded failed before (10,001 records, with the accessor added to the old code) and passes.

--- a/crates/sidecar/src/caller_retries.rs
+++ b/crates/sidecar/src/caller_retries.rs
@@ -25,10 +25,16 @@
     first_requested_at: Time,
 }
 
+impl UnservedRequest {
+    fn key(&self) -> (Fingerprint, Time) {
+        (self.fingerprint, self.caller_deadline)
+    }
+}
+
 /// Refused and failed requests whose callers may still retry them.
 #[derive(Debug, Default)]
 pub struct CallerRetries {
-    /// Sorted by fingerprint.
+    /// Sorted by fingerprint, then by deadline.
     unserved: Vec<UnservedRequest>,
 }
 
@@ -46,12 +52,10 @@
             self.unserved.retain(|entry| entry.caller_deadline > now);
         }
         if self.unserved.len() >= CAPACITY {
-            let middle = now + (caller_deadline.saturating_sub(now)) / 2;
-            self.unserved.retain(|entry| entry.caller_deadline > middle);
+            self.discard_earliest();
         }
-        let index = self
-            .unserved
-            .partition_point(|entry| entry.fingerprint <= fingerprint);
+        let key = (fingerprint, caller_deadline);
+        let index = self.unserved.partition_point(|entry| entry.key() <= key);
         let entry = UnservedRequest {
             fingerprint,
             caller_deadline,
@@ -60,6 +64,18 @@
         self.unserved.insert(index, entry);
     }
 
+    /// Returns the number of requests that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.unserved.len()
+    }
+
+    /// Returns whether no request is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.unserved.is_empty()
+    }
+
     /// Returns the time of the caller's first request if this request is a retry, and removes the
     /// record.
     pub fn first_requested_at(
@@ -67,18 +83,27 @@
         fingerprint: Fingerprint,
         caller_deadline: Time,
     ) -> Option<Time> {
-        let start = self
+        let earliest = caller_deadline.saturating_sub(DEADLINE_TOLERANCE);
+        let index = self
+            .unserved
+            .partition_point(|entry| entry.key() < (fingerprint, earliest));
+        let found = self.unserved.get(index)?;
+        if found.key() > (fingerprint, caller_deadline + DEADLINE_TOLERANCE) {
+            return None;
+        }
+        Some(self.unserved.remove(index).first_requested_at)
+    }
+
+    /// Discards the half with the earlier deadlines.
+    fn discard_earliest(&mut self) {
+        let mut deadlines: Vec<Time> = self
             .unserved
-            .partition_point(|entry| entry.fingerprint < fingerprint);
-        let same = self.unserved[start..]
             .iter()
-            .take_while(|entry| entry.fingerprint == fingerprint);
-        let offset = same
-            .enumerate()
-            .find(|(_, entry)| {
-                entry.caller_deadline.abs_diff(caller_deadline) <= DEADLINE_TOLERANCE
-            })
-            .map(|(offset, _)| offset)?;
-        Some(self.unserved.remove(start + offset).first_requested_at)
+            .map(|entry| entry.caller_deadline)
+            .collect();
+        let middle = deadlines.len() / 2;
+        let (_, median, _) = deadlines.select_nth_unstable(middle);
+        let median = *median;
+        self.unserved.retain(|entry| entry.caller_deadline > median);
     }
 }
--- a/crates/sidecar/tests/returning.rs
+++ b/crates/sidecar/tests/returning.rs
@@ -75,3 +75,36 @@
 
     assert_eq!((latest, oldest), (Some(at(49_999)), None));
 }
+
+/// Load: callers state deadlines in a year, and their requests are refused; others with usual deadlines are
+/// refused as well. Guards against records that are kept beyond the limit.
+#[test]
+fn deadlines_far_ahead_leave_the_records_bounded() {
+    let mut caller_retries = CallerRetries::default();
+    let year_ms = 365 * 24 * 3600 * 1000;
+
+    for number in 0..20_000 {
+        let far = at(year_ms);
+        let deadline = if number % 2 == 0 {
+            far
+        } else {
+            at(800 + number)
+        };
+        caller_retries.record_unserved(number, deadline, at(number), at(number));
+    }
+
+    assert!(caller_retries.len() <= 4096, "{}", caller_retries.len());
+}
+
+/// Load: 3,000 equal requests are refused. Guards against a retry that is not recognized among them.
+#[test]
+fn a_retry_is_found_among_many_equal_requests() {
+    let mut caller_retries = CallerRetries::default();
+    for number in 0..3_000 {
+        caller_retries.record_unserved(STOCK, at(10_000 + number * 60), at(number), at(number));
+    }
+
+    let first_requested_at = caller_retries.first_requested_at(STOCK, at(10_000 + 1_500 * 60 + 3));
+
+    assert_eq!(first_requested_at, Some(at(1_500)));
+}
