Discard the timers of requests that have ended

Cause: each request sets a timer for its deadline, which stays until then; the operator sets the timeout of a route, and callers the number of requests. Now the timers of requests that have ended are discarded whenever their number has doubled.

refused_requests_leave_no_memory_until_their_deadline is new; it failed before (growth of 8.0 and 7.4 MB in two runs, bound 1 MB) and passes (0.2 MB in two runs, some 400,000 answers each; x86-64).

--- a/crates/sidecar/src/node/mod.rs
+++ b/crates/sidecar/src/node/mod.rs
@@ -112,6 +112,8 @@
 /// Time after a process pause in which no canary requests are sent and no rollout is judged.
 /// Rollouts may have ended meanwhile, which the next heartbeat of a store watcher shows.
 const ROLLOUTS_HELD: Duration = Duration::from_millis(1200);
+/// Least number of timers from which those of requests that have ended are discarded.
+const MIN_MAX_TIMERS: usize = 4096;
 /// Ticks between two flushes of the log.
 const FLUSH_TICKS: u64 = 5;
 /// Ticks between two reports of the traffic to other nodes.
@@ -205,6 +207,8 @@
     random: SmallRng,
     incarnation: u64,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
+    /// Number of timers from which those of requests that have ended are discarded.
+    max_timers: usize,
     /// Earliest time for which a wake-up is scheduled.
     next_wake_at: Option<Time>,
     last_tick: Time,
@@ -273,6 +277,7 @@
             random: SmallRng::seed_from_u64(params.seed),
             incarnation: params.incarnation,
             timers: BinaryHeap::new(),
+            max_timers: MIN_MAX_TIMERS,
             next_wake_at: None,
             last_tick: now,
             ticks: 0,
@@ -495,9 +500,29 @@
     }
 
     pub(crate) fn set_timer(&mut self, at: Time, timer: Timer) {
+        if self.timers.len() >= self.max_timers {
+            self.discard_timers();
+        }
         self.timers.push(Reverse((at, timer)));
     }
 
+    /// Discards the timers of requests that have ended. Most requests end long before their deadline.
+    fn discard_timers(&mut self) {
+        let (calls, work_items) = (&self.calls, &self.target.work_items);
+        self.timers.retain(|Reverse((_, timer))| match timer {
+            Timer::Call(id) | Timer::Allowance(id) => calls.get(*id).is_some(),
+            Timer::Work(id) => work_items.get(*id).is_some(),
+            Timer::Tick
+            | Timer::Store
+            | Timer::Permit
+            | Timer::Uplink
+            | Timer::Read(_)
+            | Timer::Turn => true,
+        });
+        self.max_timers = MIN_MAX_TIMERS.max(2 * self.timers.len());
+        self.timers.shrink_to(self.max_timers);
+    }
+
     pub(crate) fn allocate_token(&mut self) -> u64 {
         let token = self.next_token;
         self.next_token += 1;
--- a/xtask/tests/misbehaving_callers/main.rs
+++ b/xtask/tests/misbehaving_callers/main.rs
@@ -20,6 +20,7 @@
 use crate::crowd::Crowd;
 use crate::setup::HOST;
 use crate::setup::await_served;
+use crate::setup::deregister_target;
 use crate::setup::start;
 use crate::setup::testbed_options;
 use crate::usage::Usage;
@@ -47,6 +48,8 @@
 const READING_THREADS: usize = 4;
 /// Time before the first look at the memory in the test of growth.
 const WARM_UP: Duration = Duration::from_secs(3);
+/// Timeout of the testbed's route for long runs.
+const BATCH_TIMEOUT: Duration = Duration::from_secs(8);
 /// Largest growth of the memory by requests that have been answered.
 const MAX_GROWTH_KIB: u64 = 1024;
 /// Answers in that test, at least; a sample of a metric took 8 bytes.
@@ -329,6 +332,34 @@
     await_served(&testbed, node, "/stock/1");
 }
 
+/// Load: callers flood a route whose timeout is 8 s and whose service has no target, so that each request
+/// is refused at once. Guards against memory that stays for each request until its deadline.
+#[test]
+fn refused_requests_leave_no_memory_until_their_deadline() {
+    let _turn = take_turn();
+    let options = options("deadlines", 2);
+    let mut testbed = start_served(&options);
+    deregister_target(&mut testbed, 0);
+    let vm = &testbed.vms[0];
+
+    let flood = crowd(vm.callers, 16, Behaviour::Read, get("/batch/1")).start(READING_THREADS);
+    sample(vm, BATCH_TIMEOUT / 4);
+    let before_kib = resident_kib(vm);
+    sample(vm, BATCH_TIMEOUT);
+    let after_kib = resident_kib(vm);
+    println!(
+        "{before_kib} KiB before, {after_kib} KiB after, {} answers",
+        flood.answers()
+    );
+    drop(flood);
+
+    assert!(
+        after_kib < before_kib + MAX_GROWTH_KIB,
+        "{before_kib} KiB before, {after_kib} KiB after"
+    );
+    await_served(&testbed, vm.callers, "/feed/1");
+}
+
 /// Load: callers send refused requests one behind the other and read the answers. Guards against
 /// memory that stays for each answer.
 #[test]
