--- a/xtask/tests/misbehaving_callers/main.rs
+++ b/xtask/tests/misbehaving_callers/main.rs
@@ -13,12 +13,14 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use xtask::harness::process::Signal;
 use xtask::soak::testbed::Testbed;
 use xtask::soak::testbed::TestbedOptions;
 
 use crate::crowd::Behaviour;
 use crate::crowd::Crowd;
 use crate::setup::HOST;
+use crate::setup::LOG_LINES;
 use crate::setup::await_served;
 use crate::setup::deregister_target;
 use crate::setup::start;
@@ -48,6 +50,8 @@
 const READING_THREADS: usize = 4;
 /// Time before the first look at the memory in the test of growth.
 const WARM_UP: Duration = Duration::from_secs(3);
+/// Default time for a graceful stop, after which the platform kills the process.
+const GRACE: Duration = Duration::from_secs(6);
 /// Timeout of the testbed's route for long runs.
 const BATCH_TIMEOUT: Duration = Duration::from_secs(8);
 /// Largest growth of the memory by requests that have been answered.
@@ -332,6 +336,52 @@
     await_served(&testbed, node, "/stock/1");
 }
 
+/// Load: 160 callers ask for the metrics page again and again, read none, and come back when they are
+/// disconnected. Guards against pages that take the memory or the time of the node.
+#[test]
+fn an_ordinary_request_is_answered_beside_pages_that_are_not_read() {
+    check(&options("pages", 1), |testbed| Crowd {
+        returns: true,
+        ..crowd(
+            testbed.vms[0].metrics,
+            160,
+            Behaviour::SendOn,
+            get("/metrics"),
+        )
+    });
+}
+
+/// Load: callers that read nothing, leave heads unfinished or hold connections open, at a node that is
+/// stopped. Guards against a process that does not end within its grace time.
+#[test]
+fn a_stop_ends_beside_callers_that_do_not_read() {
+    let _turn = take_turn();
+    let options = options("stop", 2);
+    let mut testbed = start_served(&options);
+    let node = testbed.vms[0].callers;
+    let running = [
+        (Behaviour::SendOn, get(LARGE_PATH)),
+        (Behaviour::SendOnce, unfinished_upload()),
+        (Behaviour::Trickle, unfinished_upload()),
+        (Behaviour::ReadSlowly, get(LARGE_PATH)),
+    ]
+    .map(|(behaviour, input)| crowd(node, 20, behaviour, input).start(1));
+    let usage = sample(&testbed.vms[0], CROWD_TIME);
+
+    let vm = &mut testbed.vms[0];
+    vm.node.signal(Signal::Term).expect("the signal is sent");
+    let ended = vm.node.wait_exit(GRACE);
+    drop(running);
+
+    assert!(
+        ended.is_ok_and(|status| status.success()),
+        "{}",
+        vm.node.state(LOG_LINES)
+    );
+    assert!(usage.memory_kib < options.memory_mb * 1024, "{usage:?}");
+    await_served(&testbed, testbed.vms[1].callers, "/feed/1");
+}
+
 /// Load: callers flood a route whose timeout is 8 s and whose service has no target, so that each request
 /// is refused at once. Guards against memory that stays for each request until its deadline.
 #[test]
