--- a/xtask/tests/misbehaving_callers/crowd.rs
+++ b/xtask/src/crowd.rs
@@ -1,4 +1,4 @@
-//! Callers that stay outside the limits of the mesh, played by one thread for each crowd.
+//! Callers that stay outside the limits of the mesh, a crowd of them on a few threads.
 
 use std::io::ErrorKind;
 use std::io::Read;
@@ -13,6 +13,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::soak::caller::HOST;
+
 /// Time between two turns of the callers of a crowd.
 const TURN: Duration = Duration::from_millis(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -26,6 +28,12 @@
 const SLOW_READ_BYTES: usize = 256;
 const STATUS_LINE: &[u8] = b"HTTP/1.1 ";
 const REFUSED: &[u8] = b"HTTP/1.1 503";
+/// Size of a body that fits the limit of the testbed's configuration.
+const UPLOAD_BYTES: usize = 1_000_000;
+/// Size of a head that fits that limit.
+const HEAD_BYTES: usize = 8192;
+/// Path of an answer of 3 MB.
+pub const LARGE_PATH: &str = "/stock/large/3000000";
 
 /// What each caller of a crowd does on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,8 +56,11 @@
 /// Callers that behave in the same way, each on a connection of its own.
 #[derive(Clone, Debug)]
 pub struct Crowd {
+    /// Address that they connect to.
     pub node: SocketAddr,
+    /// Number of callers.
     pub callers: usize,
+    /// What each of them does.
     pub behaviour: Behaviour,
     /// Bytes that each caller sends.
     pub input: Vec<u8>,
@@ -58,6 +69,7 @@
 }
 
 /// Crowd that goes on until it is dropped.
+#[derive(Debug)]
 pub struct RunningCrowd {
     stop: Arc<AtomicBool>,
     /// Answers that the callers have read, at least.
@@ -71,8 +83,36 @@
     has_ended: bool,
 }
 
+/// Returns a request without a body.
+#[must_use]
+pub fn get(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: crowd\r\n\r\n").into_bytes()
+}
+
+/// Returns an upload that lacks its last byte.
+#[must_use]
+pub fn unfinished_upload() -> Vec<u8> {
+    let mut input = format!(
+        "POST /stock/1 HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: upload\r\n\
+         content-length: {UPLOAD_BYTES}\r\n\r\n"
+    )
+    .into_bytes();
+    input.resize(input.len() + UPLOAD_BYTES - 1, b'u');
+    input
+}
+
+/// Returns a request head that does not end.
+#[must_use]
+pub fn unfinished_head() -> Vec<u8> {
+    let head = format!("GET /stock/1 HTTP/1.1\r\nhost: {HOST}\r\nx-long: ");
+    let mut input = head.into_bytes();
+    input.resize(HEAD_BYTES, b'a');
+    input
+}
+
 impl Crowd {
     /// Starts the callers; `threads` threads share them.
+    #[must_use]
     pub fn start(self, threads: usize) -> RunningCrowd {
         let stop: Arc<AtomicBool> = Arc::default();
         let answers: Arc<AtomicU64> = Arc::default();
@@ -169,6 +209,7 @@
 
 impl RunningCrowd {
     /// Returns the number of answers that the callers have read, at least.
+    #[must_use]
     pub fn answers(&self) -> u64 {
         self.answers.load(Ordering::SeqCst)
     }
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod bench;
 pub mod caller;
+pub mod crowd;
 pub mod demo;
 pub mod errors;
 pub mod harness;
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -52,7 +52,7 @@
 /// Longest time between two planned stops, in milliseconds.
 const MAX_STOP_GAP_MS: u64 = 1500;
 /// Largest share of the VM's memory that a node may use, in percent.
-const MEMORY_PERCENT: u64 = 50;
+pub(super) const MEMORY_PERCENT: u64 = 50;
 
 /// Kind of fault.
 #[derive(Clone, Copy, Debug)]
@@ -157,8 +157,8 @@
     });
 }
 
-fn check_memory(testbed: &Testbed) {
-    let bound_kib = MEMORY_MB * 1024 * MEMORY_PERCENT / 100;
+fn check_memory(testbed: &Testbed, memory_percent: u64) {
+    let bound_kib = MEMORY_MB * 1024 * memory_percent / 100;
     for vm in &testbed.vms {
         let peak_kib = vm.node.peak_memory_kib().unwrap_or_default();
         if peak_kib > bound_kib {
@@ -170,7 +170,8 @@
     }
 }
 
-/// Injects faults for `time` and meanwhile checks the configuration of the nodes.
+/// Injects faults for `time` and meanwhile checks the configuration of the nodes, and that they use a
+/// share of their memory at most.
 ///
 /// # Errors
 /// A process cannot be started or signalled.
@@ -178,6 +179,7 @@
     testbed: &mut Testbed,
     time: Duration,
     mut limits: Option<&mut LimitDrill>,
+    memory_percent: u64,
 ) -> Result<()> {
     let started = Instant::now();
     let mut pending: Vec<(Instant, Action)> = Vec::new();
@@ -210,7 +212,7 @@
             next_foreign = now + FOREIGN_INTERVAL;
         }
         if now >= next_check {
-            check_memory(testbed);
+            check_memory(testbed, memory_percent);
             testbed.check_config();
             next_check = now + CONFIG_CHECK_INTERVAL;
         }
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -6,7 +6,8 @@
 
 mod accounts;
 mod batches;
-mod caller;
+pub mod caller;
+mod crowds;
 mod disturbances;
 mod drill;
 mod faults;
@@ -17,6 +18,7 @@
 pub mod testbed;
 pub mod vm_settings;
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -53,6 +55,9 @@
     /// Number of nodes.
     #[options(no_short, meta = "N", help = "nodes with a target each (default 6)")]
     pub nodes: Option<usize>,
+    /// Whether callers outside the limits come as well.
+    #[options(no_short, help = "add crowds of callers outside the limits")]
+    pub crowds: bool,
     /// Directory for the logs of the processes.
     #[options(
         no_short,
@@ -80,7 +85,7 @@
     let logs = options.logs.clone().unwrap_or_else(|| "target/soak".into());
     let mut failed_seeds = Vec::new();
     for seed in seeds {
-        let violations = run_seed(seed, nodes, &logs)?;
+        let violations = play(seed, nodes, &logs, options.crowds)?;
         println!("seed {seed}: {} violations", violations.len());
         for violation in &violations {
             println!("  {violation}");
@@ -99,7 +104,19 @@
 ///
 /// # Errors
 /// A process or a stand-in cannot be started.
-pub fn run_seed(seed: u64, nodes: usize, logs: &std::path::Path) -> Result<Vec<String>> {
+pub fn run_seed(seed: u64, nodes: usize, logs: &Path) -> Result<Vec<String>> {
+    play(seed, nodes, logs, false)
+}
+
+/// Runs one seed beside crowds of callers outside the limits and returns the violations.
+///
+/// # Errors
+/// A process or a stand-in cannot be started.
+pub fn run_seed_with_crowds(seed: u64, nodes: usize, logs: &Path) -> Result<Vec<String>> {
+    play(seed, nodes, logs, true)
+}
+
+fn play(seed: u64, nodes: usize, logs: &Path, has_crowds: bool) -> Result<Vec<String>> {
     let limit_random = limit_drill::random_of(seed, nodes);
     if limit_random.is_some() {
         println!("seed {seed} has client accounts, regions, a cold target and an evacuation");
@@ -125,7 +142,13 @@
     testbed.wait_until_served();
     testbed.start_batch_callers(BATCH_CALLERS);
     let mut limits = limit_random.map(|random| LimitDrill::begin(&mut testbed, random, FAULT_TIME));
-    faults::inject(&mut testbed, FAULT_TIME, limits.as_mut())?;
+    let (crowds, memory_percent) = if has_crowds {
+        (crowds::start(&testbed, seed), crowds::MEMORY_PERCENT)
+    } else {
+        (Vec::new(), faults::MEMORY_PERCENT)
+    };
+    faults::inject(&mut testbed, FAULT_TIME, limits.as_mut(), memory_percent)?;
+    drop(crowds);
     testbed.heal()?;
     if let Some(limits) = &mut limits {
         limits.reopen(&mut testbed);
